Add workspace, typed messages and the interface contracts

Cause: an empty repository; parts that are built side by side need one set of typed messages, effects and HTTP interfaces first. Conclusion: later changes are made against these contracts.

--- /dev/null
+++ b/packages/callers/src/godwitglade/callers/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP interface for callers."""
--- /dev/null
+++ b/packages/command/src/godwitglade/command/__init__.py
@@ -0,0 +1,1 @@
+"""The command line of callers and operators."""
--- /dev/null
+++ b/packages/common/src/godwitglade/common/events.py
@@ -0,0 +1,51 @@
+"""Numbered log events; docs/EVENTS.md is generated from this module.
+
+Numbers are grouped by package and never reused: 1000 daemon, 2000 callers
+and requests, 3000 targets, 4000 platform, 5000 documents and operators,
+6000 peers and membership, 7000 claims, 8000 engine orders.
+"""
+
+import enum
+import logging
+
+import attrs
+
+
+@attrs.frozen
+class Description:
+    """What one numbered event says: a level and a sentence for operators."""
+
+    number: int
+    level: int
+    meaning: str
+
+
+class Event(enum.Enum):
+    """Every event the programs log; the value describes it."""
+
+    STARTED = Description(1001, logging.INFO, 'The daemon serves its ports.')
+    READY = Description(1002, logging.INFO, 'The host accepts requests.')
+    STOPPING = Description(
+        1003, logging.INFO, 'A planned stop began; no new requests.'
+    )
+    STOPPED = Description(1004, logging.INFO, 'The daemon has ended.')
+    LOOP_FAULT = Description(
+        1005, logging.ERROR, 'A decision raised; the message was dropped.'
+    )
+    SETTINGS_REFUSED = Description(
+        1006, logging.ERROR, 'The settings file has faults; not started.'
+    )
+    REQUEST_SETTLED = Description(
+        2001, logging.INFO, 'A request got its final outcome.'
+    )
+    REPLY_DROPPED = Description(
+        3001, logging.WARNING, 'A reply matched no attempt still awaited.'
+    )
+    DOCUMENT_IN_FORCE = Description(
+        5001, logging.INFO, 'A document version is in force on this host.'
+    )
+
+
+def number_of(event: Event) -> int:
+    """Return the number of ``event`` as written in the log."""
+    return event.value.number
--- /dev/null
+++ b/packages/coordination/src/godwitglade/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Claims, leases, membership and versioned documents, free of I/O."""
--- /dev/null
+++ b/packages/daemon/src/godwitglade/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon of an entry host."""
--- /dev/null
+++ b/packages/operators/src/godwitglade/operators/__init__.py
@@ -0,0 +1,1 @@
+"""Pipeline documents, operator HTTP interface and access control."""
--- /dev/null
+++ b/packages/peers/src/godwitglade/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between hosts, authenticated by HMAC."""
--- /dev/null
+++ b/packages/platform/src/godwitglade/platform/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP clients for the table service, object store and host list."""
--- /dev/null
+++ b/packages/targets/src/godwitglade/targets/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP client for model engines, stage pools and plain services."""
