--- a/packages/common/src/godwitglade/common/events.py
+++ b/packages/common/src/godwitglade/common/events.py
@@ -44,6 +44,9 @@
     DOCUMENT_IN_FORCE = Description(
         5001, logging.INFO, 'A document version is in force on this host.'
     )
+    CLAIM_ROW_LOST = Description(
+        7001, logging.ERROR, 'A held claim row was changed by another writer.'
+    )
 
 
 def number_of(event: Event) -> int:
--- /dev/null
+++ b/proof/__init__.py
@@ -0,0 +1,1 @@
+"""Model checking and scripted scenarios of godwitglade's protocols."""
