--- /dev/null
+++ b/packages/callers/src/godwitglade/callers/app.py
@@ -0,0 +1,203 @@
+"""The CherryPy application that callers talk to.
+
+Its threads only move bytes: a request becomes a message to the loop, and
+the loop's effects for it become the answer.
+"""
+
+import typing
+
+import attrs
+import cherrypy
+
+from godwitglade.callers import arrivals
+from godwitglade.callers import errors
+from godwitglade.callers import exchanges
+from godwitglade.callers import rendering
+from godwitglade.common import clock as clocks
+from godwitglade.common import errors as common_errors
+from godwitglade.decisions import effects
+from godwitglade.decisions import messages
+
+#: Wait beyond the deadline for the loop's final outcome.
+OUTCOME_GRACE_MS = 5_000
+QUERY_TIMEOUT_MS = 10_000
+
+
+@attrs.frozen
+class Gateway:
+    """What the application needs of the daemon.
+
+    ``post`` gives a message to the loop; ``is_ready`` tells whether new
+    requests are accepted.
+    """
+
+    post: typing.Callable[[typing.Any], None]
+    exchanges: exchanges.Exchanges
+    clock: clocks.Clock
+    is_ready: typing.Callable[[], bool]
+    max_body_bytes: int
+
+
+def make_app(gateway: Gateway) -> cherrypy.Application:
+    """Return the application; serve it with any WSGI server."""
+    config = {
+        '/': {
+            'request.process_request_body': False,
+            'request.show_tracebacks': False,
+            'tools.encode.on': False,
+            'tools.trailing_slash.on': False,
+        }
+    }
+    app = cherrypy.Application(Root(gateway), '', config)
+    # The structured log replaces CherryPy's access and error logs.
+    app.log.screen = False
+    return app
+
+
+class Root:
+    """Routes a path to its resource."""
+
+    def __init__(self, gateway: Gateway) -> None:
+        self._gateway = gateway
+
+    @cherrypy.expose
+    def healthz(self) -> bytes:
+        """Answer as long as the process lives."""
+        return _json(200, b'{"status": "alive"}')
+
+    @cherrypy.expose
+    def readyz(self) -> bytes:
+        """Answer 200 only while new requests are accepted."""
+        if self._gateway.is_ready():
+            return _json(200, b'{"status": "ready"}')
+        return _json(503, b'{"status": "not_ready"}')
+
+    @cherrypy.expose
+    def default(self, *path: str, **_query: str) -> typing.Any:
+        """Serve ``/v1/pipelines/{pipeline}/...``."""
+        try:
+            return self._route(path)
+        except common_errors.CodedError as error:
+            return _json(error.http_status, rendering.error_body(error))
+
+    def _route(self, path: tuple[str, ...]) -> typing.Any:
+        match path:
+            case ('v1', 'pipelines', pipeline, 'requests'):
+                _check_method('POST')
+                return self._serve_request(pipeline)
+            case ('v1', 'pipelines', pipeline, 'outcomes', key):
+                _check_method('GET')
+                return self._serve_query(pipeline, key)
+        raise errors.NotFoundError(cherrypy.request.path_info)
+
+    def _serve_request(self, pipeline: str) -> typing.Any:
+        headers = arrivals.parse_headers(cherrypy.request.headers)
+        body = _read_body(self._gateway.max_body_bytes)
+        exchange = self._gateway.exchanges.open()
+        try:
+            arrival = arrivals.make_arrival(
+                exchange.identifier,
+                pipeline,
+                headers,
+                body,
+                self._gateway.clock.monotonic_ms(),
+            )
+        except common_errors.CodedError:
+            self._gateway.exchanges.close(exchange)
+            raise
+        self._gateway.post(arrival)
+        wait_ms = headers.deadline_ms + OUTCOME_GRACE_MS
+        if headers.is_stream:
+            return self._stream(exchange, wait_ms)
+        return self._answer(exchange, wait_ms)
+
+    def _answer(self, exchange: exchanges.Exchange, wait_ms: int) -> bytes:
+        try:
+            event = self._gateway.exchanges.wait(exchange, wait_ms)
+        finally:
+            self._gateway.exchanges.close(exchange)
+        if event is None:
+            raise errors.NoAnswerError(exchange.identifier)
+        outcome = event.outcome
+        cherrypy.response.headers.update(rendering.outcome_headers(outcome))
+        fields = rendering.outcome_fields(exchange.identifier, outcome)
+        return _json(outcome.http_status, rendering.codec.to_json(fields))
+
+    def _stream(
+        self, exchange: exchanges.Exchange, wait_ms: int
+    ) -> typing.Any:
+        """Answer with a status of its own until the first piece is sent."""
+        first = self._gateway.exchanges.wait(exchange, wait_ms)
+        if not isinstance(first, effects.SendPiece):
+            exchange.events.put(first)
+            return self._answer(exchange, wait_ms)
+        cherrypy.response.stream = True
+        cherrypy.response.headers['Content-Type'] = arrivals.EVENT_STREAM
+        return self._pieces(exchange, first, wait_ms)
+
+    def _pieces(
+        self,
+        exchange: exchanges.Exchange,
+        event: exchanges.CallerEvent | None,
+        wait_ms: int,
+    ) -> typing.Iterator[bytes]:
+        is_settled = False
+        try:
+            while isinstance(event, effects.SendPiece):
+                fields = {'offset': event.offset, 'text': event.text}
+                yield rendering.stream_event('piece', fields)
+                event = self._gateway.exchanges.wait(exchange, wait_ms)
+            is_settled = True
+            yield self._last_event(exchange, event)
+        finally:
+            self._gateway.exchanges.close(exchange)
+            if not is_settled:
+                gone = messages.CallerGone(exchange.identifier)
+                self._gateway.post(gone)
+
+    def _last_event(
+        self,
+        exchange: exchanges.Exchange,
+        event: exchanges.CallerEvent | None,
+    ) -> bytes:
+        if event is None:
+            error = errors.NoAnswerError(exchange.identifier)
+            return rendering.stream_event('error', {'reason': error.code})
+        fields = rendering.outcome_fields(exchange.identifier, event.outcome)
+        return rendering.stream_event('outcome', fields)
+
+    def _serve_query(self, pipeline: str, key: str) -> bytes:
+        headers = arrivals.parse_headers(cherrypy.request.headers)
+        exchange = self._gateway.exchanges.open()
+        question = messages.OutcomeAsked(
+            exchange.identifier, headers.workspace, pipeline, key
+        )
+        self._gateway.post(question)
+        try:
+            event = self._gateway.exchanges.wait(exchange, QUERY_TIMEOUT_MS)
+        finally:
+            self._gateway.exchanges.close(exchange)
+        if event is None:
+            event = effects.AnswerQuery(exchange.identifier, 'unavailable')
+        return _json(200, rendering.query_body(event))
+
+
+def _check_method(allowed: str) -> None:
+    if cherrypy.request.method != allowed:
+        raise errors.MethodError(cherrypy.request.path_info, allowed)
+
+
+def _read_body(limit_bytes: int) -> bytes:
+    declared = cherrypy.request.headers.get('Content-Length', '0')
+    if declared.isdigit() and int(declared) > limit_bytes:
+        raise errors.BodyTooLargeError(limit_bytes)
+    body = cherrypy.request.rfile.read(limit_bytes + 1)
+    if len(body) > limit_bytes:
+        raise errors.BodyTooLargeError(limit_bytes)
+    return body
+
+
+def _json(status: int, body: bytes) -> bytes:
+    cherrypy.response.status = status
+    cherrypy.response.headers['Content-Type'] = rendering.JSON
+    return body
