--- /dev/null
+++ b/packages/common/src/godwitglade/common/validation.py
@@ -0,0 +1,331 @@
+"""Checks plain data against a schema and lists every fault with its path.
+
+A schema is an `Object` that names an attrs class and a `Field` for each of
+its attributes. Defaults come from the attrs class; a field without one is
+required. `read` returns the finished object or raises `FaultsError`.
+"""
+
+import enum
+import functools
+import re
+import typing
+
+import attrs
+
+from godwitglade.common import errors
+from godwitglade.common import suggestions
+
+SHOWN_CHARS = 40
+
+
+@attrs.frozen
+class Fault:
+    """What is wrong at one place; ``path`` like ``stages[2].name``."""
+
+    path: str
+    reason: str
+
+    def __str__(self) -> str:
+        return f'{self.path}: {self.reason}'
+
+
+@attrs.define(auto_exc=True, str=False)
+class FaultsError(errors.CodedError):
+    """Data that does not fit its schema, with every fault found."""
+
+    code = 'invalid'
+    http_status = 422
+    template = 'not valid'
+
+    faults: tuple[Fault, ...]
+
+    def __str__(self) -> str:
+        return '; '.join(str(fault) for fault in self.faults)
+
+
+@attrs.frozen
+class Number:
+    """A whole number within bounds, both included."""
+
+    minimum: int
+    maximum: int
+    unit: str = ''
+
+
+@attrs.frozen
+class Text:
+    """A string; ``pattern`` has to match all of it."""
+
+    pattern: str = r'[^\x00-\x1f\x7f]+'
+    description: str = 'text on one line'
+    max_chars: int = 256
+
+
+@attrs.frozen
+class Flag:
+    """True or false."""
+
+
+@attrs.frozen
+class Choice:
+    """One of the values of an enumeration."""
+
+    options: type[enum.Enum]
+
+
+@attrs.frozen
+class Items:
+    """A list of ``kind``, read as a tuple."""
+
+    kind: typing.Any
+    minimum: int = 0
+    maximum: int = 1_000
+
+
+@attrs.frozen
+class Mapping:
+    """A mapping from ``keys`` to ``values``."""
+
+    keys: typing.Any
+    values: typing.Any
+    minimum: int = 1
+    maximum: int = 100
+
+
+@attrs.frozen
+class Optional:
+    """A value of ``kind`` or null."""
+
+    kind: typing.Any
+
+
+@attrs.frozen
+class Field:
+    """One attribute: what it may hold and a sentence of help."""
+
+    kind: typing.Any
+    help: str
+
+
+@attrs.frozen
+class Object:
+    """An attrs class and a field for each of its attributes."""
+
+    result: type
+    fields: dict[str, Field]
+
+
+#: Stands for a value that has a fault.
+INVALID = object()
+
+
+def read(schema: Object, plain: typing.Any) -> typing.Any:
+    """Return ``plain`` as the attrs class of ``schema``.
+
+    Raises FaultsError with every fault.
+    """
+    faults: list[Fault] = []
+    value = check(schema, plain, '', faults)
+    if faults:
+        raise FaultsError(tuple(faults))
+    return value
+
+
+@functools.singledispatch
+def check(kind, value, path: str, faults: list[Fault]) -> typing.Any:
+    """Return ``value`` read as ``kind``; adds what is wrong to ``faults``.
+
+    The result is `INVALID` when there was a fault.
+    """
+    raise NotImplementedError(type(kind).__name__)
+
+
+@check.register
+def _check_number(kind: Number, value, path, faults):
+    is_number = type(value) is int
+    if is_number and kind.minimum <= value <= kind.maximum:
+        return value
+    return _refuse(describe(kind), value, path, faults)
+
+
+@check.register
+def _check_text(kind: Text, value, path, faults):
+    if type(value) is not str:
+        hint = describe(kind)
+        if value is not None and not isinstance(value, (dict, list)):
+            hint += ' (quote it)'
+        return _refuse(hint, value, path, faults)
+    is_short = len(value) <= kind.max_chars
+    if is_short and re.fullmatch(kind.pattern, value):
+        return value
+    return _refuse(describe(kind), value, path, faults)
+
+
+@check.register
+def _check_flag(kind: Flag, value, path, faults):
+    if type(value) is bool:
+        return value
+    return _refuse(describe(kind), value, path, faults)
+
+
+@check.register
+def _check_choice(kind: Choice, value, path, faults):
+    for option in kind.options:
+        if type(value) is str and option.value == value:
+            return option
+    return _refuse(describe(kind), value, path, faults)
+
+
+@check.register
+def _check_items(kind: Items, value, path, faults):
+    if type(value) is not list:
+        return _refuse(describe(kind), value, path, faults)
+    if not kind.minimum <= len(value) <= kind.maximum:
+        expected = f'{kind.minimum}..{kind.maximum} items'
+        return _refuse(expected, len(value), path, faults)
+    items = [
+        check(kind.kind, item, f'{path}[{index}]', faults)
+        for index, item in enumerate(value)
+    ]
+    return INVALID if _has_fault(items) else tuple(items)
+
+
+@check.register
+def _check_mapping(kind: Mapping, value, path, faults):
+    if type(value) is not dict:
+        return _refuse(describe(kind), value, path, faults)
+    if not kind.minimum <= len(value) <= kind.maximum:
+        expected = f'{kind.minimum}..{kind.maximum} entries'
+        return _refuse(expected, len(value), path, faults)
+    pairs = [
+        (
+            check(kind.keys, key, f'{path} key', faults),
+            check(kind.values, item, join(path, key), faults),
+        )
+        for key, item in value.items()
+    ]
+    parts = [part for pair in pairs for part in pair]
+    return INVALID if _has_fault(parts) else dict(pairs)
+
+
+@check.register
+def _check_optional(kind: Optional, value, path, faults):
+    if value is None:
+        return None
+    return check(kind.kind, value, path, faults)
+
+
+@check.register
+def _check_object(kind: Object, value, path, faults):
+    if type(value) is not dict:
+        return _refuse(describe(kind), value, path or '$', faults)
+    faults.extend(_unknown_keys(kind, value, path))
+    found = {
+        name: _check_field(kind, name, value, path, faults)
+        for name in kind.fields
+        if name in value or is_required(kind, name)
+    }
+    return INVALID if _has_fault(found.values()) else kind.result(**found)
+
+
+def _check_field(kind: Object, name: str, value, path, faults):
+    place = join(path, name)
+    if name in value:
+        return check(kind.fields[name].kind, value[name], place, faults)
+    faults.append(Fault(place, 'is required'))
+    return INVALID
+
+
+def is_required(kind: Object, name: str) -> bool:
+    """Tell whether the attribute has no default."""
+    return attrs.fields_dict(kind.result)[name].default is attrs.NOTHING
+
+
+def default_of(kind: Object, name: str) -> typing.Any:
+    """Return the default of an attribute that is not required."""
+    default = attrs.fields_dict(kind.result)[name].default
+    if isinstance(default, attrs.Factory):
+        return default.factory()
+    return default
+
+
+def join(path: str, key: typing.Any) -> str:
+    """Return the path of ``key`` below ``path``."""
+    name = show(key) if type(key) is not str else key[:SHOWN_CHARS]
+    return f'{path}.{name}' if path else name
+
+
+def show(value: typing.Any) -> str:
+    """Return a short form of ``value`` for a fault."""
+    if isinstance(value, (dict, list)):
+        return 'a mapping' if isinstance(value, dict) else 'a list'
+    try:
+        shown = repr(value)
+    except ValueError:
+        # Python refuses to print integers of thousands of digits.
+        return 'a very large number'
+    is_long = len(shown) > SHOWN_CHARS
+    return shown[:SHOWN_CHARS] + '...' if is_long else shown
+
+
+@functools.singledispatch
+def describe(kind) -> str:
+    """Return what a value of ``kind`` looks like, with its unit."""
+    raise NotImplementedError(type(kind).__name__)
+
+
+@describe.register
+def _describe_number(kind: Number) -> str:
+    return f'{kind.minimum}..{kind.maximum} {kind.unit}'.rstrip()
+
+
+@describe.register
+def _describe_text(kind: Text) -> str:
+    return f'{kind.description} of at most {kind.max_chars} characters'
+
+
+@describe.register
+def _describe_flag(kind: Flag) -> str:
+    return 'true or false'
+
+
+@describe.register
+def _describe_choice(kind: Choice) -> str:
+    return 'one of ' + ', '.join(option.value for option in kind.options)
+
+
+@describe.register
+def _describe_items(kind: Items) -> str:
+    return f'a list of {kind.minimum}..{kind.maximum} items'
+
+
+@describe.register
+def _describe_mapping(kind: Mapping) -> str:
+    return f'a mapping of {describe(kind.keys)} to {describe(kind.values)}'
+
+
+@describe.register
+def _describe_optional(kind: Optional) -> str:
+    return f'{describe(kind.kind)}, or null'
+
+
+@describe.register
+def _describe_object(kind: Object) -> str:
+    return 'a mapping'
+
+
+def _unknown_keys(kind: Object, value: dict, path: str) -> list[Fault]:
+    return [
+        Fault(join(path, key), suggestions.unknown_key(key, kind.fields))
+        for key in value
+        if key not in kind.fields
+    ]
+
+
+def _refuse(expected: str, value, path: str, faults: list[Fault]):
+    faults.append(Fault(path, f'must be {expected}, not {show(value)}'))
+    return INVALID
+
+
+def _has_fault(parts: typing.Iterable) -> bool:
+    return any(part is INVALID for part in parts)
