Change documents in one transaction with settled answers

Cause: operators race, and the store's answers can be lost after the write. Conclusion: a look up never settles; settling is a call of its own.

--- a/packages/common/src/godwitglade/common/events.py
+++ b/packages/common/src/godwitglade/common/events.py
@@ -44,6 +44,20 @@
     DOCUMENT_IN_FORCE = Description(
         5001, logging.INFO, 'A document version is in force on this host.'
     )
+    CHANGE_APPLIED = Description(
+        5002, logging.INFO, 'A change of a document was accepted.'
+    )
+    CHANGE_UNSETTLED = Description(
+        5003,
+        logging.WARNING,
+        'The answer to a change was lost and it could not be settled.',
+    )
+    CHANGE_ROWS_MALFORMED = Description(
+        5004, logging.ERROR, 'Rows of the documents could not be read.'
+    )
+    OPERATOR_REFUSED = Description(
+        5005, logging.WARNING, 'An operator asked for what it may not do.'
+    )
 
 
 def number_of(event: Event) -> int:
--- /dev/null
+++ b/packages/coordination/src/godwitglade/coordination/change_results.py
@@ -0,0 +1,89 @@
+"""How a change of a document, or a question about one, ends."""
+
+import attrs
+
+
+@attrs.frozen
+class ChangeAccepted:
+    """The change is stored as ``version`` of its document."""
+
+    change_id: str
+    pipeline: str
+    version: int
+    sequence: int
+
+
+@attrs.frozen
+class ChangeConflict:
+    """The document is at ``version`` now; nothing was changed.
+
+    ``text`` is None when it was removed or never existed.
+    """
+
+    pipeline: str
+    based_on: int
+    version: int
+    text: str | None
+
+
+@attrs.frozen
+class ChangeForbidden:
+    """The document belongs to team ``owner``; nothing was changed."""
+
+    pipeline: str
+    owner: str
+
+
+@attrs.frozen
+class ChangeIdReused:
+    """The change id belongs to another change; nothing was changed."""
+
+    change_id: str
+
+
+@attrs.frozen
+class ChangeNotApplied:
+    """The change was not and never will be applied under its id."""
+
+    change_id: str
+
+
+@attrs.frozen
+class ChangeAbsent:
+    """Nothing is known of the change id; the change may still land."""
+
+    change_id: str
+
+
+@attrs.frozen
+class ChangeUnknown:
+    """The change may have been applied; ask later by its id."""
+
+    change_id: str
+
+
+@attrs.frozen
+class ChangeUnavailable:
+    """The table service was not reached; nothing was changed."""
+
+    retry_after_ms: int
+
+
+ChangeResult = (
+    ChangeAccepted
+    | ChangeConflict
+    | ChangeForbidden
+    | ChangeIdReused
+    | ChangeNotApplied
+    | ChangeAbsent
+    | ChangeUnknown
+    | ChangeUnavailable
+)
+
+
+@attrs.frozen
+class ChangeSettled:
+    """The result of a call of `Changes` with this ``query_id``."""
+
+    query_id: str
+    result: ChangeResult
