--- a/packages/common/src/godwitglade/common/yaml_text.py
+++ b/packages/common/src/godwitglade/common/yaml_text.py
@@ -8,7 +8,7 @@
 
 MAX_CHARS = 262_144
 MAX_DEPTH = 12
-MAX_NODES = 20_000
+MAX_NODES = 40_000
 
 _Loader = getattr(yaml, 'CSafeLoader', yaml.SafeLoader)
 _STARTS = (yaml.MappingStartEvent, yaml.SequenceStartEvent)
@@ -20,16 +20,20 @@
 
     def construct_mapping(self, node, deep=False):
         """Return the mapping in ``node``; raises ConstructorError."""
-        keys = [self.construct_object(key, True) for key, _ in node.value]
-        for index, key in enumerate(keys):
-            if key in keys[:index]:
-                raise yaml.constructor.ConstructorError(
-                    None,
-                    None,
-                    f'the key {validation.show(key)} stands twice',
-                    node.value[index][0].start_mark,
-                )
-        return super().construct_mapping(node, deep)
+        mapping = super().construct_mapping(node, deep)
+        if len(mapping) < len(node.value):
+            raise self._doubled(node)
+        return mapping
+
+    def _doubled(self, node) -> yaml.MarkedYAMLError:
+        seen = set()
+        for key_node, _ in node.value:
+            key = self.construct_object(key_node, True)
+            if key in seen:
+                break
+            seen.add(key)
+        problem = f'the key {validation.show(key)} stands twice'
+        return yaml.MarkedYAMLError(None, None, problem, key_node.start_mark)
 
 
 def parse(text: str) -> typing.Any:
--- /dev/null
+++ b/packages/daemon/src/godwitglade/daemon/settings_types.py
@@ -0,0 +1,100 @@
+"""The settings of one host as attrs classes."""
+
+import enum
+
+import attrs
+
+
+class Role(enum.Enum):
+    """What the owner of a token may do."""
+
+    OPERATOR = 'operator'
+    MONITOR = 'monitor'
+
+
+class LogLevel(enum.Enum):
+    """Least severe level that is logged."""
+
+    DEBUG = 'debug'
+    INFO = 'info'
+    WARNING = 'warning'
+    ERROR = 'error'
+
+
+@attrs.frozen
+class Listener:
+    """Address that a server listens on, with TLS when a pair is given."""
+
+    address: str
+    certificate_path: str | None = None
+    key_path: str | None = None
+
+    @property
+    def has_tls(self) -> bool:
+        """Tell whether the listener speaks TLS."""
+        return self.certificate_path is not None
+
+
+@attrs.frozen
+class Platform:
+    """URLs of the platform's services."""
+
+    table_url: str
+    objects_url: str
+    host_list_url: str
+
+
+@attrs.frozen
+class Secret:
+    """Where the secret that hosts share is: a file or a variable."""
+
+    path: str | None = None
+    variable: str | None = None
+
+
+@attrs.frozen
+class Token:
+    """An operator's token, as the SHA-256 of its text."""
+
+    name: str
+    role: Role
+    sha256: str = attrs.field(repr=False)
+    team: str = ''
+
+
+@attrs.frozen
+class Threads:
+    """Numbers of threads that only move bytes."""
+
+    callers: int = 64
+    operators: int = 4
+    peers: int = 6
+    targets: int = 64
+    platform: int = 6
+
+
+@attrs.frozen
+class Bounds:
+    """Bounds on what a host takes in."""
+
+    max_body_bytes: int = 1_048_576
+    max_in_flight: int = 512
+    max_queued: int = 1_024
+
+
+@attrs.frozen
+class Settings:
+    """Everything that a host learns from its settings."""
+
+    host: str
+    zone: str
+    callers: Listener
+    operators: Listener
+    peers: Listener
+    platform: Platform
+    secret: Secret
+    tokens: tuple[Token, ...] = ()
+    statsd_address: str | None = None
+    log_level: LogLevel = LogLevel.INFO
+    threads: Threads = Threads()
+    bounds: Bounds = Bounds()
--- /dev/null
+++ b/packages/operators/src/godwitglade/operators/errors.py
@@ -0,0 +1,125 @@
+"""Errors of the operator interface."""
+
+import attrs
+
+from godwitglade.common import errors
+from godwitglade.common import validation
+
+
+@attrs.define(auto_exc=True, str=False)
+class DocumentError(validation.FaultsError):
+    """A document that is not valid; ``faults`` names every reason."""
+
+    code = 'document_invalid'
+
+
+@attrs.define(auto_exc=True, str=False)
+class UnauthenticatedError(errors.CodedError):
+    """No token, or one that no operator has."""
+
+    code = 'unauthenticated'
+    http_status = 401
+    template = 'a valid bearer token is required'
+
+
+@attrs.define(auto_exc=True, str=False)
+class ForbiddenError(errors.CodedError):
+    """The token's owner may not do this."""
+
+    code = 'forbidden'
+    http_status = 403
+    template = '{name} may not {action}: {reason}'
+
+    name: str
+    action: str
+    reason: str
+
+
+@attrs.define(auto_exc=True, str=False)
+class NotFoundError(errors.CodedError):
+    """Nothing has this name."""
+
+    code = 'not_found'
+    http_status = 404
+    template = 'no {kind} {name!r}'
+
+    kind: str
+    name: str
+
+
+@attrs.define(auto_exc=True, str=False)
+class MethodNotAllowedError(errors.CodedError):
+    """The resource does not take this HTTP method."""
+
+    code = 'method_not_allowed'
+    http_status = 405
+    template = 'accepted methods: {allowed}'
+
+    allowed: str
+
+
+@attrs.define(auto_exc=True, str=False)
+class BodyTooLargeError(errors.CodedError):
+    """A body longer than accepted."""
+
+    code = 'body_too_large'
+    http_status = 413
+    template = 'the body must be at most {limit_bytes} bytes'
+
+    limit_bytes: int
+
+
+@attrs.define(auto_exc=True, str=False)
+class ChangeConflictError(errors.CodedError):
+    """The document changed since the version it was edited from.
+
+    ``version`` and ``text`` are the current ones; ``text`` is None when the
+    document was removed, and ``version`` 0 when there never was one.
+    """
+
+    code = 'change_conflict'
+    http_status = 409
+    template = '{pipeline} is at version {version}, not {based_on}'
+
+    pipeline: str
+    based_on: int
+    version: int
+    text: str | None
+
+
+@attrs.define(auto_exc=True, str=False)
+class ChangeIdReusedError(errors.CodedError):
+    """The change id already belongs to another change."""
+
+    code = 'change_id_reused'
+    http_status = 409
+    template = 'change id {change_id} belongs to another change'
+
+    change_id: str
+
+
+@attrs.define(auto_exc=True, str=False)
+class ChangeNotAppliedError(errors.CodedError):
+    """The change was not and never will be applied under its id.
+
+    The same change may be sent under a new id.
+    """
+
+    code = 'change_not_applied'
+    http_status = 503
+    is_retryable = True
+    template = 'change {change_id} was not applied and never will be'
+
+    change_id: str
+
+
+@attrs.define(auto_exc=True, str=False)
+class StoreUnavailableError(errors.CodedError):
+    """The table service was not reached; nothing was changed."""
+
+    code = 'store_unavailable'
+    http_status = 503
+    is_retryable = True
+    template = 'the table service is not reachable; nothing was changed'
+
+    retry_after_ms: int
