Add the host that routes messages between its deciding parts

Cause: claims, membership, documents and requests decide apart; one object has to hand messages between them in one place. Change: host.Host with routing by type and token, effects for the host list and for operators, thread pools, listeners and logs of the daemon.

--- /dev/null
+++ b/packages/daemon/src/godwitglade/daemon/effector.py
@@ -0,0 +1,171 @@
+"""Carries out the effects of decisions on the daemon's thread pools."""
+
+import functools
+import typing
+
+import attrs
+import statsd
+
+from godwitglade.callers import exchanges
+from godwitglade.coordination import effects as shared_effects
+from godwitglade.daemon import logs
+from godwitglade.daemon import pools
+from godwitglade.daemon import replies
+from godwitglade.decisions import effects
+from godwitglade.platform import objects
+from godwitglade.platform import table
+from godwitglade.peers import client as peer_client
+from godwitglade.targets import calls
+
+#: Threads for each kind of peer that may block.
+STORE_THREADS = 8
+PEER_THREADS = 8
+PROBE_THREADS = 4
+
+
+@attrs.frozen
+class Clients:
+    """The blocking clients that effects are carried out with."""
+
+    targets: calls.TargetClient
+    table: table.TableClient
+    objects: objects.ObjectClient
+    peers: peer_client.PeerClient
+
+
+class Effector:
+    """Turns each typed effect into work on a thread or a direct call.
+
+    ``post`` hands results back to the loop; ``start_timer`` and ``exit_``
+    belong to the loop itself.
+    """
+
+    def __init__(
+        self,
+        clients: Clients,
+        exchanges_: exchanges.Exchanges,
+        peer_replies: replies.Replies,
+        logger: typing.Any,
+        metrics: statsd.StatsClient | None,
+        max_calls: int,
+        report: pools.Report,
+    ) -> None:
+        self._clients = clients
+        self._exchanges = exchanges_
+        self._peer_replies = peer_replies
+        self._logger = logger
+        self._metrics = metrics
+        self._calls = pools.ThreadPool('call', max_calls, report)
+        self._store = pools.ThreadPool('store', STORE_THREADS, report)
+        self._peers = pools.ThreadPool('peer', PEER_THREADS, report)
+        self._probes = pools.ThreadPool('probe', PROBE_THREADS, report)
+        self.post: typing.Callable[[typing.Any], None] = _unbound
+        self.start_timer: typing.Callable[[str, int], None] = _unbound
+        self.exit_: typing.Callable[[], None] = _unbound
+
+    def stop(self) -> None:
+        """Let running work end; drop the rest."""
+        for pool in (self._calls, self._store, self._peers, self._probes):
+            pool.stop()
+
+    @functools.singledispatchmethod
+    def carry_out(self, effect: typing.Any) -> None:
+        """Carry out one effect without blocking the loop."""
+        raise TypeError(type(effect).__name__)
+
+    def _post_result(
+        self, function: typing.Callable, effect: typing.Any
+    ) -> None:
+        self.post(function(effect))
+
+    @carry_out.register
+    def _(self, effect: effects.CallTarget) -> None:
+        self._calls.submit(self._clients.targets.call, effect, self.post)
+
+    @carry_out.register
+    def _(self, effect: effects.CancelCall) -> None:
+        self._probes.submit(self._clients.targets.cancel, effect)
+
+    @carry_out.register
+    def _(self, effect: effects.ProbeTarget) -> None:
+        self._probes.submit(self._clients.targets.probe, effect, self.post)
+
+    @carry_out.register
+    def _(self, effect: effects.DropConnections) -> None:
+        self._clients.targets.drop_connections(effect)
+
+    @carry_out.register
+    def _(self, effect: effects.OrderEngine) -> None:
+        self._probes.submit(
+            self._post_result, self._clients.targets.order, effect
+        )
+
+    @carry_out.register
+    def _(self, effect: effects.AnswerCaller) -> None:
+        self._exchanges.deliver(effect.request_id, effect)
+
+    @carry_out.register
+    def _(self, effect: effects.SendPiece) -> None:
+        self._exchanges.deliver(effect.request_id, effect)
+
+    @carry_out.register
+    def _(self, effect: effects.AnswerQuery) -> None:
+        self._exchanges.deliver(effect.query_id, effect)
+
+    @carry_out.register
+    def _(self, effect: effects.Exit) -> None:
+        self.exit_()
+
+    @carry_out.register
+    def _(self, effect: shared_effects.Transact) -> None:
+        self._store.submit(
+            self._post_result, self._clients.table.transact, effect
+        )
+
+    @carry_out.register
+    def _(self, effect: shared_effects.ReadRows) -> None:
+        self._store.submit(self._post_result, self._clients.table.read, effect)
+
+    @carry_out.register
+    def _(self, effect: shared_effects.ScanRows) -> None:
+        self._store.submit(self._post_result, self._clients.table.scan, effect)
+
+    @carry_out.register
+    def _(self, effect: shared_effects.ReadObject) -> None:
+        self._store.submit(
+            self._post_result, self._clients.objects.read, effect
+        )
+
+    @carry_out.register
+    def _(self, effect: shared_effects.WriteObject) -> None:
+        self._store.submit(self._clients.objects.write, effect)
+
+    @carry_out.register
+    def _(self, effect: shared_effects.SendPeer) -> None:
+        self._peers.submit(self._post_result, self._clients.peers.send, effect)
+
+    @carry_out.register
+    def _(self, effect: shared_effects.ReplyPeer) -> None:
+        self._peer_replies.deliver(effect.reply_token, effect.body)
+
+    @carry_out.register
+    def _(self, effect: shared_effects.StartTimer) -> None:
+        self.start_timer(effect.token, effect.due_ms)
+
+    @carry_out.register
+    def _(self, effect: shared_effects.LogEvent) -> None:
+        logs.log_event(self._logger, effect.event, effect.fields)
+
+    @carry_out.register
+    def _(self, effect: shared_effects.Count) -> None:
+        if self._metrics is not None:
+            self._metrics.incr(effect.name, effect.by)
+
+    @carry_out.register
+    def _(self, effect: shared_effects.Timing) -> None:
+        if self._metrics is not None:
+            self._metrics.timing(effect.name, effect.elapsed_ms)
+
+
+def _unbound(*_args: typing.Any) -> None:
+    raise RuntimeError('the effector is not bound to a loop')
--- /dev/null
+++ b/packages/daemon/src/godwitglade/daemon/pools.py
@@ -0,0 +1,41 @@
+"""Bounded thread pools that carry out blocking effects."""
+
+import concurrent.futures
+import typing
+
+Report = typing.Callable[[BaseException], None]
+
+
+class ThreadPool:
+    """Runs functions on at most ``max_threads`` threads.
+
+    Threads start on demand; ``report`` gets what a function raises.
+    """
+
+    def __init__(self, name: str, max_threads: int, report: Report) -> None:
+        self._report = report
+        self._executor = concurrent.futures.ThreadPoolExecutor(
+            max_threads, thread_name_prefix=name
+        )
+
+    def submit(
+        self, function: typing.Callable[..., None], *args: typing.Any
+    ) -> None:
+        """Run ``function(*args)`` as soon as a thread is free."""
+        try:
+            future = self._executor.submit(function, *args)
+        except RuntimeError:
+            # The pool is shut down: the process is about to end.
+            return
+        future.add_done_callback(self._check)
+
+    def stop(self) -> None:
+        """Drop what has not started; running functions end by themselves."""
+        self._executor.shutdown(wait=False, cancel_futures=True)
+
+    def _check(self, future: concurrent.futures.Future) -> None:
+        if future.cancelled():
+            return
+        error = future.exception()
+        if error is not None:
+            self._report(error)
--- /dev/null
+++ b/packages/daemon/src/godwitglade/daemon/servers.py
@@ -0,0 +1,74 @@
+"""HTTP listeners: CherryPy applications on CherryPy's WSGI server."""
+
+import threading
+import typing
+
+import attrs
+from cheroot import wsgi
+
+#: Backlog of connections that the kernel accepts for a listener.
+LISTEN_BACKLOG = 128
+#: Longest time a client may take between bytes of a request.
+IDLE_TIMEOUT_S = 10
+#: Wait for answers that are being written when a listener stops.
+STOP_TIMEOUT_S = 5
+MAX_HEADER_BYTES = 16 * 1024
+
+
+@attrs.frozen
+class Listener:
+    """Where a WSGI application is served, and with how many threads."""
+
+    name: str
+    host: str
+    port: int
+    app: typing.Any
+    threads: int
+    max_body_bytes: int
+    ssl_adapter: typing.Any = None
+
+
+class Servers:
+    """Starts and stops the listeners of a daemon."""
+
+    def __init__(self, listeners: typing.Iterable[Listener]) -> None:
+        self._servers = [_make_server(listener) for listener in listeners]
+        self._threads: list[threading.Thread] = []
+
+    def start(self) -> None:
+        """Bind every listener, then serve; raises OSError."""
+        for server in self._servers:
+            server.prepare()
+        self._threads = [
+            threading.Thread(target=server.serve, daemon=True)
+            for server in self._servers
+        ]
+        for thread in self._threads:
+            thread.start()
+
+    def stop(self) -> None:
+        """Finish answers being written, then close the listeners."""
+        for server in self._servers:
+            server.stop()
+
+
+def _make_server(listener: Listener) -> wsgi.Server:
+    server = wsgi.Server(
+        (listener.host, listener.port),
+        listener.app,
+        numthreads=listener.threads,
+        server_name=listener.name,
+        request_queue_size=LISTEN_BACKLOG,
+        timeout=IDLE_TIMEOUT_S,
+        shutdown_timeout=STOP_TIMEOUT_S,
+    )
+    server.max_request_body_size = listener.max_body_bytes
+    server.max_request_header_size = MAX_HEADER_BYTES
+    server.ssl_adapter = listener.ssl_adapter
+    # A reset connection of one client is no fault of the server.
+    server.error_log = _drop_log
+    return server
+
+
+def _drop_log(*_args: typing.Any, **_kwargs: typing.Any) -> None:
+    return None
--- /dev/null
+++ b/packages/decisions/src/godwitglade/decisions/host.py
@@ -0,0 +1,264 @@
+"""All decisions of one host: routes messages to the parts that decide.
+
+>>> parts = host.make_parts(self_id, address, random.Random(1))
+>>> decider = host.Host(parts, parse_document)
+>>> effects = decider.handle(message, now_ms)
+"""
+
+import collections
+import functools
+import random
+import typing
+
+import attrs
+
+from godwitglade.common import errors
+from godwitglade.common import events
+from godwitglade.coordination import change_results
+from godwitglade.coordination import changes
+from godwitglade.coordination import claims
+from godwitglade.coordination import effects as shared_effects
+from godwitglade.coordination import facts
+from godwitglade.coordination import hosts
+from godwitglade.coordination import membership
+from godwitglade.coordination import messages as shared_messages
+from godwitglade.coordination import spread
+from godwitglade.decisions import documents
+from godwitglade.decisions import effects
+from godwitglade.decisions import messages
+from godwitglade.decisions import outcomes
+from godwitglade.decisions import requests
+from godwitglade.decisions import settings as request_settings
+
+HOST_LIST_INTERVAL_MS = 2_000
+HOST_LIST_TOKEN = 'host:list'
+
+Effects = list[typing.Any]
+ParseDocument = typing.Callable[[str], documents.Document]
+
+
+@attrs.frozen
+class Parts:
+    """The deciding parts of a host, each free of I/O."""
+
+    members: membership.Membership
+    documents: spread.Documents
+    facts: facts.Facts
+    claims: claims.Claims
+    changes: changes.Changes
+    requests: requests.Requests
+
+
+@attrs.frozen
+class RefusedDocument:
+    """A version that this host could not parse and has not in force."""
+
+    pipeline: str
+    version: int
+    reason: str
+
+
+def make_parts(
+    self_id: hosts.HostId,
+    address: str,
+    rng: random.Random,
+    settings: request_settings.RequestSettings,
+    wall_offset_ms: int = 0,
+) -> Parts:
+    """Return the parts of a host, each with a random source of its own."""
+    seeds = (random.Random(rng.getrandbits(64)) for _ in iter(int, 1))
+    spread_part = spread.Documents(self_id, next(seeds))
+    facts_part = facts.Facts(self_id, next(seeds))
+    claims_part = claims.Claims(self_id, next(seeds), address, wall_offset_ms)
+    return Parts(
+        members=membership.Membership(
+            self_id, address, next(seeds), (spread_part, facts_part)
+        ),
+        documents=spread_part,
+        facts=facts_part,
+        claims=claims_part,
+        changes=changes.Changes(next(seeds)),
+        requests=requests.Requests(
+            self_id, next(seeds), claims_part, settings
+        ),
+    )
+
+
+class Host:
+    """Takes one message at a time and returns the effects that follow.
+
+    ``parse_document`` turns a document's text into a Document and raises
+    CodedError for a text that this release does not understand.
+    """
+
+    def __init__(self, parts: Parts, parse_document: ParseDocument) -> None:
+        self.parts = parts
+        self._parse_document = parse_document
+        self._refused: dict[str, RefusedDocument] = {}
+        self._by_prefix = {
+            'members': parts.members,
+            'documents': parts.documents,
+            'facts': parts.facts,
+            'claims': parts.claims,
+            'changes': parts.changes,
+            'requests': parts.requests,
+            'host': self,
+        }
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether new requests are accepted."""
+        is_stopping = self.parts.requests.context.is_stopping
+        return self.parts.documents.is_ready and not is_stopping
+
+    @property
+    def refused_documents(self) -> tuple[RefusedDocument, ...]:
+        """Return the versions held that are not in force here."""
+        return tuple(self._refused.values())
+
+    def start(self, now_ms: int) -> Effects:
+        """Begin every part; return their first effects."""
+        parts = (
+            self.parts.members,
+            self.parts.documents,
+            self.parts.facts,
+            self.parts.claims,
+            self.parts.requests,
+        )
+        found = [effect for part in parts for effect in part.start(now_ms)]
+        return self._settle([*found, *self._read_host_list(now_ms)], now_ms)
+
+    def handle(self, message: typing.Any, now_ms: int) -> Effects:
+        """Decide on one message at monotonic time ``now_ms``."""
+        return self._settle(self._decide(message, now_ms), now_ms)
+
+    def submit_change(
+        self, query_id: str, request: typing.Any, now_ms: int
+    ) -> Effects:
+        """Apply a document change; ends in one AnswerOperator."""
+        found = self.parts.changes.submit(query_id, request, now_ms)
+        return self._settle(found, now_ms)
+
+    def look_up_change(
+        self, query_id: str, change_id: str, now_ms: int
+    ) -> Effects:
+        """Ask how a change id was settled; ends in one AnswerOperator."""
+        found = self.parts.changes.look_up(query_id, change_id, now_ms)
+        return self._settle(found, now_ms)
+
+    def _settle(self, found: Effects, now_ms: int) -> Effects:
+        """Hand messages between parts until only outside effects remain."""
+        pending = collections.deque(found)
+        outside = []
+        while pending:
+            effect = pending.popleft()
+            if isinstance(effect, shared_effects.Deliver):
+                pending.extend(self._decide(effect.message, now_ms))
+            elif isinstance(effect, shared_effects.PublishFact):
+                pending.extend(self.parts.facts.publish(effect, now_ms))
+            else:
+                outside.append(effect)
+        return outside
+
+    @functools.singledispatchmethod
+    def _decide(self, message: typing.Any, now_ms: int) -> Effects:
+        return self.parts.requests.handle(message, now_ms)
+
+    @_decide.register
+    def _(self, message: messages.RequestArrived, now_ms: int) -> Effects:
+        if self.parts.documents.is_ready:
+            return self.parts.requests.handle(message, now_ms)
+        refusal = outcomes.RefusedNotRun(
+            outcomes.Refusal.NOT_READY, HOST_LIST_INTERVAL_MS
+        )
+        return [effects.AnswerCaller(message.request_id, refusal)]
+
+    @_decide.register(shared_messages.TransactionSettled)
+    @_decide.register(shared_messages.ReadSettled)
+    @_decide.register(shared_messages.ObjectRead)
+    @_decide.register(shared_messages.PeerReply)
+    @_decide.register(shared_messages.TimerFired)
+    def _(self, message: typing.Any, now_ms: int) -> Effects:
+        prefix = message.token.partition(':')[0]
+        part = self._by_prefix.get(prefix)
+        if part is self:
+            return self._read_host_list(now_ms)
+        if part is None:
+            return []
+        return part.handle(message, now_ms)
+
+    @_decide.register
+    def _(self, message: shared_messages.PeerMessage, now_ms: int) -> Effects:
+        parts = (
+            self.parts.members,
+            self.parts.documents,
+            self.parts.facts,
+            self.parts.claims,
+        )
+        return [
+            effect for part in parts for effect in part.handle(message, now_ms)
+        ]
+
+    @_decide.register
+    def _(
+        self, message: shared_messages.DocumentChanged, now_ms: int
+    ) -> Effects:
+        document = None
+        self._refused.pop(message.pipeline, None)
+        if message.text is not None:
+            try:
+                document = self._parse_document(message.text)
+            except errors.CodedError as error:
+                return self._refuse_document(message, error)
+        in_force = messages.DocumentsInForce({message.pipeline: document})
+        fields = {
+            'pipeline': message.pipeline,
+            'version': message.version,
+            'sequence': message.sequence,
+        }
+        return [
+            shared_effects.Deliver(in_force),
+            shared_effects.LogEvent(events.Event.DOCUMENT_IN_FORCE, fields),
+        ]
+
+    @_decide.register
+    def _(self, message: messages.EntryHostsListed, now_ms: int) -> Effects:
+        return self.parts.members.listed(message.entries, now_ms)
+
+    @_decide.register
+    def _(self, message: change_results.ChangeSettled, now_ms: int) -> Effects:
+        result = message.result
+        answer = effects.AnswerOperator(message.query_id, result)
+        if not isinstance(result, change_results.ChangeAccepted):
+            return [answer]
+        # The host that made a change need not wait for its next poll.
+        catch_up = self.parts.documents.catch_up_to(result.sequence, now_ms)
+        return [answer, *catch_up]
+
+    @_decide.register
+    def _(self, message: messages.StopAsked, now_ms: int) -> Effects:
+        return [
+            *self.parts.members.leave(now_ms),
+            *self.parts.requests.handle(message, now_ms),
+        ]
+
+    def _refuse_document(
+        self,
+        message: shared_messages.DocumentChanged,
+        error: errors.CodedError,
+    ) -> Effects:
+        """Keep the earlier version in force and make the fault visible."""
+        refused = RefusedDocument(
+            message.pipeline, message.version, str(error)
+        )
+        self._refused[message.pipeline] = refused
+        fields = attrs.asdict(refused)
+        event = events.Event.DOCUMENT_REFUSED
+        return [shared_effects.LogEvent(event, fields)]
+
+    def _read_host_list(self, now_ms: int) -> Effects:
+        due_ms = now_ms + HOST_LIST_INTERVAL_MS
+        return [
+            effects.ReadHostList(),
+            shared_effects.StartTimer(HOST_LIST_TOKEN, due_ms),
+        ]
