Add HTTP stand-ins for the platform and targets

Cause: clients and the demo need services with faults on real sockets. Conclusion: usable in-process and as python -m bench.standins.NAME.

--- /dev/null
+++ b/bench/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small HTTP stand-ins for the platform's services and for targets."""
--- /dev/null
+++ b/bench/standins/host_list.py
@@ -0,0 +1,29 @@
+"""Stand-in for the platform's host list, set by ``PUT /v1/hosts``.
+
+Run as ``python -m bench.standins.host_list --port N``.
+"""
+
+import typing
+
+from bench.standins import server
+
+
+class Hosts(server.StandIn):
+    """The list as it was last set."""
+
+    def __init__(self, port: int = 0, ends_process: bool = False) -> None:
+        super().__init__(port, ends_process)
+        self.entries: list[dict[str, typing.Any]] = []
+
+    def handle(self, request: server.Request) -> server.Reply:
+        """Serve and take the list."""
+        if request.path != '/v1/hosts':
+            return server.Reply({}, 404)
+        if request.method == 'PUT':
+            self.entries = request.plain['hosts']
+        return server.Reply({'hosts': self.entries})
+
+
+if __name__ == '__main__':
+    arguments = server.make_parser(__doc__).parse_args()
+    server.serve_process(Hosts(arguments.port, ends_process=True))
