Add clients of the table service, object store and host list

Cause: effects on the platform need blocking clients. Change: one classified exchange behind a circuit breaker; retries off. Conclusion: a result says only what is certain about a write.

--- /dev/null
+++ b/packages/platform/src/godwitglade/platform/service.py
@@ -0,0 +1,159 @@
+"""One HTTP exchange with a platform service, classified by what is certain.
+
+Retries are off: a second copy of a write whose answer was lost would hide
+that the first may have taken effect.
+"""
+
+import random as random_module
+
+import attrs
+import urllib3
+
+from godwitglade.common import clock as clock_module
+from godwitglade.platform import breaker as breaker_module
+
+MAX_CONNECTIONS = 8
+MAX_ANSWER_BYTES = 32 * 1024 * 1024
+READ_BYTES = 64 * 1024
+
+#: Raised before any byte of the request has left this host.
+NOT_SENT_ERRORS = (
+    urllib3.exceptions.NewConnectionError,
+    urllib3.exceptions.ConnectTimeoutError,
+    urllib3.exceptions.EmptyPoolError,
+    urllib3.exceptions.LocationValueError,
+)
+
+
+@attrs.frozen
+class Answer:
+    """The service answered whole."""
+
+    status: int
+    content: bytes
+
+
+@attrs.frozen
+class NotSent:
+    """No byte left this host, so that the service did nothing."""
+
+    retry_after_ms: int
+
+
+@attrs.frozen
+class NoAnswer:
+    """Bytes may have left and no whole answer came back."""
+
+
+Exchange = Answer | NotSent | NoAnswer
+
+
+def make_pools(max_connections: int = MAX_CONNECTIONS) -> urllib3.PoolManager:
+    """Return the connection pools that the platform clients share."""
+    return urllib3.PoolManager(
+        maxsize=max_connections,
+        block=True,
+        retries=False,
+    )
+
+
+class Service:
+    """A platform service at ``base_url``, behind a circuit breaker."""
+
+    def __init__(
+        self,
+        base_url: str,
+        pools: urllib3.PoolManager,
+        clock: clock_module.Clock,
+        random: random_module.Random,
+        settings: breaker_module.BreakerSettings = (
+            breaker_module.BreakerSettings()
+        ),
+    ) -> None:
+        self._base_url = base_url.rstrip('/')
+        self._pools = pools
+        self._clock = clock
+        self.breaker = breaker_module.Breaker(clock, random, settings)
+
+    def exchange(
+        self,
+        method: str,
+        path: str,
+        timeout_ms: int,
+        body: bytes | None = None,
+    ) -> Exchange:
+        """Send one request and await its whole answer; never raises.
+
+        ``timeout_ms`` bounds the wait for a connection, for each part of
+        the answer and for the answer as a whole.
+        """
+        try:
+            self.breaker.admit()
+        except breaker_module.BreakerOpenError as error:
+            return NotSent(error.retry_after_ms)
+        result = NoAnswer()
+        try:
+            result = self._send(method, path, timeout_ms, body)
+        except NOT_SENT_ERRORS:
+            result = NotSent(self.breaker.retry_after_ms())
+        except (urllib3.exceptions.HTTPError, OSError):
+            result = NoAnswer()
+        finally:
+            self._record(result)
+        return result
+
+    def _send(
+        self,
+        method: str,
+        path: str,
+        timeout_ms: int,
+        body: bytes | None,
+    ) -> Exchange:
+        timeout_s = timeout_ms / clock_module.SECOND_MS
+        until_ms = self._clock.monotonic_ms() + timeout_ms
+        response = self._pools.urlopen(
+            method,
+            self._base_url + path,
+            body=body,
+            headers=_headers_of(body),
+            timeout=urllib3.Timeout(total=timeout_s),
+            pool_timeout=timeout_s,
+            retries=False,
+            redirect=False,
+            preload_content=False,
+        )
+        content = self._read(response, until_ms)
+        if content is None:
+            return NoAnswer()
+        return Answer(response.status, content)
+
+    def _read(
+        self, response: urllib3.BaseHTTPResponse, until_ms: int
+    ) -> bytes | None:
+        parts = []
+        size_bytes = 0
+        try:
+            for part in response.stream(READ_BYTES):
+                parts.append(part)
+                size_bytes += len(part)
+                is_late = self._clock.monotonic_ms() > until_ms
+                if is_late or size_bytes > MAX_ANSWER_BYTES:
+                    response.close()
+                    return None
+        except (urllib3.exceptions.HTTPError, OSError):
+            response.close()
+            raise
+        response.release_conn()
+        return b''.join(parts)
+
+    def _record(self, result: Exchange) -> None:
+        if isinstance(result, Answer) and result.status < 500:
+            self.breaker.succeed()
+        else:
+            self.breaker.fail()
+
+
+def _headers_of(body: bytes | None) -> dict[str, str]:
+    if body is None:
+        return {}
+    return {'Content-Type': 'application/json'}
--- /dev/null
+++ b/tests/platform/test_platform_clients.py
@@ -0,0 +1,248 @@
+"""The platform clients say only what is certain, over real sockets."""
+
+import random
+import socket
+
+import pytest
+
+from bench.standins import host_list as standin_host_list
+from bench.standins import objects as standin_objects
+from bench.standins import table as standin_table
+from godwitglade.common import clock as clocks
+from godwitglade.coordination import effects
+from godwitglade.coordination import rows
+from godwitglade.platform import breaker
+from godwitglade.platform import host_list
+from godwitglade.platform import objects
+from godwitglade.platform import service
+from godwitglade.platform import table
+
+TIMEOUT_MS = 300
+KEY = rows.RowKey('claims', 'k')
+
+
+@pytest.fixture
+def stand_in():
+    started = standin_table.Table().start()
+    yield started
+    started.stop()
+
+
+def make_service(url, settings=breaker.BreakerSettings(), max_connections=8):
+    return service.Service(
+        url,
+        service.make_pools(max_connections),
+        clocks.Clock(),
+        random.Random(1),
+        settings,
+    )
+
+
+def put(client, version=rows.ABSENT, value=None, key=KEY):
+    transaction = rows.Transaction(
+        (rows.Condition(key, version),),
+        (rows.Write(key, value or {'n': 1}),),
+    )
+    effect = effects.Transact('t:1', transaction, TIMEOUT_MS)
+    return client.transact(effect).result
+
+
+def read(client, *keys):
+    effect = effects.ReadRows('t:2', keys or (KEY,), TIMEOUT_MS)
+    return client.read(effect).result
+
+
+def unused_url():
+    with socket.socket() as taken:
+        taken.bind(('127.0.0.1', 0))
+        return 'http://127.0.0.1:%d' % taken.getsockname()[1]
+
+
+def test_conditional_write_and_conflict(stand_in):
+    client = table.TableClient(make_service(stand_in.url))
+    assert put(client) == rows.Committed((1,))
+    current = rows.Row(KEY, 1, {'n': 1})
+    assert put(client, value={'n': 2}) == rows.Conflict((current,))
+    assert put(client, version=1, value={'n': 3}) == rows.Committed((2,))
+    assert read(client) == rows.Rows((rows.Row(KEY, 2, {'n': 3}),))
+    assert put(client, version=7, key=rows.RowKey('claims', 'z')) == (
+        rows.Conflict()
+    )
+
+
+def test_scan_pages_through_one_table_in_key_order(stand_in):
+    client = table.TableClient(make_service(stand_in.url))
+    names = [('a', '1'), ('b', '3'), ('b', '1'), ('b', '2&=/'), ('c', '1')]
+    for name in names:
+        put(client, key=rows.RowKey(*name))
+
+    def scan(after):
+        effect = effects.ScanRows('t:3', 'b', after, 2, TIMEOUT_MS)
+        return [row.key.key for row in client.scan(effect).result.rows]
+
+    assert scan('') == ['1', '2&=/']
+    assert scan('2&=/') == ['3']
+
+
+@pytest.mark.parametrize(
+    'faults, written, write_result, read_result',
+    [
+        ({'lose_answer_after_effect': True}, True, 'Unknown', 'Unavailable'),
+        ({'garbage': True}, True, 'Unknown', 'Unavailable'),
+        ({'down': True}, False, 'Unknown', 'Unavailable'),
+        ({'reset': True}, False, 'Unknown', 'Unavailable'),
+        ({'silence': True}, False, 'Unknown', 'Unavailable'),
+        ({'error_status': 500}, False, 'Unknown', 'Unavailable'),
+        ({'error_status': 503}, False, 'Unknown', 'Unavailable'),
+        ({'error_status': 302}, False, 'Unknown', 'Unavailable'),
+        ({'error_status': 409}, False, 'Unknown', 'Unavailable'),
+        ({'error_status': 400}, False, 'Unavailable', 'Unavailable'),
+        ({'slow_ms': 20}, True, 'Committed', 'Rows'),
+    ],
+)
+def test_result_under_fault(
+    stand_in, faults, written, write_result, read_result
+):
+    client = table.TableClient(make_service(stand_in.url))
+    stand_in.set_faults(**faults)
+    assert type(put(client)).__name__ == write_result
+    assert type(read(client)).__name__ == read_result
+    stand_in.set_faults()
+    assert bool(read(client).rows) is written
+
+
+def test_late_write_still_lands_after_unknown(stand_in):
+    client = table.TableClient(make_service(stand_in.url))
+    stand_in.set_faults(slow_ms=2 * TIMEOUT_MS, calls=1)
+    assert put(client) == rows.Unknown()
+    assert read(client) == rows.Rows()
+    while not read(client).rows:
+        continue
+
+
+def test_refused_connection_wrote_nothing():
+    client = table.TableClient(make_service(unused_url()))
+    assert isinstance(put(client), rows.Unavailable)
+
+
+def test_exhausted_connections_write_nothing(stand_in):
+    exchanged = make_service(stand_in.url, max_connections=1)
+    stand_in.set_faults(silence=True)
+    pool = exchanged._pools.connection_from_url(stand_in.url)
+    held = pool._get_conn()
+    assert isinstance(put(table.TableClient(exchanged)), rows.Unavailable)
+    pool._put_conn(held)
+    assert put(table.TableClient(exchanged)) == rows.Unknown()
+
+
+def test_open_breaker_leaves_the_service_alone(stand_in):
+    settings = breaker.BreakerSettings(failures_to_open=2, open_ms=60_000)
+    client = table.TableClient(make_service(stand_in.url, settings))
+    stand_in.set_faults(error_status=500)
+    assert [put(client), put(client)] == [rows.Unknown()] * 2
+    stand_in.set_faults()
+    result = put(client)
+    assert isinstance(result, rows.Unavailable)
+    assert result.retry_after_ms >= 30_000
+
+
+def step(clock, states, actions):
+    """Apply actions, noting the state or refusal after each."""
+    for action in actions:
+        if isinstance(action, int):
+            clock.advance(action)
+            continue
+        try:
+            action()
+        except breaker.BreakerOpenError:
+            states.append('refused')
+    return states
+
+
+def test_breaker_lets_one_trial_through_and_backs_off():
+    clock = clocks.ManualClock()
+    settings = breaker.BreakerSettings(2, open_ms=100, max_open_ms=150)
+    subject = breaker.Breaker(clock, random.Random(2), settings)
+    states = []
+
+    def admit():
+        subject.admit()
+        states.append(subject.state.value)
+
+    step(clock, states, [admit, subject.fail, admit, subject.fail, admit])
+    step(clock, states, [49, admit, 101, admit, admit, subject.fail, admit])
+    step(clock, states, [225, admit, subject.succeed, admit])
+    assert states == [
+        'closed',
+        'closed',
+        'refused',
+        'refused',
+        'half_open',
+        'refused',
+        'refused',
+        'half_open',
+        'closed',
+    ]
+
+
+def test_answer_from_before_the_opening_does_not_close_the_breaker():
+    settings = breaker.BreakerSettings(failures_to_open=1)
+    subject = breaker.Breaker(clocks.ManualClock(), random.Random(3), settings)
+    subject.admit()
+    subject.admit()
+    subject.fail()
+    subject.succeed()
+    assert subject.state is breaker.BreakerState.OPEN
+
+
+@pytest.mark.parametrize(
+    'faults, is_stored',
+    [({}, True), ({'error_status': 500}, False), ({'down': True}, False)],
+)
+def test_objects(faults, is_stored):
+    stand_in = standin_objects.Objects().start()
+    client = objects.ObjectClient(make_service(stand_in.url))
+    stand_in.set_faults(**faults)
+    write = effects.WriteObject('snapshots/a b', b'\x00\xff')
+    assert client.write(write) is is_stored
+    stand_in.set_faults()
+    found = client.read(effects.ReadObject('o:1', 'snapshots/a b'))
+    stand_in.stop()
+    assert (found.token, found.content == b'\x00\xff') == ('o:1', is_stored)
+
+
+ENTRIES = [
+    {
+        'name': 'pool-1',
+        'role': 'target',
+        'pool': 'encoders',
+        'zone': 'north-1',
+        'address': '127.0.0.1:9',
+        'state': 'leaving',
+    },
+    {
+        'name': 'entry-1',
+        'role': 'entry',
+        'zone': 'north-2',
+        'address': '127.0.0.1:8',
+        'state': 'live',
+    },
+    {'name': 7, 'role': 'target'},
+    {'name': 'x', 'role': ['entry']},
+    'noise',
+]
+
+
+def test_host_list_keeps_what_it_understands():
+    stand_in = standin_host_list.Hosts().start()
+    stand_in.entries = ENTRIES
+    client = host_list.HostListClient(make_service(stand_in.url))
+    found = client.read()
+    assert [t.name for t in found.listed.targets] == ['pool-1']
+    assert found.listed.targets[0].state.value == 'leaving'
+    assert [h.address for h in found.entry_hosts] == ['127.0.0.1:8']
+    assert found.skipped == 3
+    for faults in ({'garbage': True}, {'down': True}, {'error_status': 404}):
+        stand_in.set_faults(**faults)
+        assert isinstance(client.read(), rows.Unavailable)
+    stand_in.stop()
