--- /dev/null
+++ b/packages/targets/src/godwitglade/targets/requests.py
@@ -0,0 +1,62 @@
+"""Bodies of requests to targets."""
+
+import functools
+import typing
+
+from godwitglade.common import codec
+from godwitglade.decisions import effects
+
+ENGINE_PATH = '/v1/completions'
+
+
+def encode_call(effect: effects.CallTarget) -> bytes:
+    """Return the body of a stage call.
+
+    An engine's payload names model, prompt and input itself; any other
+    payload is the stage's input.
+    """
+    is_engine = effect.path == ENGINE_PATH
+    fields = _engine_fields(effect) if is_engine else _pool_fields(effect)
+    body = {
+        'request_id': effect.request_id,
+        'stage': effect.stage,
+        'attempt_id': effect.attempt_id,
+        'deadline_ms': effect.timeout_ms,
+        **fields,
+    }
+    return codec.to_json(body)
+
+
+def encode_cancel(attempt_id: str) -> bytes:
+    """Return the body that cancels an attempt."""
+    return codec.to_json({'attempt_id': attempt_id})
+
+
+def encode_order(effect: effects.OrderEngine) -> bytes:
+    """Return the body of an order with its fencing number."""
+    body = {'fencing_number': effect.fencing_number, 'order': effect.order}
+    return codec.to_json(body)
+
+
+def _pool_fields(effect: effects.CallTarget) -> dict[str, typing.Any]:
+    return {'input': effect.payload}
+
+
+def _engine_fields(effect: effects.CallTarget) -> dict[str, typing.Any]:
+    return {
+        **_named_fields(effect.payload),
+        'stream': effect.is_stream,
+        'resume_offset': effect.resume_offset,
+        'prefix': effect.prefix,
+        'priority': effect.priority,
+    }
+
+
+@functools.singledispatch
+def _named_fields(payload: typing.Any) -> dict[str, typing.Any]:
+    return {'input': payload}
+
+
+@_named_fields.register
+def _(payload: dict) -> dict[str, typing.Any]:
+    return payload
