--- a/packages/daemon/src/godwitglade/daemon/effector.py
+++ b/packages/daemon/src/godwitglade/daemon/effector.py
@@ -12,9 +12,9 @@
 from godwitglade.daemon import pools
 from godwitglade.daemon import replies
 from godwitglade.decisions import effects
+from godwitglade.peers import client as peer_client
 from godwitglade.platform import objects
 from godwitglade.platform import table
-from godwitglade.peers import client as peer_client
 from godwitglade.targets import calls
 
 #: Threads for each kind of peer that may block.
