--- /dev/null
+++ b/packages/common/src/godwitglade/common/web.py
@@ -0,0 +1,115 @@
+"""What the HTTP applications share: typed errors, bounded bodies, JSON."""
+
+import typing
+
+import attrs
+import cherrypy
+
+from godwitglade.common import codec
+from godwitglade.common import errors
+
+JSON = 'application/json'
+
+
+@attrs.define(auto_exc=True, str=False)
+class NotFoundError(errors.CodedError):
+    """No resource has this path."""
+
+    code = 'not_found'
+    http_status = 404
+    template = 'no resource at {path}'
+
+    path: str
+
+
+@attrs.define(auto_exc=True, str=False)
+class MethodError(errors.CodedError):
+    """The resource does not take this method."""
+
+    code = 'method_not_allowed'
+    http_status = 405
+    template = '{path} takes {allowed}'
+
+    path: str
+    allowed: str
+
+
+@attrs.define(auto_exc=True, str=False)
+class BodyTooLargeError(errors.CodedError):
+    """The body is larger than accepted."""
+
+    code = 'body_too_large'
+    http_status = 413
+    template = 'the body exceeds {limit_bytes} bytes'
+
+    limit_bytes: int
+
+
+@attrs.define(auto_exc=True, str=False)
+class RequestError(errors.CodedError):
+    """The server could not serve the request; ``status`` says why."""
+
+    code = 'bad_request'
+    http_status = 400
+    template = '{status}'
+
+    status: str
+
+
+def make_app(root: typing.Any) -> cherrypy.Application:
+    """Return an application for ``root``; serve it with a WSGI server."""
+    config = {
+        '/': {
+            'request.process_request_body': False,
+            'request.show_tracebacks': False,
+            'tools.encode.on': False,
+            'tools.trailing_slash.on': False,
+            'error_page.default': _error_page,
+        }
+    }
+    app = cherrypy.Application(root, '', config)
+    # The structured log replaces CherryPy's access and error logs.
+    app.log.screen = False
+    return app
+
+
+def check_method(*allowed: str) -> str:
+    """Return the method of the request; raises MethodError."""
+    method = cherrypy.request.method
+    if method not in allowed:
+        path = cherrypy.request.path_info
+        raise MethodError(path, ', '.join(allowed))
+    return method
+
+
+def read_body(limit_bytes: int) -> bytes:
+    """Return the body; raises BodyTooLargeError."""
+    declared = cherrypy.request.headers.get('Content-Length', '0')
+    if declared.isdigit() and int(declared) > limit_bytes:
+        raise BodyTooLargeError(limit_bytes)
+    body = cherrypy.request.rfile.read(limit_bytes + 1)
+    if len(body) > limit_bytes:
+        raise BodyTooLargeError(limit_bytes)
+    return body
+
+
+def answer(status: int, body: bytes) -> bytes:
+    """Set status and type of the answer and return its JSON body."""
+    cherrypy.response.status = status
+    cherrypy.response.headers['Content-Type'] = JSON
+    return body
+
+
+def error_body(error: errors.CodedError) -> bytes:
+    """Return the JSON body of a typed error with its fields."""
+    fields = {
+        'code': error.code,
+        'message': str(error),
+        'is_retryable': error.is_retryable,
+    }
+    return codec.to_json({'error': {**codec.to_plain(error), **fields}})
+
+
+def _error_page(status: str, **_context: str) -> bytes:
+    cherrypy.response.headers['Content-Type'] = JSON
+    return error_body(RequestError(status))
--- a/packages/daemon/src/godwitglade/daemon/settings.py
+++ b/packages/daemon/src/godwitglade/daemon/settings.py
@@ -11,6 +11,7 @@
 from godwitglade.common import yaml_text
 from godwitglade.daemon import settings_schema
 from godwitglade.daemon import settings_types
+from godwitglade.operators import access
 
 MIN_SECRET_BYTES = 16
 
@@ -125,7 +126,7 @@
 
 
 def _token_conflicts(
-    tokens: tuple[settings_types.Token, ...],
+    tokens: tuple[access.Token, ...],
 ) -> typing.Iterator[validation.Fault]:
     names = collections.Counter()
     hashes = collections.Counter()
@@ -137,11 +138,11 @@
             yield validation.Fault(f'{path}.name', 'stands twice')
         if hashes[token.sha256] > 1:
             yield validation.Fault(f'{path}.sha256', 'stands twice')
-        if token.role is settings_types.Role.OPERATOR and not token.team:
+        if token.role is access.Role.OPERATOR and not token.team:
             yield validation.Fault(
                 f'{path}.team', 'is required for an operator'
             )
-        if token.role is settings_types.Role.MONITOR and token.team:
+        if token.role is access.Role.MONITOR and token.team:
             yield validation.Fault(
                 f'{path}.team', 'is not accepted for a monitor'
             )
--- a/packages/daemon/src/godwitglade/daemon/settings_schema.py
+++ b/packages/daemon/src/godwitglade/daemon/settings_schema.py
@@ -7,6 +7,7 @@
 
 from godwitglade.common import validation
 from godwitglade.daemon import settings_types
+from godwitglade.operators import access
 
 MAX_THREADS = 512
 MAX_BODY_BYTES = 64 * 1_048_576
@@ -102,13 +103,13 @@
 )
 
 TOKEN = validation.Object(
-    settings_types.Token,
+    access.Token,
     {
         'name': validation.Field(
             NAME, 'Name of the owner, as the audit trail shows it.'
         ),
         'role': validation.Field(
-            validation.Choice(settings_types.Role),
+            validation.Choice(access.Role),
             'operator changes the documents of its team; monitor reads all.',
         ),
         'sha256': validation.Field(HASH, 'SHA-256 of the token.'),
--- a/packages/daemon/src/godwitglade/daemon/settings_types.py
+++ b/packages/daemon/src/godwitglade/daemon/settings_types.py
@@ -4,12 +4,7 @@
 
 import attrs
 
-
-class Role(enum.Enum):
-    """What the owner of a token may do."""
-
-    OPERATOR = 'operator'
-    MONITOR = 'monitor'
+from godwitglade.operators import access
 
 
 class LogLevel(enum.Enum):
@@ -52,16 +47,6 @@
     variable: str | None = None
 
 
-@attrs.frozen
-class Token:
-    """An operator's token, as the SHA-256 of its text."""
-
-    name: str
-    role: Role
-    sha256: str = attrs.field(repr=False)
-    team: str = ''
-
-
 @attrs.frozen
 class Threads:
     """Numbers of threads that only move bytes."""
@@ -93,7 +78,7 @@
     peers: Listener
     platform: Platform
     secret: Secret
-    tokens: tuple[Token, ...] = ()
+    tokens: tuple[access.Token, ...] = ()
     statsd_address: str | None = None
     log_level: LogLevel = LogLevel.INFO
     threads: Threads = Threads()
--- a/packages/operators/src/godwitglade/operators/errors.py
+++ b/packages/operators/src/godwitglade/operators/errors.py
@@ -39,7 +39,7 @@
 class NotFoundError(errors.CodedError):
     """Nothing has this name."""
 
-    code = 'not_found'
+    code = 'name_not_found'
     http_status = 404
     template = 'no {kind} {name!r}'
 
@@ -47,28 +47,6 @@
     name: str
 
 
-@attrs.define(auto_exc=True, str=False)
-class MethodNotAllowedError(errors.CodedError):
-    """The resource does not take this HTTP method."""
-
-    code = 'method_not_allowed'
-    http_status = 405
-    template = 'accepted methods: {allowed}'
-
-    allowed: str
-
-
-@attrs.define(auto_exc=True, str=False)
-class BodyTooLargeError(errors.CodedError):
-    """A body longer than accepted."""
-
-    code = 'body_too_large'
-    http_status = 413
-    template = 'the body must be at most {limit_bytes} bytes'
-
-    limit_bytes: int
-
-
 @attrs.define(auto_exc=True, str=False)
 class ChangeConflictError(errors.CodedError):
     """The document changed since the version it was edited from.
--- a/tests/operators/test_changes.py
+++ b/tests/operators/test_changes.py
@@ -1,8 +1,5 @@
 """Changes of documents: races, lost answers, late writes, audit."""
 
-import itertools
-import random
-
 import attrs
 import pytest
 
@@ -10,130 +7,8 @@
 from godwitglade.coordination import audit
 from godwitglade.coordination import change_results
 from godwitglade.coordination import change_rows
-from godwitglade.coordination import changes
-from godwitglade.coordination import effects
-from godwitglade.coordination import messages
 from godwitglade.coordination import rows
-
-
-class Table:
-    """A table service in memory whose answers follow a script.
-
-    Each transaction takes the next word of ``script``: ``ok``, ``lost``
-    after the effect, ``late`` (lost, lands when `land` is called), ``down``
-    or ``never`` (lost without effect); ``ok`` when the script has ended.
-    """
-
-    def __init__(self, *script):
-        self.rows = {}
-        self.script = iter(script)
-        self.late = []
-        self.is_readable = True
-
-    def read(self, keys):
-        if not self.is_readable:
-            return rows.Unavailable()
-        found = (self.rows.get(key) for key in keys)
-        return rows.Rows(tuple(row for row in found if row is not None))
-
-    def transact(self, transaction):
-        word = next(self.script, 'ok')
-        if word == 'ok':
-            return self.apply(transaction)
-        if word == 'down':
-            return rows.Unavailable(retry_after_ms=7)
-        if word == 'lost':
-            self.apply(transaction)
-        if word == 'late':
-            self.late.append(transaction)
-        return rows.Unknown()
-
-    def apply(self, transaction):
-        broken = [
-            condition.key
-            for condition in transaction.conditions
-            if self.version(condition.key) != condition.version
-        ]
-        if broken:
-            return rows.Conflict(self.read(broken).rows)
-        for write in transaction.writes:
-            version = self.version(write.key) + 1
-            value = codec.parse_json(codec.to_json(write.value))
-            self.rows[write.key] = rows.Row(write.key, version, value)
-        return rows.Committed()
-
-    def version(self, key):
-        row = self.rows.get(key)
-        return rows.ABSENT if row is None else row.version
-
-    def land(self):
-        return [self.apply(transaction) for transaction in self.late]
-
-    def audit(self):
-        found = sorted(key.key for key in self.rows if key.table == 'audit')
-        return [
-            codec.from_plain(
-                self.rows[rows.RowKey('audit', key)].value, audit.AuditRecord
-            )
-            for key in found
-        ]
-
-
-class Host:
-    """Changes on one host; runs its effects against ``table``."""
-
-    def __init__(self, table, seed=1):
-        self.table = table
-        self.part = changes.Changes(random.Random(seed))
-        self.ids = itertools.count()
-
-    def start(self, **fields):
-        return self.part.submit(f'q{next(self.ids)}', request(**fields), 0)
-
-    def step(self, effect):
-        if isinstance(effect, effects.ReadRows):
-            result = self.table.read(effect.keys)
-            message = messages.ReadSettled(effect.token, result)
-        elif isinstance(effect, effects.Transact):
-            result = self.table.transact(effect.transaction)
-            message = messages.TransactionSettled(effect.token, result)
-        else:
-            message = messages.TimerFired(effect.token)
-        return self.part.handle(message, 0)
-
-    def finish(self, pending):
-        results = []
-        while pending:
-            effect = pending.pop(0)
-            if isinstance(effect, effects.Deliver):
-                results.append(effect.message.result)
-            elif not isinstance(effect, effects.LogEvent):
-                pending.extend(self.step(effect))
-        assert self.part.pending_count == 0
-        (result,) = results
-        return result
-
-    def apply(self, **fields):
-        return self.finish(self.start(**fields))
-
-    def look_up(self, change_id='c1'):
-        return self.finish(self.part.look_up('q', change_id, 0))
-
-    def settle(self, change_id='c1'):
-        return self.finish(self.part.settle('q', change_id, 0))
-
-
-def request(**fields):
-    defaults = change_rows.ChangeRequest(
-        pipeline='checks',
-        based_on=0,
-        change_id='c1',
-        text='a: 1\nb: 2\n',
-        author='amina',
-        team='onboarding',
-        at_ms=5,
-    )
-    return attrs.evolve(defaults, **fields)
+from tests.operators import tables
 
 
 def accepted(version=1, sequence=1, change_id='c1'):
@@ -147,7 +22,7 @@
 
 
 def test_change_is_accepted_and_the_same_one_again_changes_nothing():
-    host = Host(Table())
+    host = tables.Host(tables.Table())
     assert host.apply() == accepted()
     assert host.apply() == accepted()
     assert len(host.table.audit()) == 1
@@ -155,15 +30,15 @@
 
 
 def test_change_id_of_another_change_is_refused():
-    host = Host(Table())
+    host = tables.Host(tables.Table())
     host.apply()
     reused = change_results.ChangeIdReused('c1')
     assert host.apply(based_on=1, text='b: 1') == reused
 
 
 def test_loser_of_a_race_sees_the_current_version():
-    table = Table()
-    first, second = Host(table, 1), Host(table, 2)
+    table = tables.Table()
+    first, second = tables.Host(table, 1), tables.Host(table, 2)
     waiting = first.step(first.start()[0])
     assert second.apply(change_id='c2', text='b: 1') == accepted(
         change_id='c2'
@@ -174,8 +49,8 @@
 
 
 def test_changes_of_two_documents_at_once_are_both_accepted():
-    table = Table()
-    first, second = Host(table, 1), Host(table, 2)
+    table = tables.Table()
+    first, second = tables.Host(table, 1), tables.Host(table, 2)
     waiting = first.step(first.start()[0])
     second.apply(change_id='c2', pipeline='papers')
     assert first.finish(waiting) == accepted(sequence=2)
@@ -197,7 +72,7 @@
     ],
 )
 def test_lost_answer_is_settled_truthfully(script, result):
-    host = Host(Table(*script))
+    host = tables.Host(tables.Table(*script))
     assert host.apply() == result
     was_landed = rows.Committed() in host.table.land()
     if result == NOT_APPLIED:
@@ -208,7 +83,7 @@
 
 
 def test_look_up_does_not_settle_a_write_that_is_still_to_land():
-    host = Host(Table('late', *['down'] * 5))
+    host = tables.Host(tables.Table('late', *['down'] * 5))
     host.apply()
     assert host.look_up() == change_results.ChangeAbsent('c1')
     host.table.land()
@@ -216,21 +91,21 @@
 
 
 def test_unread_rows_change_nothing():
-    host = Host(Table())
+    host = tables.Host(tables.Table())
     host.table.is_readable = False
     assert isinstance(host.apply(), change_results.ChangeUnavailable)
     assert host.table.rows == {}
 
 
 def test_malformed_rows_end_in_a_typed_result():
-    host = Host(Table())
+    host = tables.Host(tables.Table())
     key = change_rows.HEAD_KEY
     host.table.rows[key] = rows.Row(key, 1, {'sequence': 'x'})
     assert isinstance(host.apply(), change_results.ChangeUnavailable)
 
 
 def test_document_belongs_to_its_team_until_removed():
-    host = Host(Table())
+    host = tables.Host(tables.Table())
     host.apply()
     theirs = {'based_on': 1, 'team': 'touchline', 'change_id': 'c2'}
     forbidden = change_results.ChangeForbidden('checks', 'onboarding')
@@ -241,7 +116,7 @@
 
 
 def test_change_row_carries_a_patch_where_smaller():
-    host = Host(Table())
+    host = tables.Host(tables.Table())
     lines = [f'line {number}\n' for number in range(100)]
     host.apply(text=''.join(lines))
     lines[50] = 'changed\n'
@@ -272,7 +147,7 @@
 
 @pytest.mark.parametrize('tamper, sequence, reason', TAMPERINGS)
 def test_audit_shows_tampering(tamper, sequence, reason):
-    host = Host(Table())
+    host = tables.Host(tables.Table())
     for version in range(3):
         host.apply(based_on=version, change_id=f'c{version}')
     records = host.table.audit()
@@ -282,7 +157,7 @@
 
 
 def test_audit_is_verified_in_parts():
-    host = Host(Table())
+    host = tables.Host(tables.Table())
     for version in range(3):
         host.apply(based_on=version, change_id=f'c{version}')
     first, *rest = host.table.audit()
