Add the request state machine

Cause: nothing yet carried a request through the stages of a pipeline. Change: Requests takes callers', targets' and claims' messages and answers each request once; stages run in order, streams resume without gap or repeat, non-repeatable stages are sent only under a claim.

--- /dev/null
+++ b/packages/decisions/src/godwitglade/decisions/admitting.py
@@ -0,0 +1,66 @@
+"""Checks of a request at the door, before anything of it is sent."""
+
+import attrs
+
+from godwitglade.decisions import context as contexts
+from godwitglade.decisions import documents
+from godwitglade.decisions import jobs
+from godwitglade.decisions import messages
+from godwitglade.decisions import outcomes
+
+
+@attrs.frozen
+class Rejection:
+    """Why a request is refused and when to come back."""
+
+    reason: str
+    retry_after_ms: int = 0
+
+
+def check(
+    context: contexts.Context, request: messages.RequestArrived, now_ms: int
+) -> jobs.Job | Rejection:
+    """Return a new job for ``request``, or why it is refused."""
+    document = context.documents.get(request.pipeline)
+    reason = _reason(context, request, document, now_ms)
+    if reason is not None:
+        return Rejection(reason, _RETRY_AFTER_MS.get(reason, 0))
+    priority = request.priority or document.default_priority
+    return jobs.Job(
+        request=request,
+        document=document,
+        rank=document.priorities[priority],
+        arrived_ms=now_ms,
+        begun_ms=now_ms,
+    )
+
+
+def _reason(
+    context: contexts.Context,
+    request: messages.RequestArrived,
+    document: documents.Document | None,
+    now_ms: int,
+) -> str | None:
+    refusal = outcomes.Refusal
+    if context.is_stopping:
+        return refusal.STOPPING
+    if document is None:
+        return refusal.UNKNOWN_PIPELINE
+    if document.workspace(request.workspace) is None:
+        return refusal.UNKNOWN_WORKSPACE
+    priority = request.priority or document.default_priority
+    if priority not in document.priorities:
+        return refusal.UNKNOWN_PRIORITY
+    if document.has_non_repeatable and not request.idempotency_key:
+        return refusal.KEY_REQUIRED
+    if request.deadline_ms <= now_ms:
+        return refusal.DEADLINE_PASSED
+    if len(context.jobs) >= context.settings.max_jobs:
+        return refusal.OVERLOADED
+    return None
+
+
+_RETRY_AFTER_MS = {
+    outcomes.Refusal.STOPPING: 1,
+    outcomes.Refusal.OVERLOADED: 1_000,
+}
--- /dev/null
+++ b/packages/decisions/src/godwitglade/decisions/calling.py
@@ -0,0 +1,146 @@
+"""Sending attempts to targets and taking them back."""
+
+import typing
+
+from godwitglade.coordination import effects as coordination_effects
+from godwitglade.decisions import context as contexts
+from godwitglade.decisions import directory
+from godwitglade.decisions import effects
+from godwitglade.decisions import jobs
+from godwitglade.decisions import outcomes
+from godwitglade.decisions import streams
+
+
+def send(
+    context: contexts.Context,
+    job: jobs.Job,
+    tracked: directory.TrackedTarget,
+    now_ms: int,
+    is_hedge: bool = False,
+) -> contexts.Effects:
+    """Send an attempt of the job's current stage to a target."""
+    timeout_ms = max(1, min(job.stage.budget_ms, job.time_left_ms(now_ms)))
+    attempt = jobs.Attempt(
+        attempt_id=context.next_attempt_id(),
+        stage=job.stage.name,
+        target=tracked.target,
+        sent_ms=now_ms,
+        timeout_ms=timeout_ms,
+        is_hedge=is_hedge,
+        feed=streams.StreamFeed(job.text) if job.is_streamed else None,
+    )
+    job.attempts[attempt.attempt_id] = attempt
+    context.attempts[attempt.attempt_id] = job
+    tracked.in_flight += 1
+    job.tried.add(tracked.name)
+    job.stage_attempts += 1
+    if job.stage.name not in job.ran:
+        job.ran.append(job.stage.name)
+    watch_ms = now_ms + timeout_ms + TIMEOUT_GRACE_MS
+    return [
+        _call(context, job, attempt),
+        *timer('watch', attempt.attempt_id, watch_ms),
+    ]
+
+
+def payload_of(job: jobs.Job) -> dict[str, typing.Any]:
+    """Return what the current stage gets: the request and results."""
+    return {'request': job.request.payload, 'results': dict(job.results)}
+
+
+def close(
+    context: contexts.Context, job: jobs.Job, attempt: jobs.Attempt
+) -> None:
+    """Forget an attempt that ended or is no longer awaited."""
+    job.attempts.pop(attempt.attempt_id, None)
+    context.attempts.pop(attempt.attempt_id, None)
+    release_slot(context, attempt.target.name)
+
+
+def release_slot(context: contexts.Context, target_name: str) -> None:
+    """Give back one call in flight of a target."""
+    tracked = context.directory.by_name.get(target_name)
+    if tracked is not None and tracked.in_flight > 0:
+        tracked.in_flight -= 1
+
+
+def cancel_all(context: contexts.Context, job: jobs.Job) -> contexts.Effects:
+    """Cancel every attempt of a job that is still awaited."""
+    cancelled = list(job.attempts.values())
+    for attempt in cancelled:
+        close(context, job, attempt)
+    return [
+        effects.CancelCall(attempt.attempt_id, attempt.target)
+        for attempt in cancelled
+    ]
+
+
+def report(job: jobs.Job, target_name: str, now_ms: int) -> None:
+    """Add the current stage's report to the job."""
+    job.reports.append(
+        outcomes.StageReport(
+            stage=job.stage.name,
+            target=target_name,
+            attempts=job.stage_attempts,
+            elapsed_ms=now_ms - job.begun_ms,
+        )
+    )
+
+
+def timer(part: str, name: str, due_ms: int) -> contexts.Effects:
+    """Return a timer of the request policy."""
+    token = f'requests:{part}:{name}'
+    return [coordination_effects.StartTimer(token, due_ms)]
+
+
+def first_byte_ms(
+    context: contexts.Context, job: jobs.Job, timeout_ms: int
+) -> int:
+    """Return how long the first byte of a reply may take.
+
+    The bound comes from the stage's own measured times; without enough of
+    them it is the whole timeout.
+    """
+    sketch = (
+        context.times.first_byte(job.document.pipeline, job.stage.name)
+        if job.is_streamed
+        else context.times.whole(job.document.pipeline, job.stage.name)
+    )
+    if sketch.count < MIN_SAMPLES:
+        return timeout_ms
+    slowest_ms = FIRST_BYTE_FACTOR * sketch.quantile_ms(0.99)
+    least_ms = context.settings.min_first_byte_ms
+    return min(timeout_ms, max(least_ms, int(slowest_ms)))
+
+
+#: A call that the transport has not ended by itself is ended after this.
+TIMEOUT_GRACE_MS = 50
+
+#: Samples before a measured time is used.
+MIN_SAMPLES = 20
+
+#: A first byte may take this many times the 99th percentile.
+FIRST_BYTE_FACTOR = 3.0
+
+
+def _call(
+    context: contexts.Context,
+    job: jobs.Job,
+    attempt: jobs.Attempt,
+) -> effects.CallTarget:
+    stage = job.stage
+    return effects.CallTarget(
+        request_id=job.request_id,
+        stage=stage.name,
+        attempt_id=attempt.attempt_id,
+        target=attempt.target,
+        path=stage.path,
+        payload=payload_of(job),
+        timeout_ms=attempt.timeout_ms,
+        first_byte_ms=first_byte_ms(context, job, attempt.timeout_ms),
+        is_stream=job.is_streamed,
+        resume_offset=len(job.text) if job.is_streamed else 0,
+        prefix=job.text if job.is_streamed else '',
+        priority=job.rank,
+        needs_fresh_connection=not stage.is_repeatable,
+    )
--- /dev/null
+++ b/packages/decisions/src/godwitglade/decisions/context.py
@@ -0,0 +1,76 @@
+"""State that the parts of the request policy share."""
+
+import random
+import typing
+
+import attrs
+
+from godwitglade.coordination import hosts
+from godwitglade.decisions import balance
+from godwitglade.decisions import directory as directories
+from godwitglade.decisions import documents as document_types
+from godwitglade.decisions import estimates
+from godwitglade.decisions import jobs as job_types
+from godwitglade.decisions import queueing
+from godwitglade.decisions import retries
+from godwitglade.decisions import settings as request_settings
+
+Effects = list[typing.Any]
+
+
+@attrs.define(eq=False)
+class Context:
+    """Everything that the request policy of one host remembers.
+
+    ``claimants`` maps a claim key to the job that claims it, ``followers``
+    to the jobs that wait for the same key on this host, and ``nonces`` the
+    nonce of a claim without a verdict to its job.
+    """
+
+    host_id: hosts.HostId
+    rng: random.Random
+    claims: typing.Any
+    settings: request_settings.RequestSettings
+    chooser: balance.Chooser
+    documents: dict[str, document_types.Document] = attrs.Factory(dict)
+    jobs: dict[str, job_types.Job] = attrs.Factory(dict)
+    attempts: dict[str, job_types.Job] = attrs.Factory(dict)
+    claimants: dict[str, job_types.Job] = attrs.Factory(dict)
+    nonces: dict[str, job_types.Job] = attrs.Factory(dict)
+    followers: dict[str, list[job_types.Job]] = attrs.Factory(dict)
+    directory: directories.Directory = attrs.Factory(directories.Directory)
+    times: estimates.StageTimes = attrs.Factory(estimates.StageTimes)
+    queues: dict[str, queueing.FairQueue] = attrs.Factory(dict)
+    retry_budgets: dict[str, retries.Budget] = attrs.Factory(dict)
+    hedge_budgets: dict[str, retries.Budget] = attrs.Factory(dict)
+    attempt_number: int = 0
+    store_down_until_ms: int = -1
+    queries: dict[str, typing.Any] = attrs.Factory(dict)
+    is_stopping: bool = False
+    has_exited: bool = False
+
+    def queue(self, pool: str) -> queueing.FairQueue:
+        """Return the queue of jobs that wait for ``pool``."""
+        if pool not in self.queues:
+            length = self.settings.max_queued_per_pool
+            self.queues[pool] = queueing.FairQueue(length)
+        return self.queues[pool]
+
+    def retry_budget(self, pool: str) -> retries.Budget:
+        """Return the retry budget of ``pool``."""
+        if pool not in self.retry_budgets:
+            ratio = self.settings.retry_ratio
+            self.retry_budgets[pool] = retries.Budget(ratio)
+        return self.retry_budgets[pool]
+
+    def hedge_budget(self, pool: str) -> retries.Budget:
+        """Return the hedge budget of ``pool``."""
+        if pool not in self.hedge_budgets:
+            ratio = self.settings.hedge_ratio
+            self.hedge_budgets[pool] = retries.Budget(ratio)
+        return self.hedge_budgets[pool]
+
+    def next_attempt_id(self) -> str:
+        """Return an attempt id that no other host or life makes."""
+        self.attempt_number += 1
+        return f'{self.host_id}-{self.attempt_number}'
--- /dev/null
+++ b/packages/decisions/src/godwitglade/decisions/directory.py
@@ -0,0 +1,110 @@
+"""The targets that a host knows, by pool, and whether they take work."""
+
+import attrs
+
+from godwitglade.decisions import targets
+
+#: In-flight limit of a target before anything was measured.
+INITIAL_LIMIT = 8.0
+
+
+@attrs.define(eq=False, slots=True)
+class TrackedTarget:
+    """A target with what this host knows of it.
+
+    ``limit`` bounds this host's own calls in flight. ``silent`` counts
+    probes that failed one after another. Times are None when not so.
+    """
+
+    target: targets.Target
+    in_flight: int = 0
+    limit: float = INITIAL_LIMIT
+    load: targets.Load | None = None
+    load_ms: int = 0
+    is_listed: bool = True
+    is_listed_leaving: bool = False
+    told_leaving_until_ms: int | None = None
+    ejected_until_ms: int | None = None
+    silent: int = 0
+    probe_sent_ms: int | None = None
+    failures: int = 0
+
+    @property
+    def name(self) -> str:
+        """Return the target's name."""
+        return self.target.name
+
+    @property
+    def has_room(self) -> bool:
+        """Tell whether this host may have one more call in flight."""
+        return self.in_flight < max(1, int(self.limit))
+
+    def is_leaving(self, now_ms: int) -> bool:
+        """Tell whether any sign says that the target takes no new work."""
+        if self.is_listed_leaving or not self.is_listed:
+            return True
+        until_ms = self.told_leaving_until_ms
+        return until_ms is not None and now_ms < until_ms
+
+    def is_ejected(self, now_ms: int) -> bool:
+        """Tell whether the target is out as an outlier."""
+        until_ms = self.ejected_until_ms
+        return until_ms is not None and now_ms < until_ms
+
+    def takes_work(self, now_ms: int) -> bool:
+        """Tell whether new work may go to the target."""
+        return not self.is_leaving(now_ms) and not self.is_ejected(now_ms)
+
+
+@attrs.define(eq=False)
+class Directory:
+    """Every known target by name and by pool."""
+
+    by_name: dict[str, TrackedTarget] = attrs.Factory(dict)
+    _pools: dict[str, list[TrackedTarget]] = attrs.Factory(dict)
+
+    def pool(self, name: str) -> list[TrackedTarget]:
+        """Return the targets of a pool, leaving ones included."""
+        return self._pools.get(name, [])
+
+    def pools(self) -> dict[str, list[TrackedTarget]]:
+        """Return every pool that has targets."""
+        return self._pools
+
+    def replace(self, listed: tuple[targets.Target, ...]) -> None:
+        """Take a new host list; targets with calls in flight stay known."""
+        names = {target.name for target in listed}
+        for tracked in self.by_name.values():
+            tracked.is_listed = tracked.name in names
+        for target in listed:
+            self._take(target)
+        self._forget_gone()
+        self._pools = {}
+        for tracked in self.by_name.values():
+            self._pools.setdefault(tracked.target.pool, []).append(tracked)
+
+    def tell_load(self, name: str, load: targets.Load, now_ms: int) -> None:
+        """Record a load that a target reported."""
+        tracked = self.by_name.get(name)
+        measured_ms = now_ms - load.age_ms
+        if tracked is None or measured_ms < tracked.load_ms:
+            return
+        tracked.load = load
+        tracked.load_ms = measured_ms
+        if not load.is_leaving:
+            tracked.told_leaving_until_ms = None
+
+    def _take(self, target: targets.Target) -> None:
+        tracked = self.by_name.get(target.name)
+        if tracked is None or tracked.target.address != target.address:
+            tracked = TrackedTarget(target)
+            self.by_name[target.name] = tracked
+        tracked.target = target
+        tracked.is_listed_leaving = target.state is targets.TargetState.LEAVING
+
+    def _forget_gone(self) -> None:
+        self.by_name = {
+            name: tracked
+            for name, tracked in self.by_name.items()
+            if tracked.is_listed or tracked.in_flight
+        }
--- /dev/null
+++ b/packages/decisions/src/godwitglade/decisions/estimates.py
@@ -0,0 +1,65 @@
+"""Measured times of stages as decaying histograms."""
+
+import bisect
+
+import attrs
+
+#: Bucket bounds grow by this factor.
+_GROWTH = 1.15
+_BOUNDS_MS = tuple(_GROWTH**n for n in range(92))
+
+#: All weights are halved after this many samples.
+_WINDOW = 512
+
+
+@attrs.define(eq=False)
+class DurationSketch:
+    """Quantiles of recent durations, exact to about 15%."""
+
+    _weights: list[float] = attrs.Factory(lambda: [0.0] * len(_BOUNDS_MS))
+    _total: float = 0.0
+    mean_ms: float = 0.0
+
+    def add(self, elapsed_ms: float) -> None:
+        """Count one duration."""
+        index = bisect.bisect_left(_BOUNDS_MS, elapsed_ms)
+        self._weights[min(index, len(_BOUNDS_MS) - 1)] += 1.0
+        self._total += 1.0
+        gain = max(1.0 / self._total, 0.02)
+        self.mean_ms += gain * (elapsed_ms - self.mean_ms)
+        if self._total >= 2 * _WINDOW:
+            self._weights = [weight / 2 for weight in self._weights]
+            self._total /= 2
+
+    @property
+    def count(self) -> float:
+        """Return how many recent samples there are."""
+        return self._total
+
+    def quantile_ms(self, share: float) -> float:
+        """Return the duration that ``share`` of samples do not exceed."""
+        wanted = share * self._total
+        seen = 0.0
+        for bound_ms, weight in zip(_BOUNDS_MS, self._weights):
+            seen += weight
+            if weight and seen >= wanted:
+                return bound_ms
+        return 0.0
+
+
+@attrs.define(eq=False)
+class StageTimes:
+    """Duration sketches by pipeline and stage."""
+
+    _whole: dict[tuple[str, str], DurationSketch] = attrs.Factory(dict)
+    _first: dict[tuple[str, str], DurationSketch] = attrs.Factory(dict)
+
+    def whole(self, pipeline: str, stage: str) -> DurationSketch:
+        """Return the sketch of whole calls of a stage."""
+        key = (pipeline, stage)
+        return self._whole.setdefault(key, DurationSketch())
+
+    def first_byte(self, pipeline: str, stage: str) -> DurationSketch:
+        """Return the sketch of times to the first byte of a stage."""
+        key = (pipeline, stage)
+        return self._first.setdefault(key, DurationSketch())
--- /dev/null
+++ b/packages/decisions/src/godwitglade/decisions/jobs.py
@@ -0,0 +1,120 @@
+"""State of a request in flight and of its attempts."""
+
+import enum
+import typing
+
+import attrs
+
+from godwitglade.decisions import documents
+from godwitglade.decisions import messages
+from godwitglade.decisions import outcomes
+from godwitglade.decisions import streams
+from godwitglade.decisions import targets
+
+
+class ClaimState(enum.Enum):
+    """Progress of the claim of a non-repeatable stage."""
+
+    NONE = 'none'
+    ASKED = 'asked'
+    FOLLOWING = 'following'
+    GRANTED = 'granted'
+    SENT = 'sent'
+
+
+@attrs.define(eq=False)
+class Claim:
+    """The claim of the current stage of a job."""
+
+    key: str
+    nonce: str = ''
+    state: ClaimState = ClaimState.NONE
+
+
+@attrs.define(eq=False, slots=True)
+class Attempt:
+    """One call of a stage sent to a target."""
+
+    attempt_id: str
+    stage: str
+    target: targets.Target
+    sent_ms: int
+    timeout_ms: int
+    is_hedge: bool = False
+    has_begun: bool = False
+    feed: streams.StreamFeed | None = None
+
+
+@attrs.define(eq=False, slots=True)
+class Job:
+    """A request from its admission to its outcome.
+
+    ``begun_ms`` is when the current stage began, ``tried`` the targets that
+    it was sent to, ``ran`` the stages of which something was sent and
+    ``unsafe`` the non-repeatable ones among them.
+    """
+
+    request: messages.RequestArrived
+    document: documents.Document
+    rank: int
+    arrived_ms: int
+    stage_index: int = 0
+    begun_ms: int = 0
+    attempt_count: int = 0
+    stage_attempts: int = 0
+    bounces: int = 0
+    results: dict[str, typing.Any] = attrs.Factory(dict)
+    reports: list[outcomes.StageReport] = attrs.Factory(list)
+    attempts: dict[str, Attempt] = attrs.Factory(dict)
+    tried: set[str] = attrs.Factory(set)
+    ran: list[str] = attrs.Factory(list)
+    unsafe: list[str] = attrs.Factory(list)
+    text: str = ''
+    claim: Claim | None = None
+    reserved: targets.Target | None = None
+    queue_key: tuple[int, int] | None = None
+    is_answered: bool = False
+
+    @property
+    def request_id(self) -> str:
+        """Return the id of the request."""
+        return self.request.request_id
+
+    @property
+    def stage(self) -> documents.Stage:
+        """Return the stage that runs or waits now."""
+        return self.document.stages[self.stage_index]
+
+    @property
+    def is_last_stage(self) -> bool:
+        """Tell whether the current stage is the pipeline's last."""
+        return self.stage_index == len(self.document.stages) - 1
+
+    @property
+    def is_paid(self) -> bool:
+        """Tell whether earlier stages have run already."""
+        return self.stage_index > 0
+
+    @property
+    def is_streamed(self) -> bool:
+        """Tell whether the current stage's text goes to the caller."""
+        if not self.request.is_stream:
+            return False
+        if self.stage.kind is not documents.StageKind.GENERATE:
+            return False
+        later = self.document.stages[self.stage_index + 1 :]
+        return all(s.kind is not documents.StageKind.GENERATE for s in later)
+
+    @property
+    def unsafe_stage(self) -> str | None:
+        """Return the non-repeatable stage that may have run, if any."""
+        return self.unsafe[-1] if self.unsafe else None
+
+    @property
+    def is_claim_sent(self) -> bool:
+        """Tell whether the current non-repeatable stage may have run."""
+        return self.claim is not None and self.claim.state is ClaimState.SENT
+
+    def time_left_ms(self, now_ms: int) -> int:
+        """Return the time until the deadline."""
+        return self.request.deadline_ms - now_ms
--- /dev/null
+++ b/packages/decisions/src/godwitglade/decisions/replies.py
@@ -0,0 +1,215 @@
+"""Replies of targets, matched by their ids to attempts still awaited."""
+
+import typing
+
+from godwitglade.common import events
+from godwitglade.coordination import effects as coordination_effects
+from godwitglade.decisions import calling
+from godwitglade.decisions import context as contexts
+from godwitglade.decisions import effects
+from godwitglade.decisions import endings
+from godwitglade.decisions import jobs
+from godwitglade.decisions import messages
+from godwitglade.decisions import outcomes
+from godwitglade.decisions import stages
+
+_Ids = (
+    messages.StageReplied
+    | messages.StreamPiece
+    | messages.StreamEnded
+    | messages.StageFault
+)
+
+
+def match(
+    context: contexts.Context, message: _Ids
+) -> tuple[jobs.Job, jobs.Attempt] | None:
+    """Return the attempt that all three ids of a message belong to."""
+    job = context.attempts.get(message.attempt_id)
+    if job is None or job.request_id != message.request_id:
+        return None
+    attempt = job.attempts[message.attempt_id]
+    return (job, attempt) if attempt.stage == message.stage else None
+
+
+def dropped(message: _Ids) -> contexts.Effects:
+    """Count a reply that matches no attempt still awaited."""
+    fields = {
+        'request_id': message.request_id,
+        'stage': message.stage,
+        'attempt_id': message.attempt_id,
+    }
+    return [
+        coordination_effects.Count('requests.reply_dropped'),
+        coordination_effects.LogEvent(events.Event.REPLY_DROPPED, fields),
+    ]
+
+
+def on_reply(
+    context: contexts.Context,
+    job: jobs.Job,
+    attempt: jobs.Attempt,
+    message: messages.StageReplied,
+    now_ms: int,
+) -> contexts.Effects:
+    """Take a whole reply."""
+    if attempt.feed is not None:
+        return _broken(context, job, attempt, now_ms)
+    return _succeed(context, job, attempt, message.output, now_ms)
+
+
+def on_piece(
+    context: contexts.Context,
+    job: jobs.Job,
+    attempt: jobs.Attempt,
+    message: messages.StreamPiece,
+    now_ms: int,
+) -> contexts.Effects:
+    """Take a piece and pass on what it completes."""
+    feed = attempt.feed
+    if feed is None:
+        return _broken(context, job, attempt, now_ms)
+    if not attempt.has_begun:
+        attempt.has_begun = True
+        _first_byte(context, job, attempt, now_ms)
+    others = _cancel_others(context, job, attempt)
+    feed.add(message.offset, message.text)
+    sent = [] if job.is_answered else _pass_on(job, feed.text)
+    return [*others, *sent, *_check(context, job, attempt, now_ms)]
+
+
+def on_end(
+    context: contexts.Context,
+    job: jobs.Job,
+    attempt: jobs.Attempt,
+    message: messages.StreamEnded,
+    now_ms: int,
+) -> contexts.Effects:
+    """Take the final frame of a stream."""
+    if attempt.feed is None:
+        return _broken(context, job, attempt, now_ms)
+    attempt.feed.finish(message.length, message.digest)
+    return _check(context, job, attempt, now_ms)
+
+
+def on_fault(
+    context: contexts.Context,
+    job: jobs.Job,
+    attempt: jobs.Attempt,
+    message: messages.StageFault,
+    now_ms: int,
+) -> contexts.Effects:
+    """End a failed attempt and try elsewhere where that is allowed."""
+    calling.close(context, job, attempt)
+    _unmark(job, message)
+    if job.is_answered:
+        if job.attempts:
+            return []
+        reason = reason_of(message.kind)
+        outcome = outcomes.Unknown(reason, attempt.stage, tuple(job.ran))
+        return endings.forget(context, job, outcome, now_ms)
+    if message.was_sent and not job.stage.is_repeatable:
+        reason = reason_of(message.kind)
+        return endings.give_up(context, job, reason, now_ms)
+    if message.kind is messages.FaultKind.REJECTED:
+        reason = outcomes.Failure.TARGET_ERROR
+        return endings.give_up(context, job, reason, now_ms)
+    return stages.retry(context, job, reason_of(message.kind), now_ms)
+
+
+def reason_of(kind: messages.FaultKind) -> str:
+    """Return the `outcomes.Failure` that a kind of fault leads to."""
+    return _REASONS.get(kind, outcomes.Failure.TARGET_LOST)
+
+
+def _unmark(job: jobs.Job, message: messages.StageFault) -> None:
+    """Take back what was noted of a call that certainly did not run."""
+    if message.was_sent:
+        return
+    is_unheard = message.kind is messages.FaultKind.CONNECT
+    if is_unheard and job.stage_attempts == 1 and job.ran:
+        job.ran.remove(job.stage.name)
+    if job.is_claim_sent:
+        job.claim.state = jobs.ClaimState.GRANTED
+        job.unsafe.remove(job.stage.name)
+
+
+def _succeed(
+    context: contexts.Context,
+    job: jobs.Job,
+    attempt: jobs.Attempt,
+    output: typing.Any,
+    now_ms: int,
+) -> contexts.Effects:
+    pipeline = job.document.pipeline
+    elapsed_ms = now_ms - attempt.sent_ms
+    context.times.whole(pipeline, attempt.stage).add(elapsed_ms)
+    calling.close(context, job, attempt)
+    return stages.complete(context, job, output, attempt.target.name, now_ms)
+
+
+def _first_byte(
+    context: contexts.Context,
+    job: jobs.Job,
+    attempt: jobs.Attempt,
+    now_ms: int,
+) -> None:
+    sketch = context.times.first_byte(job.document.pipeline, attempt.stage)
+    sketch.add(now_ms - attempt.sent_ms)
+
+
+def _pass_on(job: jobs.Job, text: str) -> contexts.Effects:
+    offset = len(job.text)
+    if len(text) <= offset:
+        return []
+    job.text = text
+    return [effects.SendPiece(job.request_id, offset, text[offset:])]
+
+
+def _check(
+    context: contexts.Context,
+    job: jobs.Job,
+    attempt: jobs.Attempt,
+    now_ms: int,
+) -> contexts.Effects:
+    if attempt.feed.is_broken:
+        return _broken(context, job, attempt, now_ms)
+    if not attempt.feed.is_complete:
+        return []
+    output = {'text': attempt.feed.text}
+    return _succeed(context, job, attempt, output, now_ms)
+
+
+def _broken(
+    context: contexts.Context,
+    job: jobs.Job,
+    attempt: jobs.Attempt,
+    now_ms: int,
+) -> contexts.Effects:
+    """End an attempt whose reply cannot be used."""
+    calling.close(context, job, attempt)
+    cancelled = effects.CancelCall(attempt.attempt_id, attempt.target)
+    reason = outcomes.Failure.BROKEN_STREAM
+    if not job.stage.is_repeatable or job.text:
+        # Text that the caller has seen cannot be taken back.
+        ended = endings.give_up(context, job, reason, now_ms)
+        return [cancelled, *ended]
+    return [cancelled, *stages.retry(context, job, reason, now_ms)]
+
+
+def _cancel_others(
+    context: contexts.Context, job: jobs.Job, winner: jobs.Attempt
+) -> contexts.Effects:
+    others = [a for a in job.attempts.values() if a is not winner]
+    for attempt in others:
+        calling.close(context, job, attempt)
+    return [effects.CancelCall(a.attempt_id, a.target) for a in others]
+
+
+_REASONS = {
+    messages.FaultKind.TIMEOUT: outcomes.Failure.DEADLINE,
+    messages.FaultKind.ERROR: outcomes.Failure.TARGET_ERROR,
+    messages.FaultKind.REJECTED: outcomes.Failure.TARGET_ERROR,
+    messages.FaultKind.BUSY: outcomes.Failure.OUT_OF_ATTEMPTS,
+    messages.FaultKind.LEAVING: outcomes.Failure.NO_TARGET,
+}
--- /dev/null
+++ b/packages/decisions/src/godwitglade/decisions/requests.py
@@ -0,0 +1,194 @@
+"""The requests of one host: each is answered just once.
+
+Messages go in with the time and effects come out; the parts of the policy
+stand in modules of their own and share a `context.Context`.
+"""
+
+import functools
+import random
+import typing
+
+from godwitglade.coordination import claim_messages
+from godwitglade.coordination import hosts
+from godwitglade.coordination import messages as coordination_messages
+from godwitglade.decisions import admitting
+from godwitglade.decisions import balance
+from godwitglade.decisions import claiming
+from godwitglade.decisions import context as contexts
+from godwitglade.decisions import endings
+from godwitglade.decisions import messages
+from godwitglade.decisions import outcomes
+from godwitglade.decisions import queries
+from godwitglade.decisions import replies
+from godwitglade.decisions import settings as request_settings
+from godwitglade.decisions import stages
+from godwitglade.decisions import upkeep
+
+
+class Requests:
+    """The request state machine of a host."""
+
+    def __init__(
+        self,
+        host_id: hosts.HostId,
+        rng: random.Random,
+        claims: typing.Any,
+        settings: request_settings.RequestSettings,
+        chooser: balance.Chooser | None = None,
+    ) -> None:
+        self.context = contexts.Context(
+            host_id=host_id,
+            rng=rng,
+            claims=claims,
+            settings=settings,
+            chooser=chooser or balance.TwoChoices(rng),
+        )
+
+    def start(self, now_ms: int) -> contexts.Effects:
+        """Begin the periodic upkeep."""
+        return upkeep.next_tick(self.context, now_ms)
+
+    @functools.singledispatchmethod
+    def handle(self, message: typing.Any, now_ms: int) -> contexts.Effects:
+        """Take in a message; return the effects that follow."""
+        return []
+
+    @handle.register
+    def _(
+        self, message: messages.RequestArrived, now_ms: int
+    ) -> contexts.Effects:
+        context = self.context
+        if message.request_id in context.jobs:
+            return []
+        job = admitting.check(context, message, now_ms)
+        if isinstance(job, admitting.Rejection):
+            return endings.refuse(
+                message.request_id, job.reason, job.retry_after_ms
+            )
+        context.jobs[job.request_id] = job
+        timer = upkeep.deadline_timer(job)
+        return [*timer, *stages.begin(context, job, now_ms)]
+
+    @handle.register
+    def _(self, message: messages.CallerGone, now_ms: int) -> contexts.Effects:
+        job = self.context.jobs.get(message.request_id)
+        if job is None:
+            return []
+        reason = outcomes.Failure.CALLER_GONE
+        return endings.give_up(self.context, job, reason, now_ms)
+
+    @handle.register
+    def _(
+        self, message: messages.OutcomeAsked, now_ms: int
+    ) -> contexts.Effects:
+        return queries.asked(self.context, message, now_ms)
+
+    @handle.register
+    def _(
+        self, message: claim_messages.ClaimSettled, now_ms: int
+    ) -> contexts.Effects:
+        job, released = claiming.settled(self.context, message, now_ms)
+        if job is None:
+            return released
+        step = claiming.judge(message.verdict)
+        return stages.follow(step, self.context, job, now_ms)
+
+    @handle.register
+    def _(
+        self, message: claim_messages.ClaimLooked, now_ms: int
+    ) -> contexts.Effects:
+        if message.query_id in self.context.queries:
+            return queries.looked(self.context, message, now_ms)
+        job = self.context.jobs.get(message.query_id)
+        if job is None or job.is_answered:
+            return []
+        step = claiming.judge_look(message)
+        return stages.follow(step, self.context, job, now_ms)
+
+    @handle.register
+    def _(
+        self, message: messages.StageReplied, now_ms: int
+    ) -> contexts.Effects:
+        return self._matched(message, now_ms, replies.on_reply)
+
+    @handle.register
+    def _(
+        self, message: messages.StreamPiece, now_ms: int
+    ) -> contexts.Effects:
+        return self._matched(message, now_ms, replies.on_piece)
+
+    @handle.register
+    def _(
+        self, message: messages.StreamEnded, now_ms: int
+    ) -> contexts.Effects:
+        return self._matched(message, now_ms, replies.on_end)
+
+    @handle.register
+    def _(self, message: messages.StageFault, now_ms: int) -> contexts.Effects:
+        return self._matched(message, now_ms, replies.on_fault)
+
+    @handle.register
+    def _(
+        self, message: messages.LoadReported, now_ms: int
+    ) -> contexts.Effects:
+        return upkeep.load_told(
+            self.context, message.target, message.load, now_ms
+        )
+
+    @handle.register
+    def _(
+        self, message: messages.ProbeAnswered, now_ms: int
+    ) -> contexts.Effects:
+        return upkeep.probe_answered(self.context, message, now_ms)
+
+    @handle.register
+    def _(
+        self, message: messages.TargetsListed, now_ms: int
+    ) -> contexts.Effects:
+        self.context.directory.replace(message.targets)
+        return upkeep.drain_all(self.context, now_ms)
+
+    @handle.register
+    def _(
+        self, message: messages.DocumentsInForce, now_ms: int
+    ) -> contexts.Effects:
+        for pipeline, document in message.documents.items():
+            if document is None:
+                self.context.documents.pop(pipeline, None)
+            else:
+                self.context.documents[pipeline] = document
+        return []
+
+    @handle.register
+    def _(
+        self, message: coordination_messages.FactLearned, now_ms: int
+    ) -> contexts.Effects:
+        return upkeep.fact_learned(self.context, message, now_ms)
+
+    @handle.register
+    def _(
+        self, message: coordination_messages.TimerFired, now_ms: int
+    ) -> contexts.Effects:
+        return upkeep.timer_fired(self.context, message.token, now_ms)
+
+    @handle.register
+    def _(self, message: messages.StopAsked, now_ms: int) -> contexts.Effects:
+        self.context.is_stopping = True
+        return endings.exit_if_idle(self.context)
+
+    def _matched(
+        self, message: typing.Any, now_ms: int, react: typing.Callable
+    ) -> contexts.Effects:
+        context = self.context
+        load = getattr(message, 'load', None)
+        found = replies.match(context, message)
+        if found is None:
+            return replies.dropped(message)
+        job, attempt = found
+        told: contexts.Effects = []
+        if load is not None:
+            told = upkeep.load_told(context, attempt.target.name, load, now_ms)
+        signs = upkeep.attempt_signs(context, attempt, message, now_ms)
+        reacted = react(context, job, attempt, message, now_ms)
+        drained = stages.drain(context, attempt.target.pool, now_ms)
+        return [*told, *signs, *reacted, *drained]
--- /dev/null
+++ b/packages/decisions/src/godwitglade/decisions/upkeep.py
@@ -0,0 +1,200 @@
+"""Timers, signs from targets and facts from other hosts."""
+
+from godwitglade.coordination import effects as coordination_effects
+from godwitglade.coordination import messages as coordination_messages
+from godwitglade.decisions import calling
+from godwitglade.decisions import claiming
+from godwitglade.decisions import context as contexts
+from godwitglade.decisions import effects
+from godwitglade.decisions import endings
+from godwitglade.decisions import jobs
+from godwitglade.decisions import messages
+from godwitglade.decisions import outcomes
+from godwitglade.decisions import replies
+from godwitglade.decisions import stages
+from godwitglade.decisions import targets
+
+
+def next_tick(context: contexts.Context, now_ms: int) -> contexts.Effects:
+    """Arm the timer of the periodic upkeep."""
+    return calling.timer('tick', '', now_ms + context.settings.tick_ms)
+
+
+def deadline_timer(job: jobs.Job) -> contexts.Effects:
+    """Arm the timer of a job's deadline."""
+    deadline_ms = job.request.deadline_ms
+    return calling.timer('deadline', job.request_id, deadline_ms)
+
+
+def drain_all(context: contexts.Context, now_ms: int) -> contexts.Effects:
+    """Give free targets of every pool to waiting jobs."""
+    return [
+        effect
+        for pool in list(context.queues)
+        for effect in stages.drain(context, pool, now_ms)
+    ]
+
+
+def load_told(
+    context: contexts.Context, name: str, load: targets.Load, now_ms: int
+) -> contexts.Effects:
+    """Take a target's word on its load and on leaving."""
+    context.directory.tell_load(name, load, now_ms)
+    return told_leaving(context, name, now_ms) if load.is_leaving else []
+
+
+def told_leaving(
+    context: contexts.Context, name: str, now_ms: int
+) -> contexts.Effects:
+    """Stop new work to a target and tell the other hosts at once."""
+    tracked = context.directory.by_name.get(name)
+    if tracked is None:
+        return []
+    was_leaving = tracked.is_leaving(now_ms)
+    leaving_ms = context.settings.leaving_ms
+    tracked.told_leaving_until_ms = now_ms + leaving_ms
+    if was_leaving:
+        return []
+    fact = coordination_effects.PublishFact(
+        'leaving', name, True, leaving_ms, is_urgent=True
+    )
+    return [fact]
+
+
+def attempt_signs(
+    context: contexts.Context,
+    attempt: jobs.Attempt,
+    message: object,
+    now_ms: int,
+) -> contexts.Effects:
+    """Draw conclusions about a target from how an attempt went."""
+    if not isinstance(message, messages.StageFault):
+        return []
+    name = attempt.target.name
+    if message.kind is messages.FaultKind.LEAVING:
+        return told_leaving(context, name, now_ms)
+    if message.kind is messages.FaultKind.SILENT:
+        return probe(context, name, now_ms)
+    return []
+
+
+def probe(
+    context: contexts.Context, name: str, now_ms: int
+) -> contexts.Effects:
+    """Probe a target on a new connection, one probe at a time."""
+    tracked = context.directory.by_name.get(name)
+    if tracked is None or tracked.probe_sent_ms is not None:
+        return []
+    tracked.probe_sent_ms = now_ms
+    timeout_ms = context.settings.probe_timeout_ms
+    return [effects.ProbeTarget(tracked.target, timeout_ms)]
+
+
+def probe_answered(
+    context: contexts.Context, message: messages.ProbeAnswered, now_ms: int
+) -> contexts.Effects:
+    """Drop old connections to a target that is alive on a new one."""
+    tracked = context.directory.by_name.get(message.target)
+    if tracked is None:
+        return []
+    tracked.probe_sent_ms = None
+    if message.is_alive:
+        tracked.silent = 0
+        return [effects.DropConnections(tracked.target)]
+    tracked.silent += 1
+    return []
+
+
+def fact_learned(
+    context: contexts.Context,
+    message: coordination_messages.FactLearned,
+    now_ms: int,
+) -> contexts.Effects:
+    """Take in what any host made known."""
+    if message.kind == 'leaving':
+        tracked = context.directory.by_name.get(message.key)
+        if tracked is not None:
+            is_over = message.value is None
+            until_ms = now_ms + context.settings.leaving_ms
+            tracked.told_leaving_until_ms = None if is_over else until_ms
+    return []
+
+
+def timer_fired(
+    context: contexts.Context, token: str, now_ms: int
+) -> contexts.Effects:
+    """Act on a timer of the request policy."""
+    component, _, rest = token.partition(':')
+    part, _, name = rest.partition(':')
+    if component != 'requests' or part not in _TIMERS:
+        return []
+    return _TIMERS[part](context, name, now_ms)
+
+
+def _tick(
+    context: contexts.Context, _name: str, now_ms: int
+) -> contexts.Effects:
+    drained = drain_all(context, now_ms)
+    return [*drained, *next_tick(context, now_ms)]
+
+
+def _deadline(
+    context: contexts.Context, name: str, now_ms: int
+) -> contexts.Effects:
+    job = context.jobs.get(name)
+    if job is None or job.is_answered:
+        return []
+    if now_ms < job.request.deadline_ms:
+        return deadline_timer(job)
+    pool = job.stage.pool
+    reason = outcomes.Failure.DEADLINE
+    ended = endings.give_up(context, job, reason, now_ms)
+    return [*ended, *stages.drain(context, pool, now_ms)]
+
+
+def _watch(
+    context: contexts.Context, name: str, now_ms: int
+) -> contexts.Effects:
+    job = context.attempts.get(name)
+    if job is None:
+        return []
+    attempt = job.attempts[name]
+    fault = messages.StageFault(
+        job.request_id, attempt.stage, name, messages.FaultKind.TIMEOUT
+    )
+    pool = attempt.target.pool
+    cancelled = effects.CancelCall(name, attempt.target)
+    ended = replies.on_fault(context, job, attempt, fault, now_ms)
+    return [cancelled, *ended, *stages.drain(context, pool, now_ms)]
+
+
+def _poll(
+    context: contexts.Context, name: str, now_ms: int
+) -> contexts.Effects:
+    job = context.jobs.get(name)
+    if job is None or job.is_answered:
+        return []
+    return context.claims.look(claiming.key_of(job), name, now_ms)
+
+
+def _follow(
+    context: contexts.Context, key: str, now_ms: int
+) -> contexts.Effects:
+    waiting = context.followers.pop(key, [])
+    if not waiting or key in context.claimants:
+        if waiting:
+            context.followers[key] = waiting
+        return []
+    first, *rest = waiting
+    if rest:
+        context.followers[key] = rest
+    return claiming.ask(context, first, now_ms)
+
+
+_TIMERS = {
+    'tick': _tick,
+    'deadline': _deadline,
+    'watch': _watch,
+    'poll': _poll,
+    'follow': _follow,
+}
