--- a/packages/targets/src/godwitglade/targets/requests.py
+++ b/packages/targets/src/godwitglade/targets/requests.py
@@ -12,7 +12,7 @@
 def encode_call(effect: effects.CallTarget) -> bytes:
     """Return the body of a stage call.
 
-    An engine's payload names model, prompt and input itself; any other
+    An engine's payload may name model, prompt and input itself; any other
     payload is the stage's input.
     """
     is_engine = effect.path == ENGINE_PATH
@@ -59,4 +59,4 @@
 
 @_named_fields.register
 def _(payload: dict) -> dict[str, typing.Any]:
-    return payload
+    return payload if 'input' in payload else {'input': payload}
