Send engines their path, model and prompt

Cause: a generate stage went to the path of pools without its model. Change: Stage.call_path and payloads.payload_of, both additive. Conclusion: examples need no path for their generate stages.

--- a/packages/decisions/src/godwitglade/decisions/calling.py
+++ b/packages/decisions/src/godwitglade/decisions/calling.py
@@ -1,13 +1,12 @@
 """Sending attempts to targets and taking them back."""
 
-import typing
-
 from godwitglade.coordination import effects as coordination_effects
 from godwitglade.decisions import context as contexts
 from godwitglade.decisions import directory
 from godwitglade.decisions import effects
 from godwitglade.decisions import jobs
 from godwitglade.decisions import outcomes
+from godwitglade.decisions import payloads
 from godwitglade.decisions import streams
 
 
@@ -43,11 +42,6 @@
     ]
 
 
-def payload_of(job: jobs.Job) -> dict[str, typing.Any]:
-    """Return what the current stage gets: the request and results."""
-    return {'request': job.request.payload, 'results': dict(job.results)}
-
-
 def close(
     context: contexts.Context, job: jobs.Job, attempt: jobs.Attempt
 ) -> None:
@@ -134,8 +128,8 @@
         stage=stage.name,
         attempt_id=attempt.attempt_id,
         target=attempt.target,
-        path=stage.path,
-        payload=payload_of(job),
+        path=stage.call_path,
+        payload=payloads.payload_of(job),
         timeout_ms=attempt.timeout_ms,
         first_byte_ms=first_byte_ms(context, job, attempt.timeout_ms),
         is_stream=job.is_streamed,
--- a/packages/decisions/src/godwitglade/decisions/documents.py
+++ b/packages/decisions/src/godwitglade/decisions/documents.py
@@ -7,6 +7,10 @@
 
 import attrs
 
+#: Path of a stage call unless the document gives another.
+DEFAULT_PATH = '/v1/run'
+ENGINE_PATH = '/v1/completions'
+
 
 class StageKind(enum.Enum):
     """What a stage does; model engines serve only GENERATE."""
@@ -43,9 +47,17 @@
     is_repeatable: bool = True
     is_hedged: bool = False
     in_answer: bool = False
-    path: str = '/v1/run'
+    path: str = DEFAULT_PATH
     model: Model | None = None
 
+    @property
+    def call_path(self) -> str:
+        """Return the path of a call; engines have one of their own."""
+        is_engine = self.kind is StageKind.GENERATE
+        if is_engine and self.path == DEFAULT_PATH:
+            return ENGINE_PATH
+        return self.path
+
 
 @attrs.frozen
 class Workspace:
--- a/packages/targets/src/godwitglade/targets/requests.py
+++ b/packages/targets/src/godwitglade/targets/requests.py
@@ -4,10 +4,9 @@
 import typing
 
 from godwitglade.common import codec
+from godwitglade.decisions import documents
 from godwitglade.decisions import effects
 
-ENGINE_PATH = '/v1/completions'
-
 
 def encode_call(effect: effects.CallTarget) -> bytes:
     """Return the body of a stage call.
@@ -15,7 +14,7 @@
     An engine's payload may name model, prompt and input itself; any other
     payload is the stage's input.
     """
-    is_engine = effect.path == ENGINE_PATH
+    is_engine = effect.path == documents.ENGINE_PATH
     fields = _engine_fields(effect) if is_engine else _pool_fields(effect)
     body = {
         'request_id': effect.request_id,
