Add the godwitglade command

Cause: operators and callers need one program with truthful exit statuses. Change: packages/command: check, apply, remove, show, diff, status, audit, change, request, outcome, quarantine and token; definitions apart from processing; a lost answer ends as unknown with the change id.

--- /dev/null
+++ b/packages/command/src/godwitglade/command/auditing.py
@@ -0,0 +1,76 @@
+"""Processing of audit: prints the trail and verifies its chain."""
+
+import datetime
+import itertools
+import typing
+
+from godwitglade.command import operators
+from godwitglade.command import output
+from godwitglade.command import status
+from godwitglade.common import clock as clocks
+from godwitglade.common import codec
+from godwitglade.coordination import audit
+
+PAGE_RECORDS = 500
+
+
+def show(
+    printer: output.Printer,
+    server: operators.Operators,
+    after: int,
+    limit: int,
+) -> status.ExitStatus:
+    """Print up to ``limit`` records after sequence ``after``."""
+    records = list(itertools.islice(_read(server, after), limit))
+    body = {'records': [codec.to_plain(record) for record in records]}
+    columns = ('change', 'time', 'author', 'team', 'action', 'document')
+    rows = [
+        (
+            record.sequence,
+            _time(record.at_ms),
+            record.author,
+            record.team,
+            record.action,
+            f'{record.pipeline} version {record.version}',
+        )
+        for record in records
+    ]
+    printer.show(body, lambda: printer.table(columns, rows))
+    return status.ExitStatus.OK
+
+
+def verify(
+    printer: output.Printer, server: operators.Operators
+) -> status.ExitStatus:
+    """Check the whole chain from the first record."""
+    counter = itertools.count()
+    records = (record for record, _ in zip(_read(server, 0), counter))
+    fault = audit.verify(records)
+    checked = next(counter)
+    body = {'records': checked, 'fault': codec.to_plain(fault)}
+    if fault is None:
+        text = f'{checked} records verified'
+    else:
+        text = f'record {fault.sequence}: {fault.reason}'
+    printer.show(body, lambda: printer.line(text))
+    is_whole = fault is None
+    return status.ExitStatus.OK if is_whole else status.ExitStatus.AUDIT_BROKEN
+
+
+def _read(
+    server: operators.Operators, after: int
+) -> typing.Iterator[audit.AuditRecord]:
+    while True:
+        body = server.read('audit', after=after, limit=PAGE_RECORDS)
+        page = codec.from_plain(body['records'], list[audit.AuditRecord])
+        yield from page
+        if len(page) < PAGE_RECORDS:
+            return
+        after = page[-1].sequence
+
+
+def _time(at_ms: int) -> str:
+    moment = datetime.datetime.fromtimestamp(
+        at_ms / clocks.SECOND_MS, datetime.timezone.utc
+    )
+    return moment.strftime('%Y-%m-%d %H:%M:%SZ')
--- /dev/null
+++ b/packages/command/src/godwitglade/command/definitions.py
@@ -0,0 +1,317 @@
+"""The command's arguments, options and help; processing is elsewhere."""
+
+import typing
+
+import typer
+
+from godwitglade.command import applying
+from godwitglade.command import auditing
+from godwitglade.command import changing
+from godwitglade.command import documents
+from godwitglade.command import fleet
+from godwitglade.command import operators
+from godwitglade.command import options
+from godwitglade.command import output
+from godwitglade.command import quarantining
+from godwitglade.command import requesting
+from godwitglade.command import status
+from godwitglade.command import tokens
+from godwitglade.common import clock as clocks
+
+DEFAULT_WAIT_S = 30
+
+Context = typer.Context
+
+app = typer.Typer(
+    name='godwitglade',
+    help='Operate and call pipelines of godwitglade.\n\n'
+    'Exit statuses: '
+    + ', '.join(
+        f'{item.value} {item.name.lower()}' for item in status.ExitStatus
+    )
+    + '.',
+    no_args_is_help=True,
+    rich_markup_mode='markdown',
+    pretty_exceptions_enable=False,
+)
+quarantine_app = typer.Typer(
+    help='Requests that are refused because they crashed targets.',
+    no_args_is_help=True,
+)
+app.add_typer(quarantine_app, name='quarantine')
+
+
+@app.command()
+def check(
+    context: Context, docs: options.Paths, json: options.Json = False
+) -> None:
+    """Check documents without a server; lists every fault.
+
+    Example: `godwitglade check examples/onboarding/*.yaml`
+    """
+    _end(documents.check(_printer(context, json), docs))
+
+
+@app.command()
+def apply(
+    context: Context,
+    docs: options.Paths,
+    based_on: options.BasedOn = None,
+    overwrite: typing.Annotated[
+        bool,
+        typer.Option(
+            '--overwrite', help='Replace the version in force, whichever.'
+        ),
+    ] = False,
+    wait: options.Wait = False,
+    wait_s: options.WaitS = DEFAULT_WAIT_S,
+    json: options.Json = False,
+    url: options.Url = None,
+    token: options.Token = None,
+) -> None:
+    """Make documents the ones in force.
+
+    A document that somebody else changed meanwhile is not replaced: the
+    command ends with status 4, and `show` gives the current version.
+
+    Example: `godwitglade apply --wait licence-check.yaml`
+    """
+    wait_ms = wait_s * clocks.SECOND_MS if wait else None
+    how = applying.Options(based_on, overwrite, wait_ms)
+    printer = _printer(context, json)
+    server = _server(context, url, token)
+    _end(applying.apply(printer, server, docs, how))
+
+
+@app.command()
+def remove(
+    context: Context,
+    pipeline: options.Pipeline,
+    based_on: options.BasedOn = None,
+    wait: options.Wait = False,
+    wait_s: options.WaitS = DEFAULT_WAIT_S,
+    json: options.Json = False,
+    url: options.Url = None,
+    token: options.Token = None,
+) -> None:
+    """Remove a document; its pipeline accepts no more requests.
+
+    Example: `godwitglade remove --wait licence-check`
+    """
+    wait_ms = wait_s * clocks.SECOND_MS if wait else None
+    how = applying.Options(based_on, wait_ms=wait_ms)
+    printer = _printer(context, json)
+    server = _server(context, url, token)
+    _end(applying.remove(printer, server, pipeline, how))
+
+
+@app.command()
+def show(
+    context: Context,
+    pipeline: typing.Annotated[
+        typing.Optional[str], typer.Argument(metavar='[PIPELINE]')
+    ] = None,
+    json: options.Json = False,
+    url: options.Url = None,
+    token: options.Token = None,
+) -> None:
+    """Print a document ready for editing, or list all of them.
+
+    Example: `godwitglade show licence-check > licence-check.yaml`
+    """
+    server = _server(context, url, token)
+    _end(documents.show(_printer(context, json), server, pipeline))
+
+
+@app.command()
+def diff(
+    context: Context,
+    doc: options.Path,
+    json: options.Json = False,
+    url: options.Url = None,
+    token: options.Token = None,
+) -> None:
+    """Print how a file differs from the version in force.
+
+    Example: `godwitglade diff licence-check.yaml`
+    """
+    server = _server(context, url, token)
+    _end(documents.diff(_printer(context, json), server, doc))
+
+
+@app.command(name='status')
+def show_status(
+    context: Context,
+    json: options.Json = False,
+    url: options.Url = None,
+    token: options.Token = None,
+) -> None:
+    """Print what is in force on each host, and who was not heard from.
+
+    Example: `godwitglade status --json`
+    """
+    server = _server(context, url, token)
+    _end(fleet.show(_printer(context, json), server))
+
+
+@app.command()
+def audit(
+    context: Context,
+    after: typing.Annotated[
+        int, typer.Option('--after', min=0, help='Skip up to this change.')
+    ] = 0,
+    limit: typing.Annotated[
+        int, typer.Option('--limit', min=1, help='Most records to print.')
+    ] = 100,
+    verify: typing.Annotated[
+        bool,
+        typer.Option('--verify', help='Check the chain of all records.'),
+    ] = False,
+    json: options.Json = False,
+    url: options.Url = None,
+    token: options.Token = None,
+) -> None:
+    """Print who changed what and when, or verify the whole trail.
+
+    Example: `godwitglade audit --verify`
+    """
+    printer = _printer(context, json)
+    server = _server(context, url, token)
+    if verify:
+        _end(auditing.verify(printer, server))
+    _end(auditing.show(printer, server, after, limit))
+
+
+@app.command()
+def change(
+    context: Context,
+    change_id: typing.Annotated[str, typer.Argument(metavar='CHANGE_ID')],
+    settle: typing.Annotated[
+        bool,
+        typer.Option(
+            '--settle', help='Make it final: applied, or never applied.'
+        ),
+    ] = False,
+    json: options.Json = False,
+    url: options.Url = None,
+    token: options.Token = None,
+) -> None:
+    """Tell whether a change was applied, by the id that `apply` printed.
+
+    Example: `godwitglade change 2f6c1c0e-6f0f-4a53-9a43-0a3f6d6b8c11`
+    """
+    printer = _printer(context, json)
+    server = _server(context, url, token)
+    _end(changing.show(printer, server, change_id, settle))
+
+
+@app.command()
+def request(
+    context: Context,
+    pipeline: options.Pipeline,
+    workspace: options.Workspace,
+    data: typing.Annotated[
+        str,
+        typer.Option('--data', '-d', help='JSON; @FILE, or - for stdin.'),
+    ] = '{}',
+    deadline_ms: typing.Annotated[
+        typing.Optional[int],
+        typer.Option('--deadline-ms', min=1, help='Time left, in ms.'),
+    ] = None,
+    priority: typing.Annotated[
+        typing.Optional[str], typer.Option('--priority')
+    ] = None,
+    key: typing.Annotated[
+        typing.Optional[str],
+        typer.Option('--key', '-k', help='Idempotency key.'),
+    ] = None,
+    stream: typing.Annotated[
+        bool, typer.Option('--stream', help='Print pieces as they come.')
+    ] = False,
+    json: options.Json = False,
+    url: options.CallersUrl = None,
+) -> None:
+    """Send one request and print its outcome.
+
+    Example: `godwitglade request licence-check -w rabat-desk -d @scan.json`
+    """
+    asked = requesting.Options(
+        pipeline, workspace, data, deadline_ms, priority, key, stream
+    )
+    address = context.obj.callers_url(url)
+    _end(requesting.send(_printer(context, json), address, asked))
+
+
+@app.command()
+def outcome(
+    context: Context,
+    pipeline: options.Pipeline,
+    key: typing.Annotated[
+        str, typer.Argument(metavar='KEY', help='Idempotency key.')
+    ],
+    workspace: options.Workspace,
+    json: options.Json = False,
+    url: options.CallersUrl = None,
+) -> None:
+    """Print the outcome of an earlier request by its idempotency key.
+
+    Example: `godwitglade outcome account-activation key-1 -w rabat-desk`
+    """
+    printer = _printer(context, json)
+    address = context.obj.callers_url(url)
+    _end(requesting.ask(printer, address, pipeline, workspace, key))
+
+
+@app.command()
+def token(context: Context, json: options.Json = False) -> None:
+    """Make an operator's token and the hash that the settings hold.
+
+    Example: `godwitglade token`
+    """
+    _end(tokens.make(_printer(context, json)))
+
+
+@quarantine_app.command('list')
+def quarantine_list(
+    context: Context,
+    json: options.Json = False,
+    url: options.Url = None,
+    token: options.Token = None,
+) -> None:
+    """Print the requests in quarantine.
+
+    Example: `godwitglade quarantine list`
+    """
+    server = _server(context, url, token)
+    _end(quarantining.show(_printer(context, json), server))
+
+
+@quarantine_app.command('clear')
+def quarantine_clear(
+    context: Context,
+    fingerprint: typing.Annotated[str, typer.Argument(metavar='FINGERPRINT')],
+    json: options.Json = False,
+    url: options.Url = None,
+    token: options.Token = None,
+) -> None:
+    """End the quarantine of one request on every host.
+
+    Example: `godwitglade quarantine clear 9c1f0a6be2d84c55`
+    """
+    server = _server(context, url, token)
+    _end(quarantining.clear(_printer(context, json), server, fingerprint))
+
+
+def _printer(context: Context, is_json: bool) -> output.Printer:
+    return output.Printer(context.obj, is_json)
+
+
+def _server(
+    context: Context, url: str | None, token: str | None
+) -> operators.Operators:
+    env = context.obj
+    return operators.Operators(env, env.operators_url(url), env.token(token))
+
+
+def _end(exit_status: status.ExitStatus) -> typing.NoReturn:
+    raise typer.Exit(int(exit_status))
--- /dev/null
+++ b/packages/command/src/godwitglade/command/fleet.py
@@ -0,0 +1,124 @@
+"""Processing of status, and waiting until a change is in force."""
+
+import typing
+
+import attrs
+
+from godwitglade.command import errors
+from godwitglade.command import operators
+from godwitglade.command import output
+from godwitglade.command import status
+
+POLL_MS = 250
+LIVE = 'live'
+
+
+@attrs.frozen
+class Progress:
+    """Where a change is in force, among the hosts known."""
+
+    in_force: tuple[str, ...]
+    behind: tuple[str, ...]
+    not_heard: tuple[str, ...]
+
+    @property
+    def is_complete(self) -> bool:
+        """Tell whether every live host has the change in force."""
+        return bool(self.in_force) and not self.behind
+
+    def __str__(self) -> str:
+        total = len(self.in_force) + len(self.behind)
+        text = f'in force on {len(self.in_force)} of {total} live hosts'
+        if self.not_heard:
+            text += f'; not heard from: {", ".join(self.not_heard)}'
+        return text
+
+
+def measure(body: dict[str, typing.Any], sequence: int) -> Progress:
+    """Return where change ``sequence`` is in force, by a status body."""
+    live = [host for host in body['hosts'] if host['state'] == LIVE]
+    return Progress(
+        tuple(h['name'] for h in live if h['sequence'] >= sequence),
+        tuple(h['name'] for h in live if h['sequence'] < sequence),
+        tuple(h['name'] for h in body['hosts'] if h['state'] != LIVE),
+    )
+
+
+def show(
+    printer: output.Printer, server: operators.Operators
+) -> status.ExitStatus:
+    """Print the change in force per host and the documents' versions."""
+    body = server.read('status')
+    printer.show(body, lambda: _render(printer, body))
+    return status.ExitStatus.OK
+
+
+def _render(printer: output.Printer, body: dict[str, typing.Any]) -> None:
+    columns = ('host', 'zone', 'state', 'change', 'heard', 'in force')
+    newest = max(
+        [body['sequence'], *(host['sequence'] for host in body['hosts'])]
+    )
+    rows = [
+        (
+            host['name'],
+            host['zone'],
+            host['state'],
+            host['sequence'],
+            _heard(host['heard_ago_ms']),
+            _in_force(host, newest),
+        )
+        for host in body['hosts']
+    ]
+    printer.table(columns, rows)
+    printer.line('')
+    printer.table(('pipeline', 'version'), sorted(body['documents'].items()))
+
+
+def _heard(ago_ms: int | None) -> str:
+    return 'never' if ago_ms is None else f'{ago_ms} ms ago'
+
+
+def _in_force(host: dict[str, typing.Any], newest: int) -> str:
+    if host['state'] != LIVE:
+        return 'not heard from since'
+    behind = newest - host['sequence']
+    return 'current' if behind == 0 else f'{behind} changes behind'
+
+
+def wait(
+    printer: output.Printer,
+    server: operators.Operators,
+    sequence: int,
+    wait_ms: int,
+) -> status.ExitStatus:
+    """Wait until change ``sequence`` is in force on every live host."""
+    clock = printer.env.clock
+    until_ms = clock.monotonic_ms() + wait_ms
+    shown = ''
+    while True:
+        progress = _poll(server, sequence)
+        if str(progress) != shown:
+            shown = str(progress)
+            printer.note(shown)
+        if progress is not None and progress.is_complete:
+            return status.ExitStatus.OK
+        if clock.monotonic_ms() >= until_ms:
+            return _give_up(printer, progress)
+        printer.env.sleep_ms(POLL_MS)
+
+
+def _poll(server: operators.Operators, sequence: int) -> Progress | None:
+    try:
+        return measure(server.call('GET', 'status').body, sequence)
+    except errors.CommandError as error:
+        if not error.is_retryable:
+            raise
+        return None
+
+
+def _give_up(
+    printer: output.Printer, progress: Progress | None
+) -> status.ExitStatus:
+    behind = ', '.join(progress.behind) if progress else 'status unknown'
+    printer.note(f'not in force everywhere in time; behind: {behind}')
+    return status.ExitStatus.NOT_IN_FORCE
--- /dev/null
+++ b/packages/command/src/godwitglade/command/http_client.py
@@ -0,0 +1,94 @@
+"""HTTP as the command uses it, by urllib3."""
+
+import typing
+
+import attrs
+import urllib3
+
+from godwitglade.command import errors
+
+CONNECT_TIMEOUT_S = 5
+READ_TIMEOUT_S = 60
+CHUNK_BYTES = 65_536
+
+_NOT_SENT = (
+    urllib3.exceptions.NewConnectionError,
+    urllib3.exceptions.ConnectTimeoutError,
+    urllib3.exceptions.LocationValueError,
+)
+
+
+@attrs.frozen
+class Request:
+    """One HTTP request; ``headers`` without those of the transport."""
+
+    method: str
+    url: str
+    headers: dict[str, str] = attrs.Factory(dict)
+    body: bytes = b''
+
+
+@attrs.frozen
+class Reply:
+    """An answer; ``chunks`` yields the body's bytes as they arrive."""
+
+    status: int
+    headers: typing.Mapping[str, str]
+    chunks: typing.Iterator[bytes]
+
+    def read(self) -> bytes:
+        """Return the whole body; raises AnswerLostError."""
+        return b''.join(self.chunks)
+
+
+class HttpClient(typing.Protocol):
+    """Sends a request once, without retries of its own."""
+
+    def send(self, request: Request) -> Reply:
+        """Return the answer; raises NotSentError or AnswerLostError."""
+
+
+class Urllib3Client:
+    """Sends requests over the network.
+
+    ``ca_file`` is a PEM file of authorities to trust, None for the
+    system's.
+    """
+
+    def __init__(self, ca_file: str | None = None) -> None:
+        self._pool = urllib3.PoolManager(
+            retries=False,
+            timeout=urllib3.Timeout(CONNECT_TIMEOUT_S, READ_TIMEOUT_S),
+            ca_certs=ca_file,
+        )
+
+    def send(self, request: Request) -> Reply:
+        """Return the answer; raises NotSentError or AnswerLostError."""
+        try:
+            response = self._pool.request(
+                request.method,
+                request.url,
+                headers=request.headers,
+                body=request.body or None,
+                preload_content=False,
+                redirect=False,
+            )
+        except _NOT_SENT as error:
+            raise errors.NotSentError(request.url, str(error)) from error
+        except urllib3.exceptions.HTTPError as error:
+            raise errors.AnswerLostError(request.url, str(error)) from error
+        chunks = _chunks(request.url, response)
+        return Reply(response.status, response.headers, chunks)
+
+
+def _chunks(
+    url: str, response: urllib3.BaseHTTPResponse
+) -> typing.Iterator[bytes]:
+    try:
+        # read1 gives what has arrived, where read waits for a full chunk.
+        while chunk := response.read1(CHUNK_BYTES):
+            yield chunk
+    except urllib3.exceptions.HTTPError as error:
+        raise errors.AnswerLostError(url, str(error)) from error
+    finally:
+        response.release_conn()
--- /dev/null
+++ b/packages/command/src/godwitglade/command/streams.py
@@ -0,0 +1,38 @@
+"""Server-sent events of a streamed answer."""
+
+import codecs
+import typing
+
+import attrs
+
+from godwitglade.common import codec
+
+
+@attrs.frozen
+class StreamEvent:
+    """One event: its kind and the plain data of its JSON."""
+
+    kind: str
+    data: typing.Any
+
+
+def read_events(
+    chunks: typing.Iterable[bytes],
+) -> typing.Iterator[StreamEvent]:
+    """Yield the events in ``chunks`` as they are complete.
+
+    Raises MalformedError; an event cut off at the end is left out.
+    """
+    buffered = ''
+    decode = codecs.getincrementaldecoder('utf-8')('replace').decode
+    for chunk in chunks:
+        buffered += decode(chunk).replace('\r\n', '\n')
+        *blocks, buffered = buffered.split('\n\n')
+        yield from map(_parse, blocks)
+
+
+def _parse(block: str) -> StreamEvent:
+    pairs = (line.partition(':') for line in block.split('\n'))
+    fields = {name: value.removeprefix(' ') for name, _, value in pairs}
+    data = codec.parse_json(fields.get('data', 'null').encode())
+    return StreamEvent(fields.get('event', 'message'), data)
