--- a/packages/common/src/godwitglade/common/errors.py
+++ b/packages/common/src/godwitglade/common/errors.py
@@ -1,5 +1,6 @@
 """The base of all typed errors and the errors that every package raises."""
 
+import sys
 from typing import ClassVar
 
 import attrs
@@ -43,5 +44,11 @@
     while pending:
         subclasses = pending.pop().__subclasses__()
         pending.extend(subclasses)
-        found.update(subclasses)
+        found.update(filter(_is_current, subclasses))
     return sorted(found, key=lambda kind: kind.code)
+
+
+def _is_current(kind: type) -> bool:
+    # attrs makes a class with slots anew; the first one lives on a while.
+    module = sys.modules[kind.__module__]
+    return getattr(module, kind.__name__, None) is kind
