--- /dev/null
+++ b/bench/demo.py
@@ -0,0 +1,341 @@
+"""Shows the whole system at work in under a minute: ``make demo``.
+
+Three entry daemons in two data centres serve both example deployments in
+front of stand-ins. Targets are killed meanwhile. Exits with 1 when a promise
+was broken.
+"""
+
+import concurrent.futures
+import os
+import pathlib
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+import typing
+
+import attrs
+
+from bench import fleet as fleets
+
+EXAMPLES = pathlib.Path(__file__).parent.parent / 'examples'
+#: Entry daemons by name and their data centres.
+ENTRIES = {'entry-1': 'north-a', 'entry-2': 'north-a', 'entry-3': 'north-b'}
+#: Pools, the kind of their stand-ins and how many targets each has.
+POOLS = {
+    'encoders': ('pool', 2),
+    'document-store': ('pool', 2),
+    'rerankers': ('pool', 2),
+    'language-models': ('engine', 3),
+    'onboarding-application': ('pool', 2),
+    'agency-desk': ('pool', 2),
+    'notifications': ('pool', 2),
+    'footage-ingest': ('pool', 2),
+    'event-tagger': ('pool', 2),
+    'review-models': ('engine', 2),
+    'squad-records': ('pool', 2),
+    'coach-portal': ('pool', 2),
+}
+ENGINE_OPTIONS = {'pieces': 60, 'pace_ms': 10}
+#: Pipelines with the workspace that asks in the demo.
+PIPELINES = {
+    'licence-check': 'rabat-desk',
+    'contract-explanation': 'driver-app',
+    'vehicle-papers': 'casablanca-desk',
+    'clip-notes': 'schools',
+    'match-review': 'valley-clubs',
+    'passage-answer': 'north-league',
+}
+ROUNDS = 10
+PARALLEL = 12
+
+
+@attrs.define
+class Report:
+    """The answers and the promises checked."""
+
+    answers: list[tuple[str, fleets.Answer]] = attrs.Factory(list)
+    broken: list[str] = attrs.Factory(list)
+
+    def check(self, promise: str, is_kept: bool, detail: str = '') -> None:
+        """Print whether a promise was kept."""
+        print(f'  {"kept  " if is_kept else "BROKEN"}  {promise} {detail}')
+        if not is_kept:
+            self.broken.append(promise)
+
+    def note(self, pipeline: str, answer: fleets.Answer) -> None:
+        """Add a caller's answer."""
+        self.answers.append((pipeline, answer))
+
+
+def main() -> int:
+    """Run the demo; return the exit status."""
+    started_s = time.monotonic()
+    report = Report()
+    with tempfile.TemporaryDirectory() as directory:
+        fleet = fleets.Fleet(pathlib.Path(directory))
+        try:
+            run(fleet, report)
+        finally:
+            fleet.close()
+    title('Verdict')
+    print(f'  {len(report.broken)} promises broken')
+    print(f'  {time.monotonic() - started_s:.0f} s in all')
+    return 1 if report.broken else 0
+
+
+def run(fleet: fleets.Fleet, report: Report) -> None:
+    """Run every part of the demo."""
+    start(fleet)
+    apply_documents(fleet, report)
+    send_one_each(fleet, report)
+    stream_past_a_crash(fleet, report)
+    repeat_activation(fleet, report)
+    repeat_squad_update(fleet, report)
+    load_past_a_crash(fleet, report)
+    show_state(fleet, report)
+    show_measures(report)
+
+
+def title(text: str) -> None:
+    """Print a section's heading."""
+    print(f'\n== {text}')
+
+
+def start(fleet: fleets.Fleet) -> None:
+    """Start stand-ins and daemons."""
+    title('Starting')
+    zones = sorted(set(ENTRIES.values()))
+    for pool, (kind, count) in POOLS.items():
+        options = ENGINE_OPTIONS if kind == 'engine' else {}
+        for number in range(count):
+            zone = zones[number % len(zones)]
+            name = f'{pool}-{number + 1}'
+            fleet.add_target(name, pool, zone, kind, **options)
+    for name, zone in ENTRIES.items():
+        fleet.add_entry(name, zone)
+    fleet.publish()
+    fleet.await_ready()
+    print(f'  platform: table, objects, host list; {len(POOLS)} pools with')
+    print(f'  {len(fleet.targets)} targets; entry daemons:')
+    for entry in fleet.entries.values():
+        print(f'  {entry.name} in {entry.zone}, callers at {entry.callers}')
+
+
+def command(
+    fleet: fleets.Fleet, owner: str, *arguments: str
+) -> subprocess.CompletedProcess:
+    """Run the command line as ``owner``, printing what it prints."""
+    print(f'  $ godwitglade {" ".join(arguments[:2])} ...')
+    entry = next(iter(fleet.entries.values()))
+    environment = {
+        **os.environ,
+        'GODWITGLADE_URL': f'http://{entry.operators}',
+        'GODWITGLADE_TOKEN': fleets.TOKENS[owner][0],
+    }
+    done = subprocess.run(
+        [sys.executable, '-m', 'godwitglade.command', *arguments],
+        env=environment,
+        capture_output=True,
+        text=True,
+        timeout=60,
+    )
+    for line in (done.stdout + done.stderr).splitlines():
+        print(f'    {line}')
+    return done
+
+
+def apply_documents(fleet: fleets.Fleet, report: Report) -> None:
+    """Put both teams' documents into force."""
+    title('Applying the documents of both teams')
+    for owner, team in (('amina', 'onboarding'), ('tomas', 'touchline')):
+        paths = sorted(map(str, (EXAMPLES / team).glob('*.yaml')))
+        done = command(fleet, owner, 'apply', '--wait', *paths)
+        promise = f'the documents of {team} are in force on every host'
+        report.check(promise, done.returncode == 0)
+
+
+def entry_for(fleet: fleets.Fleet, number: int) -> fleets.Entry:
+    """Return the entry that a balancer would pick."""
+    entries = list(fleet.entries.values())
+    return entries[number % len(entries)]
+
+
+def ask(
+    fleet: fleets.Fleet, report: Report, pipeline: str, number: int
+) -> fleets.Answer:
+    """Send a request with an identity of its own."""
+    identity = f'{pipeline}/{number}'
+    entry = entry_for(fleet, number)
+    answer = entry.request(
+        pipeline,
+        PIPELINES[pipeline],
+        {'identity': identity, 'prompt': f'explain {identity}'},
+        key=identity,
+    )
+    report.note(pipeline, answer)
+    return answer
+
+
+def send_one_each(fleet: fleets.Fleet, report: Report) -> None:
+    """Send one request to each pipeline."""
+    title('One request to each pipeline')
+    for number, pipeline in enumerate(PIPELINES):
+        answer = ask(fleet, report, pipeline, number)
+        stages = answer.fields.get('stages', [])
+        path = ' > '.join(
+            f'{stage["stage"]} {stage["elapsed_ms"]} ms' for stage in stages
+        )
+        print(f'  {pipeline}: {answer.outcome}, {path}')
+        report.check('answered whole', answer.outcome == 'answered')
+
+
+def stream_past_a_crash(fleet: fleets.Fleet, report: Report) -> None:
+    """Stream an explanation and kill the engine that sends it."""
+    title('A streamed explanation; its engine is killed midway')
+    payload = {'identity': 'driver-9', 'prompt': 'explain my contract'}
+    killed: list[str] = []
+
+    def kill_engine(piece: dict[str, typing.Any]) -> None:
+        print(piece['text'], end='', flush=True)
+        if piece['offset'] > 80 and not killed:
+            killed.append(kill_running(fleet, 'language-models'))
+            print(f'[{killed[0]} killed] ', end='', flush=True)
+
+    print('  ', end='')
+    answer = entry_for(fleet, 0).stream(
+        'contract-explanation', 'driver-app', payload, kill_engine
+    )
+    print()
+    report.note('contract-explanation', answer)
+    length = 0
+    for piece in answer.pieces:
+        report_gap = piece['offset'] != length
+        length = piece['offset'] + len(piece['text'])
+        if report_gap:
+            report.check('no gap and no repeat in the stream', False)
+    text = (answer.fields.get('results') or {}).get('explanation')
+    is_whole = answer.outcome == 'answered' and text in (None, answer.text)
+    report.check('the stream is whole', is_whole, f'({length} characters)')
+
+
+def kill_running(fleet: fleets.Fleet, pool: str) -> str:
+    """Kill the target of a pool that runs a call; return its name."""
+    members = [
+        target
+        for target in fleet.targets.values()
+        if target.pool == pool and target.process.is_running
+    ]
+    loads = [member.process.get('/v1/load') for member in members]
+    busiest = max(zip(loads, members), key=lambda pair: pair[0]['running'])[1]
+    busiest.process.kill()
+    return busiest.name
+
+
+def repeat(
+    fleet: fleets.Fleet, pipeline: str, workspace: str, key: str
+) -> list[fleets.Answer]:
+    """Send the same request with one key through every host at once."""
+    payload = {'identity': key}
+
+    def send(number: int) -> fleets.Answer:
+        entry = entry_for(fleet, number)
+        return entry.request(pipeline, workspace, payload, key=key)
+
+    with concurrent.futures.ThreadPoolExecutor(len(ENTRIES)) as pool:
+        answers = list(pool.map(send, range(len(ENTRIES))))
+    return [*answers, send(0)]
+
+
+def repeat_activation(fleet: fleets.Fleet, report: Report) -> None:
+    """Activate an account four times with one key."""
+    title('One activation sent four times, through every host')
+    key = 'driver-42'
+    answers = repeat(fleet, 'account-activation', 'rabat-desk', key)
+    print('  outcomes: ' + ', '.join(answer.outcome for answer in answers))
+    runs = runs_of(fleet, 'onboarding-application', 'activation', key)
+    report.check('the account was activated once', runs == 1, f'({runs})')
+    last = answers[-1].outcome
+    report.check('a resend gets the answer', last == 'answered', f'({last})')
+
+
+def repeat_squad_update(fleet: fleets.Fleet, report: Report) -> None:
+    """Update a squad sheet four times with one key."""
+    title('One squad-sheet update sent four times, through every host')
+    key = 'match-7-sheet'
+    answers = repeat(fleet, 'squad-update', 'schools', key)
+    print('  outcomes: ' + ', '.join(answer.outcome for answer in answers))
+    runs = runs_of(fleet, 'squad-records', 'update', key)
+    report.check('the sheet was updated once', runs == 1, f'({runs})')
+
+
+def runs_of(fleet: fleets.Fleet, pool: str, stage: str, identity: str) -> int:
+    """Return how often a stage ran for an identity."""
+    return sum(
+        run['stage'] == stage and run['identity'] == identity
+        for run in fleet.runs(pool)
+    )
+
+
+def load_past_a_crash(fleet: fleets.Fleet, report: Report) -> None:
+    """Send requests to every pipeline while a target is killed."""
+    title('Load on both deployments; one encoder is killed meanwhile')
+    jobs = [
+        (pipeline, 100 + number)
+        for number in range(ROUNDS)
+        for pipeline in PIPELINES
+    ]
+    victim = fleet.targets['encoders-1']
+    timer = threading.Timer(1, victim.process.kill)
+    timer.start()
+    with concurrent.futures.ThreadPoolExecutor(PARALLEL) as pool:
+        answers = list(pool.map(lambda job: ask(fleet, report, *job), jobs))
+    timer.join()
+    answered = sum(answer.outcome == 'answered' for answer in answers)
+    print(f'  {answered} of {len(answers)} answered, {victim.name} killed')
+    own = [
+        is_own(answer, f'{pipeline}/{number}')
+        for (pipeline, number), answer in zip(jobs, answers)
+    ]
+    report.check('every answer belongs to its request', all(own))
+
+
+def is_own(answer: fleets.Answer, identity: str) -> bool:
+    """Tell whether no result carries another request's identity."""
+    results = (answer.fields.get('results') or {}).values()
+    found = [r['identity'] for r in results if isinstance(r, dict)]
+    return all(each == identity for each in found)
+
+
+def show_state(fleet: fleets.Fleet, report: Report) -> None:
+    """Print versions in force per host and the audit trail."""
+    title('Versions in force per host, as the monitor sees them')
+    done = command(fleet, 'watch', 'status')
+    report.check('the status names every host', done.returncode == 0)
+    title('Audit trail')
+    command(fleet, 'watch', 'audit')
+    done = command(fleet, 'watch', 'audit', '--verify')
+    report.check('the audit trail is unbroken', done.returncode == 0)
+
+
+def show_measures(report: Report) -> None:
+    """Print attainment and cost by stage."""
+    title('Attainment and cost by stage')
+    total = len(report.answers)
+    answered = sum(a.outcome == 'answered' for _, a in report.answers)
+    print(f'  attainment {answered / total:.1%} of {total} requests')
+    costs: dict[str, list[int]] = {}
+    for pipeline, answer in report.answers:
+        for stage in answer.fields.get('stages', []):
+            cost = costs.setdefault(f'{pipeline} {stage["stage"]}', [0, 0, 0])
+            cost[0] += 1
+            cost[1] += stage['attempts']
+            cost[2] += stage['elapsed_ms']
+    print(f'  {"stage":36}{"runs":>6}{"calls":>7}{"ms a run":>10}')
+    for name, (runs, calls, elapsed_ms) in costs.items():
+        print(f'  {name:36}{runs:6}{calls:7}{elapsed_ms / runs:10.1f}')
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/bench/processes.py
@@ -0,0 +1,162 @@
+"""Processes that the demo, the measurements and the tests start."""
+
+import contextlib
+import functools
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+import typing
+
+import urllib3
+
+START_TIMEOUT_S = 20
+STOP_TIMEOUT_S = 10
+POLL_S = 0.01
+
+http = urllib3.PoolManager(maxsize=64, retries=False)
+
+
+class NotInTimeError(Exception):
+    """A condition did not come true in time."""
+
+
+def await_condition(
+    condition: typing.Callable[[], typing.Any],
+    what: str,
+    timeout_s: float = START_TIMEOUT_S,
+) -> typing.Any:
+    """Return the first true result of ``condition``."""
+    until_s = time.monotonic() + timeout_s
+    while not (result := condition()):
+        if time.monotonic() > until_s:
+            raise NotInTimeError(what)
+        time.sleep(POLL_S)
+    return result
+
+
+def free_address() -> str:
+    """Return a loopback address that nothing listens on."""
+    with socket.socket() as taken:
+        taken.bind(('127.0.0.1', 0))
+        return '127.0.0.1:%d' % taken.getsockname()[1]
+
+
+class Process:
+    """A Python module run as a process; ended by its own id only.
+
+    Its output goes to ``log_path``, or to `read_line` without one.
+    """
+
+    def __init__(
+        self,
+        module: str,
+        *arguments: str,
+        environment: dict[str, str] | None = None,
+        log_path: pathlib.Path | None = None,
+    ) -> None:
+        with contextlib.ExitStack() as stack:
+            output, errors = subprocess.PIPE, None
+            if log_path is not None:
+                output = stack.enter_context(log_path.open('ab'))
+                errors = subprocess.STDOUT
+            self._popen = subprocess.Popen(
+                [sys.executable, '-m', module, *arguments],
+                stdout=output,
+                stderr=errors,
+                env=environment,
+                text=True,
+            )
+
+    @property
+    def pid(self) -> int:
+        """Return the process id."""
+        return self._popen.pid
+
+    @property
+    def is_running(self) -> bool:
+        """Tell whether the process has not ended."""
+        return self._popen.poll() is None
+
+    def read_line(self) -> str:
+        """Return the next line that the process prints."""
+        return self._popen.stdout.readline().strip()
+
+    def kill(self) -> None:
+        """End the process at once."""
+        self._popen.kill()
+        self._popen.wait()
+
+    def terminate(self) -> None:
+        """Ask the process to stop."""
+        self._popen.terminate()
+
+    def pause(self) -> None:
+        """Stop the process until `resume`."""
+        self._popen.send_signal(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Let a paused process go on."""
+        self._popen.send_signal(signal.SIGCONT)
+
+    def wait(self, timeout_s: float = STOP_TIMEOUT_S) -> int:
+        """Return the exit status."""
+        return self._popen.wait(timeout_s)
+
+    def close(self) -> None:
+        """End the process if it still runs."""
+        if self.is_running:
+            self.resume()
+            self.terminate()
+        try:
+            self.wait()
+        except subprocess.TimeoutExpired:
+            self.kill()
+        if self._popen.stdout is not None:
+            self._popen.stdout.close()
+
+
+class StandInProcess(Process):
+    """A stand-in of `bench.standins` in a process of its own."""
+
+    def __init__(self, name: str, **options: typing.Any) -> None:
+        arguments = option_arguments(options)
+        super().__init__(f'bench.standins.{name}', *arguments)
+
+    @functools.cached_property
+    def address(self) -> str:
+        """Return ``ip:port``, once the stand-in has printed it."""
+        return self.read_line()
+
+    @property
+    def url(self) -> str:
+        """Return the base URL."""
+        return f'http://{self.address}'
+
+    def set_faults(self, **faults: typing.Any) -> None:
+        """Set the faults from now on; none given clears them."""
+        http.request('PUT', f'{self.url}/faults', json=faults)
+
+    def get(self, path: str) -> typing.Any:
+        """Return the JSON answer to a GET."""
+        return http.request('GET', self.url + path).json()
+
+    def put(self, path: str, plain: typing.Any) -> None:
+        """PUT a JSON body."""
+        http.request('PUT', self.url + path, json=plain)
+
+
+def option_arguments(options: dict[str, typing.Any]) -> list[str]:
+    """Return options as command line arguments."""
+    pairs = (
+        ('--' + name.replace('_', '-'), value)
+        for name, value in options.items()
+        if value is not False
+    )
+    return [
+        str(part)
+        for name, value in pairs
+        for part in ((name,) if value is True else (name, value))
+    ]
