--- a/bench/demo.py
+++ b/bench/demo.py
@@ -17,7 +17,7 @@
 
 import attrs
 
-from bench import fleet as fleets
+from bench import deployment as deployments
 
 EXAMPLES = pathlib.Path(__file__).parent.parent / 'examples'
 #: Entry daemons by name and their data centres.
@@ -55,7 +55,7 @@
 class Report:
     """The answers and the promises checked."""
 
-    answers: list[tuple[str, fleets.Answer]] = attrs.Factory(list)
+    answers: list[tuple[str, deployments.Answer]] = attrs.Factory(list)
     broken: list[str] = attrs.Factory(list)
 
     def check(self, promise: str, is_kept: bool, detail: str = '') -> None:
@@ -64,7 +64,7 @@
         if not is_kept:
             self.broken.append(promise)
 
-    def note(self, pipeline: str, answer: fleets.Answer) -> None:
+    def note(self, pipeline: str, answer: deployments.Answer) -> None:
         """Add a caller's answer."""
         self.answers.append((pipeline, answer))
 
@@ -74,27 +74,27 @@
     started_s = time.monotonic()
     report = Report()
     with tempfile.TemporaryDirectory() as directory:
-        fleet = fleets.Fleet(pathlib.Path(directory))
+        deployment = deployments.Deployment(pathlib.Path(directory))
         try:
-            run(fleet, report)
+            run(deployment, report)
         finally:
-            fleet.close()
+            deployment.close()
     title('Verdict')
     print(f'  {len(report.broken)} promises broken')
     print(f'  {time.monotonic() - started_s:.0f} s in all')
     return 1 if report.broken else 0
 
 
-def run(fleet: fleets.Fleet, report: Report) -> None:
+def run(deployment: deployments.Deployment, report: Report) -> None:
     """Run every part of the demo."""
-    start(fleet)
-    apply_documents(fleet, report)
-    send_one_each(fleet, report)
-    stream_past_a_crash(fleet, report)
-    repeat_activation(fleet, report)
-    repeat_squad_update(fleet, report)
-    load_past_a_crash(fleet, report)
-    show_state(fleet, report)
+    start(deployment)
+    apply_documents(deployment, report)
+    send_one_each(deployment, report)
+    stream_past_a_crash(deployment, report)
+    repeat_activation(deployment, report)
+    repeat_squad_update(deployment, report)
+    load_past_a_crash(deployment, report)
+    show_state(deployment, report)
     show_measures(report)
 
 
@@ -103,7 +103,7 @@
     print(f'\n== {text}')
 
 
-def start(fleet: fleets.Fleet) -> None:
+def start(deployment: deployments.Deployment) -> None:
     """Start stand-ins and daemons."""
     title('Starting')
     zones = sorted(set(ENTRIES.values()))
@@ -112,27 +112,27 @@
         for number in range(count):
             zone = zones[number % len(zones)]
             name = f'{pool}-{number + 1}'
-            fleet.add_target(name, pool, zone, kind, **options)
+            deployment.add_target(name, pool, zone, kind, **options)
     for name, zone in ENTRIES.items():
-        fleet.add_entry(name, zone)
-    fleet.publish()
-    fleet.await_ready()
+        deployment.add_entry(name, zone)
+    deployment.publish()
+    deployment.await_ready()
     print(f'  platform: table, objects, host list; {len(POOLS)} pools with')
-    print(f'  {len(fleet.targets)} targets; entry daemons:')
-    for entry in fleet.entries.values():
+    print(f'  {len(deployment.targets)} targets; entry daemons:')
+    for entry in deployment.entries.values():
         print(f'  {entry.name} in {entry.zone}, callers at {entry.callers}')
 
 
 def command(
-    fleet: fleets.Fleet, owner: str, *arguments: str
+    deployment: deployments.Deployment, owner: str, *arguments: str
 ) -> subprocess.CompletedProcess:
     """Run the command line as ``owner``, printing what it prints."""
     print(f'  $ godwitglade {" ".join(arguments[:2])} ...')
-    entry = next(iter(fleet.entries.values()))
+    entry = next(iter(deployment.entries.values()))
     environment = {
         **os.environ,
         'GODWITGLADE_URL': f'http://{entry.operators}',
-        'GODWITGLADE_TOKEN': fleets.TOKENS[owner][0],
+        'GODWITGLADE_TOKEN': deployments.TOKENS[owner][0],
     }
     done = subprocess.run(
         [sys.executable, '-m', 'godwitglade.command', *arguments],
@@ -146,28 +146,35 @@
     return done
 
 
-def apply_documents(fleet: fleets.Fleet, report: Report) -> None:
+def apply_documents(
+    deployment: deployments.Deployment, report: Report
+) -> None:
     """Put both teams' documents into force."""
     title('Applying the documents of both teams')
     for owner, team in (('amina', 'onboarding'), ('tomas', 'touchline')):
         paths = sorted(map(str, (EXAMPLES / team).glob('*.yaml')))
-        done = command(fleet, owner, 'apply', '--wait', *paths)
+        done = command(deployment, owner, 'apply', '--wait', *paths)
         promise = f'the documents of {team} are in force on every host'
         report.check(promise, done.returncode == 0)
 
 
-def entry_for(fleet: fleets.Fleet, number: int) -> fleets.Entry:
+def entry_for(
+    deployment: deployments.Deployment, number: int
+) -> deployments.Entry:
     """Return the entry that a balancer would pick."""
-    entries = list(fleet.entries.values())
+    entries = list(deployment.entries.values())
     return entries[number % len(entries)]
 
 
 def ask(
-    fleet: fleets.Fleet, report: Report, pipeline: str, number: int
-) -> fleets.Answer:
+    deployment: deployments.Deployment,
+    report: Report,
+    pipeline: str,
+    number: int,
+) -> deployments.Answer:
     """Send a request with an identity of its own."""
     identity = f'{pipeline}/{number}'
-    entry = entry_for(fleet, number)
+    entry = entry_for(deployment, number)
     answer = entry.request(
         pipeline,
         PIPELINES[pipeline],
@@ -178,11 +185,11 @@
     return answer
 
 
-def send_one_each(fleet: fleets.Fleet, report: Report) -> None:
+def send_one_each(deployment: deployments.Deployment, report: Report) -> None:
     """Send one request to each pipeline."""
     title('One request to each pipeline')
     for number, pipeline in enumerate(PIPELINES):
-        answer = ask(fleet, report, pipeline, number)
+        answer = ask(deployment, report, pipeline, number)
         stages = answer.fields.get('stages', [])
         path = ' > '.join(
             f'{stage["stage"]} {stage["elapsed_ms"]} ms' for stage in stages
@@ -191,7 +198,9 @@
         report.check('answered whole', answer.outcome == 'answered')
 
 
-def stream_past_a_crash(fleet: fleets.Fleet, report: Report) -> None:
+def stream_past_a_crash(
+    deployment: deployments.Deployment, report: Report
+) -> None:
     """Stream an explanation and kill the engine that sends it."""
     title('A streamed explanation; its engine is killed midway')
     payload = {'identity': 'driver-9', 'prompt': 'explain my contract'}
@@ -200,11 +209,11 @@
     def kill_engine(piece: dict[str, typing.Any]) -> None:
         print(piece['text'], end='', flush=True)
         if piece['offset'] > 80 and not killed:
-            killed.append(kill_running(fleet, 'language-models'))
+            killed.append(kill_running(deployment, 'language-models'))
             print(f'[{killed[0]} killed] ', end='', flush=True)
 
     print('  ', end='')
-    answer = entry_for(fleet, 0).stream(
+    answer = entry_for(deployment, 0).stream(
         'contract-explanation', 'driver-app', payload, kill_engine
     )
     print()
@@ -220,11 +229,11 @@
     report.check('the stream is whole', is_whole, f'({length} characters)')
 
 
-def kill_running(fleet: fleets.Fleet, pool: str) -> str:
+def kill_running(deployment: deployments.Deployment, pool: str) -> str:
     """Kill the target of a pool that runs a call; return its name."""
     members = [
         target
-        for target in fleet.targets.values()
+        for target in deployment.targets.values()
         if target.pool == pool and target.process.is_running
     ]
     loads = [member.process.get('/v1/load') for member in members]
@@ -234,13 +243,13 @@
 
 
 def repeat(
-    fleet: fleets.Fleet, pipeline: str, workspace: str, key: str
-) -> list[fleets.Answer]:
+    deployment: deployments.Deployment, pipeline: str, workspace: str, key: str
+) -> list[deployments.Answer]:
     """Send the same request with one key through every host at once."""
     payload = {'identity': key}
 
-    def send(number: int) -> fleets.Answer:
-        entry = entry_for(fleet, number)
+    def send(number: int) -> deployments.Answer:
+        entry = entry_for(deployment, number)
         return entry.request(pipeline, workspace, payload, key=key)
 
     with concurrent.futures.ThreadPoolExecutor(len(ENTRIES)) as pool:
@@ -248,37 +257,45 @@
     return [*answers, send(0)]
 
 
-def repeat_activation(fleet: fleets.Fleet, report: Report) -> None:
+def repeat_activation(
+    deployment: deployments.Deployment, report: Report
+) -> None:
     """Activate an account four times with one key."""
     title('One activation sent four times, through every host')
     key = 'driver-42'
-    answers = repeat(fleet, 'account-activation', 'rabat-desk', key)
+    answers = repeat(deployment, 'account-activation', 'rabat-desk', key)
     print('  outcomes: ' + ', '.join(answer.outcome for answer in answers))
-    runs = runs_of(fleet, 'onboarding-application', 'activation', key)
+    runs = runs_of(deployment, 'onboarding-application', 'activation', key)
     report.check('the account was activated once', runs == 1, f'({runs})')
     last = answers[-1].outcome
     report.check('a resend gets the answer', last == 'answered', f'({last})')
 
 
-def repeat_squad_update(fleet: fleets.Fleet, report: Report) -> None:
+def repeat_squad_update(
+    deployment: deployments.Deployment, report: Report
+) -> None:
     """Update a squad sheet four times with one key."""
     title('One squad-sheet update sent four times, through every host')
     key = 'match-7-sheet'
-    answers = repeat(fleet, 'squad-update', 'schools', key)
+    answers = repeat(deployment, 'squad-update', 'schools', key)
     print('  outcomes: ' + ', '.join(answer.outcome for answer in answers))
-    runs = runs_of(fleet, 'squad-records', 'update', key)
+    runs = runs_of(deployment, 'squad-records', 'update', key)
     report.check('the sheet was updated once', runs == 1, f'({runs})')
 
 
-def runs_of(fleet: fleets.Fleet, pool: str, stage: str, identity: str) -> int:
+def runs_of(
+    deployment: deployments.Deployment, pool: str, stage: str, identity: str
+) -> int:
     """Return how often a stage ran for an identity."""
     return sum(
         run['stage'] == stage and run['identity'] == identity
-        for run in fleet.runs(pool)
+        for run in deployment.runs(pool)
     )
 
 
-def load_past_a_crash(fleet: fleets.Fleet, report: Report) -> None:
+def load_past_a_crash(
+    deployment: deployments.Deployment, report: Report
+) -> None:
     """Send requests to every pipeline while a target is killed."""
     title('Load on both deployments; one encoder is killed meanwhile')
     jobs = [
@@ -286,11 +303,13 @@
         for number in range(ROUNDS)
         for pipeline in PIPELINES
     ]
-    victim = fleet.targets['encoders-1']
+    victim = deployment.targets['encoders-1']
     timer = threading.Timer(1, victim.process.kill)
     timer.start()
     with concurrent.futures.ThreadPoolExecutor(PARALLEL) as pool:
-        answers = list(pool.map(lambda job: ask(fleet, report, *job), jobs))
+        answers = list(
+            pool.map(lambda job: ask(deployment, report, *job), jobs)
+        )
     timer.join()
     answered = sum(answer.outcome == 'answered' for answer in answers)
     print(f'  {answered} of {len(answers)} answered, {victim.name} killed')
@@ -301,21 +320,21 @@
     report.check('every answer belongs to its request', all(own))
 
 
-def is_own(answer: fleets.Answer, identity: str) -> bool:
+def is_own(answer: deployments.Answer, identity: str) -> bool:
     """Tell whether no result carries another request's identity."""
     results = (answer.fields.get('results') or {}).values()
     found = [r['identity'] for r in results if isinstance(r, dict)]
     return all(each == identity for each in found)
 
 
-def show_state(fleet: fleets.Fleet, report: Report) -> None:
+def show_state(deployment: deployments.Deployment, report: Report) -> None:
     """Print versions in force per host and the audit trail."""
     title('Versions in force per host, as the monitor sees them')
-    done = command(fleet, 'watch', 'status')
+    done = command(deployment, 'watch', 'status')
     report.check('the status names every host', done.returncode == 0)
     title('Audit trail')
-    command(fleet, 'watch', 'audit')
-    done = command(fleet, 'watch', 'audit', '--verify')
+    command(deployment, 'watch', 'audit')
+    done = command(deployment, 'watch', 'audit', '--verify')
     report.check('the audit trail is unbroken', done.returncode == 0)
 
 
--- a/bench/fleet.py
+++ b/bench/deployment.py
@@ -5,6 +5,7 @@
 import os
 import pathlib
 import typing
+import uuid
 
 import attrs
 import urllib3
@@ -21,6 +22,10 @@
 REQUEST_TIMEOUT_S = 90
 
 
+class ChangeRefusedError(Exception):
+    """The operators' interface did not accept a document."""
+
+
 @attrs.frozen
 class Answer:
     """What a caller got: status, the outcome's fields, streamed text."""
@@ -140,6 +145,24 @@
         response.release_conn()
         return Answer(response.status, fields, tuple(pieces))
 
+    def apply(self, owner: str, document: dict[str, typing.Any]) -> None:
+        """Put a new document into force as ``owner``."""
+        url = f'http://{self.operators}/v1/documents/{document["pipeline"]}'
+        change = {
+            'based_on': 0,
+            'change_id': str(uuid.uuid4()),
+            # JSON is YAML.
+            'text': json.dumps(document),
+        }
+        response = processes.http.request(
+            'PUT',
+            url,
+            json=change,
+            headers={'Authorization': f'Bearer {TOKENS[owner][0]}'},
+        )
+        if response.status != 200:
+            raise ChangeRefusedError(response.status, response.data)
+
     def ask_outcome(
         self, pipeline: str, workspace: str, key: str
     ) -> dict[str, typing.Any]:
@@ -168,7 +191,7 @@
                 yield kind, json.loads(value)
 
 
-class Fleet:
+class Deployment:
     """Starts everything; `close` ends what it started."""
 
     def __init__(self, directory: pathlib.Path) -> None:
@@ -233,7 +256,7 @@
         ]
 
     def close(self) -> None:
-        """End every process that this fleet started."""
+        """End every process that this deployment started."""
         members = [*self.entries.values(), *self.targets.values()]
         started = [member.process for member in members]
         platform = [self.table, self.objects, self.hosts]
--- /dev/null
+++ b/bench/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the decisions against in-memory fakes."""
