--- a/tests/operators/test_changes.py
+++ b/tests/operators/test_changes.py
@@ -1,5 +1,7 @@
 """Changes of documents: races, lost answers, late writes, audit."""
 
+import random
+
 import attrs
 import pytest
 
@@ -7,6 +9,7 @@
 from godwitglade.coordination import audit
 from godwitglade.coordination import change_results
 from godwitglade.coordination import change_rows
+from godwitglade.coordination import effects
 from godwitglade.coordination import rows
 from tests.operators import tables
 
@@ -162,3 +165,46 @@
         host.apply(based_on=version, change_id=f'c{version}')
     first, *rest = host.table.audit()
     assert audit.verify(rest, first.hash, first.sequence) is None
+
+
+@pytest.mark.parametrize('seed', range(30))
+def test_every_end_is_true_in_any_order(seed):
+    rng = random.Random(seed)
+    words = ['ok', 'ok', 'ok', 'lost', 'late', 'never', 'down']
+    table = tables.Table(*rng.choices(words, k=60))
+    hosts = [tables.Host(table, number) for number in range(3)]
+    waiting = [
+        [host, f'c{number}', host.start(**_any_change(rng, number))]
+        for number, host in enumerate(hosts * 4)
+    ]
+    ends = {}
+    while waiting:
+        if rng.random() < 0.1:
+            table.land()
+        run = rng.choice(waiting)
+        host, change_id, (effect, *rest) = run
+        if isinstance(effect, effects.Deliver):
+            ends[change_id] = effect.message.result
+        elif not isinstance(effect, effects.LogEvent):
+            rest += host.step(effect)
+        run[2] = rest
+        waiting = [run for run in waiting if run[2]]
+    table.land()
+    records = table.audit()
+    assert audit.verify(records) is None
+    applied = [record.change_id for record in records]
+    assert len(applied) == len(set(applied))
+    for change_id, end in ends.items():
+        if isinstance(end, change_results.ChangeAccepted):
+            assert change_id in applied
+        elif not isinstance(end, change_results.ChangeUnknown):
+            assert change_id not in applied
+
+
+def _any_change(rng, number):
+    return {
+        'change_id': f'c{number}',
+        'pipeline': rng.choice(['checks', 'papers']),
+        'based_on': rng.randrange(3),
+        'text': f'a: {number}\n',
+    }
