Add membership, document spread and the peers' messages

Cause: hosts have to know each other and the documents in force without a coordination service. Change: SWIM-like membership on one push-pull exchange a second, documents that never go back, signed HTTP messages between hosts, and an in-memory fleet for stepped tests. Contract change: messages.DocumentChanged is new.

--- /dev/null
+++ b/bench/fleet.py
@@ -0,0 +1,232 @@
+"""Many hosts' coordination parts in one process, stepped in virtual time."""
+
+import heapq
+import itertools
+import random
+
+import attrs
+
+from godwitglade.coordination import bodies
+from godwitglade.coordination import effects
+from godwitglade.coordination import hosts
+from godwitglade.coordination import membership
+from godwitglade.coordination import messages
+from godwitglade.coordination import platform_rows
+from godwitglade.coordination import rows
+from godwitglade.coordination import spread
+
+LATENCY_MS = 2
+
+
+@attrs.define
+class Store:
+    """The platform's table and objects, as far as documents need them."""
+
+    changes: list[bodies.Change] = attrs.Factory(list)
+    documents: dict[str, rows.Row] = attrs.Factory(dict)
+    objects: dict[str, bytes] = attrs.Factory(dict)
+    read_count: int = 0
+    is_down: bool = False
+
+    def change(
+        self, pipeline: str, text: str | None, patch: object = None
+    ) -> int:
+        """Accept a change and return its sequence."""
+        held = self.documents.get(pipeline)
+        version = held.version + 1 if held else 1
+        sequence = len(self.changes) + 1
+        value = {'version': version, 'sequence': sequence, 'text': text}
+        key = rows.RowKey('documents', pipeline)
+        self.documents[pipeline] = rows.Row(key, version, value)
+        carried = text if patch is None else None
+        self.changes.append(
+            bodies.Change(sequence, pipeline, version, carried, patch)
+        )
+        return sequence
+
+    def read(
+        self, effect: effects.ReadRows | effects.ScanRows
+    ) -> rows.ReadResult:
+        """Answer a read of the head or a scan."""
+        self.read_count += 1
+        if self.is_down:
+            return rows.Unavailable()
+        if isinstance(effect, effects.ReadRows):
+            return rows.Rows(self._head())
+        found = self._table(effect.table)
+        after = [row for row in found if row.key.key > effect.after]
+        return rows.Rows(tuple(after[: effect.limit]))
+
+    def _head(self) -> tuple[rows.Row, ...]:
+        count = len(self.changes)
+        value = {'sequence': count}
+        return (rows.Row(platform_rows.HEAD, count, value),) * bool(count)
+
+    def _table(self, table: str) -> list[rows.Row]:
+        if table == platform_rows.DOCUMENTS_TABLE:
+            return sorted(self.documents.values(), key=lambda r: r.key.key)
+        return [
+            rows.Row(
+                rows.RowKey(table, platform_rows.sequence_key(one.sequence)),
+                1,
+                attrs.asdict(one),
+            )
+            for one in self.changes
+        ]
+
+
+class Node:
+    """One host's parts; ``versions`` checks that none ever goes back."""
+
+    def __init__(self, host: hosts.HostId, fleet: 'Fleet') -> None:
+        self.host = host
+        self.address = f'{host.name}:1'
+        self.is_up = True
+        self.versions: dict[str, int] = {}
+        self.documents = spread.Documents(host, fleet.random)
+        self.members = membership.Membership(
+            host, self.address, fleet.random, (self.documents,)
+        )
+        self.parts = (self.documents, self.members)
+
+    def note(self, changed: messages.DocumentChanged) -> None:
+        """Record a version; fails when it is not newer."""
+        assert changed.version > self.versions.get(changed.pipeline, 0)
+        self.versions[changed.pipeline] = changed.version
+
+
+class Fleet:
+    """Hosts in zones, their messages, losses, cuts and restarts."""
+
+    def __init__(
+        self,
+        host_count: int,
+        zone_count: int,
+        loss: float = 0.0,
+        seed: int = 1,
+    ) -> None:
+        self.random = random.Random(seed)
+        self.loss = loss
+        self.now_ms = 0
+        self.store = Store()
+        self.cut_zones: set[str] = set()
+        self.cut_from_store: set[str] = set()
+        self.delivered: list = []
+        self.on_message = lambda kind, body: None
+        self.nodes: dict[str, Node] = {}
+        self._events: list = []
+        self._order = itertools.count()
+        self._entries = [
+            membership.HostEntry(f'h{i}', f'z{i % zone_count}', f'h{i}:1')
+            for i in range(host_count)
+        ]
+        for entry in self._entries:
+            self.start(entry.name)
+
+    def start(self, name: str) -> Node:
+        """Start a host, or a new life of it."""
+        entry = next(one for one in self._entries if one.name == name)
+        before = self.nodes.get(name)
+        incarnation = before.host.incarnation + 1 if before else 1
+        node = Node(hosts.HostId(name, entry.zone, incarnation), self)
+        self.nodes[name] = node
+        node.members.listed(self._entries, self.now_ms)
+        for part in node.parts:
+            self.carry_out(node, part.start(self.now_ms))
+        return node
+
+    def stop(self, name: str) -> None:
+        """End a host's process without a word."""
+        self.nodes[name].is_up = False
+
+    def run(self, duration_ms: int, until=None) -> int:
+        """Step until ``until()`` or the time is over; return the time."""
+        start_ms = self.now_ms
+        while self._events and self._events[0][0] <= start_ms + duration_ms:
+            self.now_ms, _, node, message = heapq.heappop(self._events)
+            if node.is_up:
+                self._hand(node, message)
+            if until is not None and until():
+                return self.now_ms - start_ms
+        self.now_ms = start_ms + duration_ms
+        return duration_ms
+
+    def up(self) -> list[Node]:
+        """Return the hosts that run."""
+        return [node for node in self.nodes.values() if node.is_up]
+
+    def in_force(self, sequence: int) -> int:
+        """Return the number of running hosts that hold ``sequence``."""
+        return sum(
+            node.documents.is_ready and node.documents.sequence >= sequence
+            for node in self.up()
+        )
+
+    def carry_out(self, node: Node, found: list) -> None:
+        """Carry out the effects that a part of ``node`` asked for."""
+        for effect in found:
+            self._carry_out(node, effect)
+
+    def _hand(self, node: Node, message: object) -> None:
+        if isinstance(message, messages.DocumentChanged):
+            node.note(message)
+        for part in node.parts:
+            self.carry_out(node, part.handle(message, self.now_ms))
+
+    def _carry_out(self, node: Node, effect: object) -> None:
+        match effect:
+            case effects.StartTimer(token, due_ms):
+                self._post(node, messages.TimerFired(token), due_ms)
+            case effects.SendPeer():
+                self._send(node, effect)
+            case effects.ReplyPeer(reply_token, body):
+                self._reply(node, reply_token, body)
+            case effects.ReadRows() | effects.ScanRows():
+                result = rows.Unavailable()
+                if node.host.zone not in self.cut_from_store:
+                    result = self.store.read(effect)
+                message = messages.ReadSettled(effect.token, result)
+                self._post(node, message, self.now_ms + LATENCY_MS)
+            case effects.ReadObject(token, name):
+                content = self.store.objects.get(name)
+                message = messages.ObjectRead(token, content)
+                self._post(node, message, self.now_ms + LATENCY_MS)
+            case effects.WriteObject(name, content):
+                self.store.objects[name] = content
+            case effects.Deliver(message):
+                self.delivered.append((node.host.name, message))
+                self._hand(node, message)
+
+    def _send(self, node: Node, effect: effects.SendPeer) -> None:
+        self.on_message('request', effect.body)
+        target = self.nodes.get(effect.address.split(':')[0])
+        lost = messages.PeerReply(effect.token, None)
+        if target is None or not self._passes(node, target):
+            self._post(node, lost, self.now_ms + effect.timeout_ms)
+            return
+        token = f'{node.host.name}|{node.host.incarnation}|{effect.token}'
+        message = messages.PeerMessage(node.host, effect.body, token)
+        self._post(target, message, self.now_ms + LATENCY_MS)
+
+    def _reply(self, node: Node, reply_token: str, body: object) -> None:
+        self.on_message('reply', body)
+        name, incarnation, token = reply_token.split('|')
+        asker = self.nodes[name]
+        if asker.host.incarnation != int(incarnation):
+            return
+        if not self._passes(node, asker):
+            body = None
+        delay_ms = LATENCY_MS if body is not None else 1_000
+        message = messages.PeerReply(token, body)
+        self._post(asker, message, self.now_ms + delay_ms)
+
+    def _passes(self, one: Node, other: Node) -> bool:
+        is_cut = one.host.zone != other.host.zone and (
+            {one.host.zone, other.host.zone} & self.cut_zones
+        )
+        is_lost = self.random.random() < self.loss
+        return other.is_up and not is_cut and not is_lost
+
+    def _post(self, node: Node, message: object, due_ms: int) -> None:
+        event = (due_ms, next(self._order), node, message)
+        heapq.heappush(self._events, event)
--- /dev/null
+++ b/packages/coordination/src/godwitglade/coordination/heads.py
@@ -0,0 +1,57 @@
+"""Reading the head of the change log, by a few hosts of each zone."""
+
+from godwitglade.coordination import effects
+from godwitglade.coordination import hashing
+from godwitglade.coordination import hosts
+from godwitglade.coordination import members
+from godwitglade.coordination import platform_rows
+from godwitglade.coordination import rows
+
+TOKEN = 'documents:head'
+READ_TIMEOUT_MS = 2_000
+
+#: Hosts of a zone that read the head at least.
+POLLERS_PER_ZONE = 2
+
+#: Further hosts read it while the fleet stays within this rate.
+READS_PER_S = 64
+
+
+class Head:
+    """The last sequence known of the platform, and the read for it."""
+
+    def __init__(self, self_id: hosts.HostId) -> None:
+        self._self_id = self_id
+        self._is_asked = False
+        self.has_failed = False
+        self.sequence = 0
+
+    def is_poller(self, live: tuple[members.Member, ...]) -> bool:
+        """Tell whether this host is to read the head regularly."""
+        zone = self._self_id.zone
+        near = [
+            member.host.name for member in live if member.host.zone == zone
+        ]
+        zone_count = len({member.host.zone for member in live})
+        share = READS_PER_S // max(1, zone_count)
+        count = max(POLLERS_PER_ZONE, share)
+        chosen = hashing.choose(f'pollers:{zone}', near, count)
+        return self._self_id.name in chosen
+
+    def read(self) -> list[effects.ReadRows]:
+        """Read the head unless a read is under way."""
+        if self._is_asked:
+            return []
+        self._is_asked = True
+        keys = (platform_rows.HEAD,)
+        return [effects.ReadRows(TOKEN, keys, READ_TIMEOUT_MS)]
+
+    def take(self, result: rows.ReadResult) -> int | None:
+        """Return the sequence read, None when the platform is down."""
+        self._is_asked = False
+        self.has_failed = not isinstance(result, rows.Rows)
+        if self.has_failed:
+            return None
+        sequence = platform_rows.head_sequence(result)
+        self.sequence = max(self.sequence, sequence)
+        return sequence
--- a/packages/coordination/src/godwitglade/coordination/messages.py
+++ b/packages/coordination/src/godwitglade/coordination/messages.py
@@ -67,3 +67,13 @@
     key: str
     value: typing.Any
     origin: str
+
+
+@attrs.frozen
+class DocumentChanged:
+    """A document version is in force here; ``text`` None once removed."""
+
+    pipeline: str
+    version: int
+    sequence: int
+    text: str | None
--- /dev/null
+++ b/packages/coordination/src/godwitglade/coordination/snapshots.py
@@ -0,0 +1,93 @@
+"""Snapshots of all documents in the object store, for a cold start."""
+
+import zlib
+
+import attrs
+
+from godwitglade.common import clock
+from godwitglade.common import codec
+from godwitglade.common import errors
+from godwitglade.coordination import bodies
+from godwitglade.coordination import effects
+from godwitglade.coordination import hashing
+from godwitglade.coordination import messages
+
+#: Objects that snapshots are written to, one for each writer.
+SLOTS = ('documents-snapshot-0', 'documents-snapshot-1')
+TOKEN = 'documents:snapshot:'
+WRITE_INTERVAL_MS = clock.MINUTE_MS
+
+
+@attrs.frozen
+class Snapshot:
+    """All documents as one host held them at ``sequence``."""
+
+    sequence: int
+    documents: tuple[bodies.HeldDocument, ...]
+
+
+class Snapshots:
+    """Writes snapshots when it is this host's turn, and reads them."""
+
+    def __init__(self, self_name: str) -> None:
+        self._self_name = self_name
+        self._read: dict[str, Snapshot | None] = {}
+        self._written_ms: int | None = None
+        self._written_sequence = 0
+
+    def ask(self) -> list[effects.ReadObject]:
+        """Read every slot."""
+        self._read.clear()
+        return [effects.ReadObject(TOKEN + slot, slot) for slot in SLOTS]
+
+    def take(self, message: messages.ObjectRead) -> Snapshot | None:
+        """Return the newest snapshot once every slot was read."""
+        slot = message.token.removeprefix(TOKEN)
+        self._read[slot] = _unpack_or_none(message.content)
+        found = [one for one in self._read.values() if one is not None]
+        if len(self._read) < len(SLOTS) or not found:
+            return None
+        return max(found, key=lambda one: one.sequence)
+
+    def is_due(self, sequence: int, now_ms: int) -> bool:
+        """Tell whether ``sequence`` is new and the last write long ago."""
+        if sequence <= self._written_sequence:
+            return False
+        if self._written_ms is None:
+            return True
+        return now_ms - self._written_ms >= WRITE_INTERVAL_MS
+
+    def write(
+        self, snapshot: Snapshot, host_names: list[str], now_ms: int
+    ) -> list[effects.WriteObject]:
+        """Write to this host's slot, if rendezvous hashing gave it one."""
+        writers = hashing.choose('snapshot', host_names, len(SLOTS))
+        if self._self_name not in writers:
+            return []
+        self._written_ms = now_ms
+        self._written_sequence = snapshot.sequence
+        slot = SLOTS[writers.index(self._self_name)]
+        return [effects.WriteObject(slot, pack(snapshot))]
+
+
+def pack(snapshot: Snapshot) -> bytes:
+    """Return ``snapshot`` as compressed JSON."""
+    return zlib.compress(codec.to_json(snapshot))
+
+
+def unpack(content: bytes) -> Snapshot:
+    """Return the snapshot in ``content``; raises MalformedError."""
+    try:
+        raw = zlib.decompress(content)
+    except zlib.error as error:
+        raise errors.MalformedError('$', str(error)) from error
+    return codec.from_json(raw, Snapshot)
+
+
+def _unpack_or_none(content: bytes | None) -> Snapshot | None:
+    if content is None:
+        return None
+    try:
+        return unpack(content)
+    except errors.MalformedError:
+        return None
--- /dev/null
+++ b/packages/peers/src/godwitglade/peers/client.py
@@ -0,0 +1,127 @@
+"""Sends messages to other hosts over HTTP."""
+
+import typing
+
+import urllib3
+
+from godwitglade.common import errors as common_errors
+from godwitglade.coordination import effects
+from godwitglade.coordination import hosts
+from godwitglade.coordination import messages
+from godwitglade.peers import codec as codecs
+from godwitglade.peers import errors
+from godwitglade.peers import signing
+from godwitglade.peers import traffic as traffics
+
+PATH = '/v1/peer'
+TIMESTAMP_HEADER = 'X-Timestamp-Ms'
+SIGNATURE_HEADER = 'X-Signature'
+
+#: Connections kept open, over all hosts.
+POOL_COUNT = 16
+CONNECT_TIMEOUT_MS = 500
+REPLY_LIMIT_BYTES = 4 * 1024 * 1024
+
+#: Request line, status line and blank lines of one exchange, about.
+REQUEST_LINE_BYTES = 26
+STATUS_LINE_BYTES = 19
+
+FAULTS = (urllib3.exceptions.HTTPError, common_errors.CodedError, OSError)
+
+
+class Client:
+    """Carries out `effects.SendPeer`; may be used by several threads."""
+
+    def __init__(
+        self,
+        self_id: hosts.HostId,
+        codec: codecs.Codec,
+        signer: signing.Signer,
+        traffic: traffics.Traffic,
+        scheme: str = 'http',
+        **tls_options: typing.Any,
+    ) -> None:
+        self._self_id = self_id
+        self._codec = codec
+        self._signer = signer
+        self._traffic = traffic
+        self._scheme = scheme
+        self._pools = urllib3.PoolManager(
+            num_pools=POOL_COUNT, maxsize=1, retries=False, **tls_options
+        )
+
+    def send(self, effect: effects.SendPeer) -> messages.PeerReply:
+        """Send and wait; the body is None when no valid reply came."""
+        try:
+            body = self._exchange(effect)
+        except FAULTS:
+            body = None
+        return messages.PeerReply(effect.token, body)
+
+    def _exchange(self, effect: effects.SendPeer) -> typing.Any:
+        envelope = codecs.Envelope(effect.body, self._self_id)
+        raw = self._codec.encode(envelope)
+        headers = signed_headers(self._signer, raw)
+        response, data = self._post(effect, raw, headers)
+        self._count(effect.address, raw, headers, response, len(data))
+        if response.status != 200:
+            return None
+        self._signer.check(
+            response.headers.get(TIMESTAMP_HEADER, ''),
+            response.headers.get(SIGNATURE_HEADER, ''),
+            data,
+        )
+        return self._codec.decode(data).body
+
+    def _post(
+        self, effect: effects.SendPeer, raw: bytes, headers: dict[str, str]
+    ) -> tuple[urllib3.BaseHTTPResponse, bytes]:
+        timeout = urllib3.Timeout(
+            connect=min(CONNECT_TIMEOUT_MS, effect.timeout_ms) / 1_000,
+            total=effect.timeout_ms / 1_000,
+        )
+        response = self._pools.request(
+            'POST',
+            f'{self._scheme}://{effect.address}{PATH}',
+            body=raw,
+            headers=headers,
+            timeout=timeout,
+            redirect=False,
+            preload_content=False,
+        )
+        data = response.read(REPLY_LIMIT_BYTES + 1)
+        if len(data) > REPLY_LIMIT_BYTES:
+            response.close()
+            raise errors.MessageTooLargeError(REPLY_LIMIT_BYTES)
+        response.release_conn()
+        return response, data
+
+    def _count(
+        self,
+        address: str,
+        raw: bytes,
+        headers: dict[str, str],
+        response: urllib3.BaseHTTPResponse,
+        data_bytes: int,
+    ) -> None:
+        request_headers = headers | {
+            'Host': address,
+            'Content-Length': str(len(raw)),
+        }
+        sent = REQUEST_LINE_BYTES + len(raw)
+        received = STATUS_LINE_BYTES + data_bytes
+        self._traffic.add(
+            sent + traffics.header_bytes(request_headers),
+            received + traffics.header_bytes(dict(response.headers)),
+        )
+
+
+def signed_headers(signer: signing.Signer, raw: bytes) -> dict[str, str]:
+    """Return the headers that authenticate ``raw``, and few others."""
+    timestamp_ms, signature = signer.sign(raw)
+    return {
+        TIMESTAMP_HEADER: str(timestamp_ms),
+        SIGNATURE_HEADER: signature,
+        'User-Agent': urllib3.util.SKIP_HEADER,
+        'Accept-Encoding': urllib3.util.SKIP_HEADER,
+    }
--- /dev/null
+++ b/packages/peers/src/godwitglade/peers/traffic.py
@@ -0,0 +1,36 @@
+"""Counts of the bytes and messages that hosts exchange."""
+
+import threading
+
+import attrs
+import urllib3
+
+#: Headers that the server library adds to those received.
+LOCAL_HEADERS = ('Remote-Addr',)
+SEPARATOR_BYTES = 4
+
+
+@attrs.define
+class Traffic:
+    """Bytes of HTTP, headers included, and messages, both directions."""
+
+    sent_bytes: int = 0
+    received_bytes: int = 0
+    message_count: int = 0
+    _lock: threading.Lock = attrs.Factory(threading.Lock)
+
+    def add(self, sent_bytes: int, received_bytes: int) -> None:
+        """Count one message and its reply."""
+        with self._lock:
+            self.sent_bytes += sent_bytes
+            self.received_bytes += received_bytes
+            self.message_count += 1
+
+
+def header_bytes(headers: dict[str, str]) -> int:
+    """Return the length of ``headers`` as HTTP/1.1 writes them."""
+    return sum(
+        len(name) + len(value) + SEPARATOR_BYTES
+        for name, value in headers.items()
+        if name not in LOCAL_HEADERS and value != urllib3.util.SKIP_HEADER
+    )
