Add TLS listeners that reload their certificates

Cause: certificates are renewed while a daemon runs, and the server's own adapter does the handshake on the thread that accepts. Change: daemon/tls.py looks at the files at most every 5 s when connections arrive, keeps the pair before when the new one is bad, and leaves the handshake to the thread that reads first. Listener.host_and_port splits addresses, IPv6 too. Conclusion: pass tls.make_adapter(...) as the listener's ssl_adapter.

--- a/packages/common/src/godwitglade/common/events.py
+++ b/packages/common/src/godwitglade/common/events.py
@@ -35,6 +35,14 @@
     SETTINGS_REFUSED = Description(
         1006, logging.ERROR, 'The settings file has faults; not started.'
     )
+    CERTIFICATE_LOADED = Description(
+        1010, logging.INFO, 'A new certificate is used from now on.'
+    )
+    CERTIFICATE_REFUSED = Description(
+        1011,
+        logging.ERROR,
+        'A new certificate cannot be used; the one before stays.',
+    )
     REQUEST_SETTLED = Description(
         2001, logging.INFO, 'A request got its final outcome.'
     )
--- a/packages/daemon/src/godwitglade/daemon/settings_types.py
+++ b/packages/daemon/src/godwitglade/daemon/settings_types.py
@@ -29,6 +29,11 @@
         """Tell whether the listener speaks TLS."""
         return self.certificate_path is not None
 
+    @property
+    def host_and_port(self) -> tuple[str, int]:
+        """Return the IP number, without brackets, and the port."""
+        return split_address(self.address)
+
 
 @attrs.frozen
 class Platform:
@@ -83,3 +88,9 @@
     log_level: LogLevel = LogLevel.INFO
     threads: Threads = Threads()
     bounds: Bounds = Bounds()
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return the IP number and the port of a valid ``address``."""
+    host, _, port = address.rpartition(':')
+    return host.strip('[]'), int(port)
--- /dev/null
+++ b/packages/daemon/src/godwitglade/daemon/tls.py
@@ -0,0 +1,148 @@
+"""TLS for a listener, with certificates reloaded without a restart."""
+
+import os
+import ssl
+import threading
+import typing
+
+import attrs
+from cheroot import errors as cheroot_errors
+from cheroot import makefile
+from cheroot import ssl as cheroot_ssl
+
+from godwitglade.common import clock as clocks
+from godwitglade.common import errors
+from godwitglade.common import events
+from godwitglade.daemon import settings_types
+
+#: How often the files are looked at, when connections arrive.
+CHECK_INTERVAL_MS = 5 * clocks.SECOND_MS
+
+Log = typing.Callable[[events.Event, dict[str, typing.Any]], None]
+
+
+@attrs.define(auto_exc=True, str=False)
+class CertificateError(errors.CodedError):
+    """A certificate or key that cannot be used."""
+
+    code = 'certificate_unusable'
+    template = '{path}: {reason}'
+
+    path: str
+    reason: str
+
+
+@attrs.frozen
+class Stamp:
+    """Tells one content of a file from the next without reading it."""
+
+    inode: int
+    modified_ns: int
+    size_bytes: int
+
+
+def make_adapter(
+    listener: settings_types.Listener, clock: clocks.Clock, log: Log
+) -> 'ReloadingAdapter | None':
+    """Return the adapter of a listener, None when it has no TLS.
+
+    Raises CertificateError.
+    """
+    if not listener.has_tls:
+        return None
+    return ReloadingAdapter(
+        listener.certificate_path, listener.key_path, clock, log
+    )
+
+
+class ReloadingAdapter(cheroot_ssl.Adapter):
+    """Wraps accepted sockets; takes up new files as they appear.
+
+    New connections use the new certificate; open ones go on with theirs. A
+    pair that cannot be used is logged and the one before stays.
+    """
+
+    def __init__(
+        self, certificate: str, key: str, clock: clocks.Clock, log: Log
+    ) -> None:
+        super().__init__(certificate, key)
+        self._clock = clock
+        self._log = log
+        self._lock = threading.Lock()
+        self._stamps = self._read_stamps()
+        self._check_at_ms = clock.monotonic_ms() + CHECK_INTERVAL_MS
+        self.context = load_context(certificate, key)
+
+    def bind(self, sock):
+        """Return the listening socket as it is."""
+        return sock
+
+    def wrap(self, sock):
+        """Return the socket with TLS and the entries for WSGI.
+
+        The handshake is left to the thread that reads first, so that a
+        client that is slow with it does not keep others from connecting.
+        """
+        self._reload_when_due()
+        try:
+            wrapped = self.context.wrap_socket(
+                sock, server_side=True, do_handshake_on_connect=False
+            )
+        except OSError as error:
+            raise cheroot_errors.FatalSSLAlert(*error.args) from error
+        return wrapped, self.get_environ()
+
+    def get_environ(self):
+        """Return the entries for WSGI."""
+        return {'wsgi.url_scheme': 'https', 'HTTPS': 'on'}
+
+    def makefile(self, sock, mode='r', bufsize=-1):
+        """Return a file object of the socket."""
+        is_reader = 'r' in mode
+        kind = makefile.StreamReader if is_reader else makefile.StreamWriter
+        return kind(sock, mode, bufsize)
+
+    def _reload_when_due(self) -> None:
+        now_ms = self._clock.monotonic_ms()
+        with self._lock:
+            if now_ms < self._check_at_ms:
+                return
+            self._check_at_ms = now_ms + CHECK_INTERVAL_MS
+            try:
+                self._reload_when_changed()
+            except CertificateError as error:
+                fields = {'path': error.path, 'reason': error.reason}
+                self._log(events.Event.CERTIFICATE_REFUSED, fields)
+
+    def _reload_when_changed(self) -> None:
+        stamps = self._read_stamps()
+        if stamps == self._stamps:
+            return
+        # Set first, so that a bad pair is reported once.
+        self._stamps = stamps
+        self.context = load_context(self.certificate, self.private_key)
+        fields = {'path': self.certificate}
+        self._log(events.Event.CERTIFICATE_LOADED, fields)
+
+    def _read_stamps(self) -> tuple[Stamp, Stamp]:
+        return (read_stamp(self.certificate), read_stamp(self.private_key))
+
+
+def read_stamp(path: str) -> Stamp:
+    """Return the stamp of the file at ``path``; raises CertificateError."""
+    try:
+        found = os.stat(path)
+    except (OSError, ValueError) as error:
+        raise CertificateError(path, str(error)) from error
+    return Stamp(found.st_ino, found.st_mtime_ns, found.st_size)
+
+
+def load_context(certificate: str, key: str) -> ssl.SSLContext:
+    """Return a server's context for the pair; raises CertificateError."""
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    context.minimum_version = ssl.TLSVersion.TLSv1_2
+    try:
+        context.load_cert_chain(certificate, key)
+    except (OSError, ValueError) as error:
+        raise CertificateError(certificate, str(error)) from error
+    return context
--- a/tests/settings/test_settings.py
+++ b/tests/settings/test_settings.py
@@ -64,6 +64,18 @@
     assert any(fault in found for found in faults_of(old, new))
 
 
+@pytest.mark.parametrize(
+    'address, pair',
+    [
+        ('10.0.0.1:80', ('10.0.0.1', 80)),
+        ('[fd00::1]:8080', ('fd00::1', 8080)),
+    ],
+)
+def test_address_is_split(address, pair):
+    text = TEXT.replace('10.20.0.4:8445', f"'{address}'")
+    assert settings.parse_settings(text).peers.host_and_port == pair
+
+
 @pytest.mark.parametrize('environ', [{}, {'GODWITGLADE_SECRET': 'short'}])
 def test_secret_must_be_long(environ):
     with pytest.raises(settings.SettingsError, match='secret.variable'):
