Split the kinds of values from their checks

Change: common/kinds.py holds the kinds and how they read; exit statuses of the command's errors are class attributes. Conclusion: no change of behaviour.

--- a/bench/references.py
+++ b/bench/references.py
@@ -15,6 +15,7 @@
 from godwitglade.command import status
 from godwitglade.common import errors
 from godwitglade.common import events
+from godwitglade.common import kinds
 from godwitglade.common import validation
 from godwitglade.daemon import settings_schema
 from godwitglade.decisions import outcomes
@@ -118,7 +119,7 @@
     )
 
 
-def _schema_sections(path: str, kind: validation.Object) -> str:
+def _schema_sections(path: str, kind: kinds.Object) -> str:
     rows = [
         (
             f'`{name}`',
@@ -139,36 +140,36 @@
 
 
 @functools.singledispatch
-def _objects_in(kind) -> list[tuple[str, validation.Object]]:
+def _objects_in(kind) -> list[tuple[str, kinds.Object]]:
     return []
 
 
 @_objects_in.register
-def _object(kind: validation.Object) -> list[tuple[str, validation.Object]]:
+def _object(kind: kinds.Object) -> list[tuple[str, kinds.Object]]:
     return [('', kind)]
 
 
 @_objects_in.register
 def _optional(
-    kind: validation.Optional,
-) -> list[tuple[str, validation.Object]]:
+    kind: kinds.Optional,
+) -> list[tuple[str, kinds.Object]]:
     return _objects_in(kind.kind)
 
 
 @_objects_in.register
-def _items(kind: validation.Items) -> list[tuple[str, validation.Object]]:
+def _items(kind: kinds.Items) -> list[tuple[str, kinds.Object]]:
     return [('[]' + suffix, inner) for suffix, inner in _objects_in(kind.kind)]
 
 
 def describe(kind: typing.Any) -> str:
     """Return what a value may be, as faults say it."""
-    return validation.describe(kind)
+    return kinds.describe(kind)
 
 
-def _default(kind: validation.Object, name: str) -> str:
-    if validation.is_required(kind, name):
+def _default(kind: kinds.Object, name: str) -> str:
+    if kinds.is_required(kind, name):
         return 'required'
-    return _show_default(validation.default_of(kind, name))
+    return _show_default(kinds.default_of(kind, name))
 
 
 def _show_default(value: typing.Any) -> str:
--- a/packages/command/src/godwitglade/command/errors.py
+++ b/packages/command/src/godwitglade/command/errors.py
@@ -24,11 +24,7 @@
     """An error that ends the command with `exit_status`."""
 
     code = 'command'
-
-    @property
-    def exit_status(self) -> status.ExitStatus:
-        """Return the status that the command ends with."""
-        return status.ExitStatus.ERROR
+    exit_status: typing.ClassVar[status.ExitStatus] = status.ExitStatus.ERROR
 
 
 @attrs.define(auto_exc=True, str=False)
@@ -36,16 +32,12 @@
     """An option that is missing or does not fit."""
 
     code = 'option'
+    exit_status = status.ExitStatus.USAGE
     template = '{option}: {reason}'
 
     option: str
     reason: str
 
-    @property
-    def exit_status(self) -> status.ExitStatus:
-        """Return the status of wrong usage."""
-        return status.ExitStatus.USAGE
-
 
 @attrs.define(auto_exc=True, str=False)
 class NotSentError(CommandError):
@@ -53,16 +45,12 @@
 
     code = 'not_sent'
     is_retryable = True
+    exit_status = status.ExitStatus.UNAVAILABLE
     template = '{url} was not reached: {reason}'
 
     url: str
     reason: str
 
-    @property
-    def exit_status(self) -> status.ExitStatus:
-        """Return the status of a server that is not reachable."""
-        return status.ExitStatus.UNAVAILABLE
-
 
 @attrs.define(auto_exc=True, str=False)
 class AnswerLostError(CommandError):
@@ -70,31 +58,23 @@
 
     code = 'answer_lost'
     is_retryable = True
+    exit_status = status.ExitStatus.UNKNOWN
     template = 'no answer from {url}: {reason}'
 
     url: str
     reason: str
 
-    @property
-    def exit_status(self) -> status.ExitStatus:
-        """Return the status of an effect that is not known."""
-        return status.ExitStatus.UNKNOWN
-
 
 @attrs.define(auto_exc=True, str=False)
 class UnsettledError(CommandError):
     """A change that may have been applied under ``change_id``."""
 
     code = 'unsettled'
+    exit_status = status.ExitStatus.UNKNOWN
     template = 'it is not known whether change {change_id} was applied'
 
     change_id: str
 
-    @property
-    def exit_status(self) -> status.ExitStatus:
-        """Return the status of an effect that is not known."""
-        return status.ExitStatus.UNKNOWN
-
 
 @attrs.define(auto_exc=True, str=False)
 class ServerError(CommandError):
--- a/packages/common/src/godwitglade/common/validation.py
+++ b/packages/common/src/godwitglade/common/validation.py
@@ -1,11 +1,9 @@
 """Checks plain data against a schema and lists every fault with its path.
 
-A schema is an `Object` that names an attrs class and a `Field` for each of
-its attributes. Defaults come from the attrs class; a field without one is
-required. `read` returns the finished object or raises `FaultsError`.
+A schema is made of `kinds`. `read` returns the finished object or raises
+`FaultsError`.
 """
 
-import enum
 import functools
 import re
 import typing
@@ -13,6 +11,7 @@
 import attrs
 
 from godwitglade.common import errors
+from godwitglade.common import kinds
 from godwitglade.common import suggestions
 
 SHOWN_CHARS = 40
@@ -43,83 +42,11 @@
         return '; '.join(str(fault) for fault in self.faults)
 
 
-@attrs.frozen
-class Number:
-    """A whole number within bounds, both included."""
-
-    minimum: int
-    maximum: int
-    unit: str = ''
-
-
-@attrs.frozen
-class Text:
-    """A string; ``pattern`` has to match all of it."""
-
-    pattern: str = r'[^\x00-\x1f\x7f]+'
-    description: str = 'text on one line'
-    max_chars: int = 256
-
-
-@attrs.frozen
-class Flag:
-    """True or false."""
-
-
-@attrs.frozen
-class Choice:
-    """One of the values of an enumeration."""
-
-    options: type[enum.Enum]
-
-
-@attrs.frozen
-class Items:
-    """A list of ``kind``, read as a tuple."""
-
-    kind: typing.Any
-    minimum: int = 0
-    maximum: int = 1_000
-
-
-@attrs.frozen
-class Mapping:
-    """A mapping from ``keys`` to ``values``."""
-
-    keys: typing.Any
-    values: typing.Any
-    minimum: int = 1
-    maximum: int = 100
-
-
-@attrs.frozen
-class Optional:
-    """A value of ``kind`` or null."""
-
-    kind: typing.Any
-
-
-@attrs.frozen
-class Field:
-    """One attribute: what it may hold and a sentence of help."""
-
-    kind: typing.Any
-    help: str
-
-
-@attrs.frozen
-class Object:
-    """An attrs class and a field for each of its attributes."""
-
-    result: type
-    fields: dict[str, Field]
-
-
 #: Stands for a value that has a fault.
 INVALID = object()
 
 
-def read(schema: Object, plain: typing.Any) -> typing.Any:
+def read(schema: kinds.Object, plain: typing.Any) -> typing.Any:
     """Return ``plain`` as the attrs class of ``schema``.
 
     Raises FaultsError with every fault.
@@ -141,45 +68,45 @@
 
 
 @check.register
-def _check_number(kind: Number, value, path, faults):
+def _check_number(kind: kinds.Number, value, path, faults):
     is_number = type(value) is int
     if is_number and kind.minimum <= value <= kind.maximum:
         return value
-    return _refuse(describe(kind), value, path, faults)
+    return _refuse(kinds.describe(kind), value, path, faults)
 
 
 @check.register
-def _check_text(kind: Text, value, path, faults):
+def _check_text(kind: kinds.Text, value, path, faults):
     if type(value) is not str:
-        hint = describe(kind)
+        hint = kinds.describe(kind)
         if value is not None and not isinstance(value, (dict, list)):
             hint += ' (quote it)'
         return _refuse(hint, value, path, faults)
     is_short = len(value) <= kind.max_chars
     if is_short and re.fullmatch(kind.pattern, value):
         return value
-    return _refuse(describe(kind), value, path, faults)
+    return _refuse(kinds.describe(kind), value, path, faults)
 
 
 @check.register
-def _check_flag(kind: Flag, value, path, faults):
+def _check_flag(kind: kinds.Flag, value, path, faults):
     if type(value) is bool:
         return value
-    return _refuse(describe(kind), value, path, faults)
+    return _refuse(kinds.describe(kind), value, path, faults)
 
 
 @check.register
-def _check_choice(kind: Choice, value, path, faults):
+def _check_choice(kind: kinds.Choice, value, path, faults):
     for option in kind.options:
         if type(value) is str and option.value == value:
             return option
-    return _refuse(describe(kind), value, path, faults)
+    return _refuse(kinds.describe(kind), value, path, faults)
 
 
 @check.register
-def _check_items(kind: Items, value, path, faults):
+def _check_items(kind: kinds.Items, value, path, faults):
     if type(value) is not list:
-        return _refuse(describe(kind), value, path, faults)
+        return _refuse(kinds.describe(kind), value, path, faults)
     if not kind.minimum <= len(value) <= kind.maximum:
         expected = f'{kind.minimum}..{kind.maximum} items'
         return _refuse(expected, len(value), path, faults)
@@ -191,9 +118,9 @@
 
 
 @check.register
-def _check_mapping(kind: Mapping, value, path, faults):
+def _check_mapping(kind: kinds.Mapping, value, path, faults):
     if type(value) is not dict:
-        return _refuse(describe(kind), value, path, faults)
+        return _refuse(kinds.describe(kind), value, path, faults)
     if not kind.minimum <= len(value) <= kind.maximum:
         expected = f'{kind.minimum}..{kind.maximum} entries'
         return _refuse(expected, len(value), path, faults)
@@ -209,26 +136,26 @@
 
 
 @check.register
-def _check_optional(kind: Optional, value, path, faults):
+def _check_optional(kind: kinds.Optional, value, path, faults):
     if value is None:
         return None
     return check(kind.kind, value, path, faults)
 
 
 @check.register
-def _check_object(kind: Object, value, path, faults):
+def _check_object(kind: kinds.Object, value, path, faults):
     if type(value) is not dict:
-        return _refuse(describe(kind), value, path or '$', faults)
+        return _refuse(kinds.describe(kind), value, path or '$', faults)
     faults.extend(_unknown_keys(kind, value, path))
     found = {
         name: _check_field(kind, name, value, path, faults)
         for name in kind.fields
-        if name in value or is_required(kind, name)
+        if name in value or kinds.is_required(kind, name)
     }
     return INVALID if _has_fault(found.values()) else kind.result(**found)
 
 
-def _check_field(kind: Object, name: str, value, path, faults):
+def _check_field(kind: kinds.Object, name: str, value, path, faults):
     place = join(path, name)
     if name in value:
         return check(kind.fields[name].kind, value[name], place, faults)
@@ -236,19 +163,6 @@
     return INVALID
 
 
-def is_required(kind: Object, name: str) -> bool:
-    """Tell whether the attribute has no default."""
-    return attrs.fields_dict(kind.result)[name].default is attrs.NOTHING
-
-
-def default_of(kind: Object, name: str) -> typing.Any:
-    """Return the default of an attribute that is not required."""
-    default = attrs.fields_dict(kind.result)[name].default
-    if isinstance(default, attrs.Factory):
-        return default.factory()
-    return default
-
-
 def join(path: str, key: typing.Any) -> str:
     """Return the path of ``key`` below ``path``."""
     name = show(key) if type(key) is not str else key[:SHOWN_CHARS]
@@ -268,53 +182,7 @@
     return shown[:SHOWN_CHARS] + '...' if is_long else shown
 
 
-@functools.singledispatch
-def describe(kind) -> str:
-    """Return what a value of ``kind`` looks like, with its unit."""
-    raise NotImplementedError(type(kind).__name__)
-
-
-@describe.register
-def _describe_number(kind: Number) -> str:
-    return f'{kind.minimum}..{kind.maximum} {kind.unit}'.rstrip()
-
-
-@describe.register
-def _describe_text(kind: Text) -> str:
-    return f'{kind.description} of at most {kind.max_chars} characters'
-
-
-@describe.register
-def _describe_flag(kind: Flag) -> str:
-    return 'true or false'
-
-
-@describe.register
-def _describe_choice(kind: Choice) -> str:
-    return 'one of ' + ', '.join(option.value for option in kind.options)
-
-
-@describe.register
-def _describe_items(kind: Items) -> str:
-    return f'a list of {kind.minimum}..{kind.maximum} items'
-
-
-@describe.register
-def _describe_mapping(kind: Mapping) -> str:
-    return f'a mapping of {describe(kind.keys)} to {describe(kind.values)}'
-
-
-@describe.register
-def _describe_optional(kind: Optional) -> str:
-    return f'{describe(kind.kind)}, or null'
-
-
-@describe.register
-def _describe_object(kind: Object) -> str:
-    return 'a mapping'
-
-
-def _unknown_keys(kind: Object, value: dict, path: str) -> list[Fault]:
+def _unknown_keys(kind: kinds.Object, value: dict, path: str) -> list[Fault]:
     return [
         Fault(join(path, key), suggestions.unknown_key(key, kind.fields))
         for key in value
--- a/packages/daemon/src/godwitglade/daemon/settings_schema.py
+++ b/packages/daemon/src/godwitglade/daemon/settings_schema.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from godwitglade.common import kinds
 from godwitglade.common import validation
 from godwitglade.daemon import settings_types
 from godwitglade.operators import access
@@ -20,7 +21,7 @@
     """An IP number and a port, like ``10.0.0.1:8080``."""
 
 
-@validation.describe.register
+@kinds.describe.register
 def _describe_address(kind: Address) -> str:
     return 'an IP number and port like 10.0.0.1:8080 or [fd00::1]:8080'
 
@@ -29,7 +30,7 @@
 def _check_address(kind: Address, value, path, faults):
     if type(value) is str and _is_address(value):
         return value
-    expected = validation.describe(kind)
+    expected = kinds.describe(kind)
     reason = f'must be {expected}, not {validation.show(value)}'
     faults.append(validation.Fault(path, reason))
     return validation.INVALID
@@ -46,78 +47,71 @@
     return ip_address.version == (6 if match[1] else 4)
 
 
-NAME = validation.Text(
-    r'[a-z0-9][a-z0-9._-]*',
-    'lower-case letters, digits, dots, dashes and underscores',
-    64,
-)
-URL = validation.Text(
+URL = kinds.Text(
     r'https?://[A-Za-z0-9.:\[\]_-]+(/[A-Za-z0-9._/-]*)?', 'an HTTP URL'
 )
-FILE_PATH = validation.Text(description='the path of a file')
-HASH = validation.Text(r'[0-9a-f]{64}', '64 lower-case hexadecimal digits', 64)
-VARIABLE = validation.Text(
+FILE_PATH = kinds.Text(description='the path of a file')
+HASH = kinds.Text(r'[0-9a-f]{64}', '64 lower-case hexadecimal digits', 64)
+VARIABLE = kinds.Text(
     r'[A-Za-z_][A-Za-z0-9_]*', 'the name of an environment variable', 64
 )
 
 
-def _threads(purpose: str) -> validation.Field:
-    kind = validation.Number(1, MAX_THREADS, 'threads')
-    return validation.Field(kind, f'Threads that {purpose}.')
+def _threads(purpose: str) -> kinds.Field:
+    kind = kinds.Number(1, MAX_THREADS, 'threads')
+    return kinds.Field(kind, f'Threads that {purpose}.')
 
 
-LISTENER = validation.Object(
+LISTENER = kinds.Object(
     settings_types.Listener,
     {
-        'address': validation.Field(Address(), 'Address to listen on.'),
-        'certificate_path': validation.Field(
-            validation.Optional(FILE_PATH),
+        'address': kinds.Field(Address(), 'Address to listen on.'),
+        'certificate_path': kinds.Field(
+            kinds.Optional(FILE_PATH),
             'PEM certificate chain; TLS is on when given.',
         ),
-        'key_path': validation.Field(
-            validation.Optional(FILE_PATH), 'PEM private key.'
-        ),
+        'key_path': kinds.Field(kinds.Optional(FILE_PATH), 'PEM private key.'),
     },
 )
 
-PLATFORM = validation.Object(
+PLATFORM = kinds.Object(
     settings_types.Platform,
     {
-        'table_url': validation.Field(URL, 'Base URL of the table service.'),
-        'objects_url': validation.Field(URL, 'Base URL of the object store.'),
-        'host_list_url': validation.Field(URL, 'Base URL of the host list.'),
+        'table_url': kinds.Field(URL, 'Base URL of the table service.'),
+        'objects_url': kinds.Field(URL, 'Base URL of the object store.'),
+        'host_list_url': kinds.Field(URL, 'Base URL of the host list.'),
     },
 )
 
-SECRET = validation.Object(
+SECRET = kinds.Object(
     settings_types.Secret,
     {
-        'path': validation.Field(
-            validation.Optional(FILE_PATH), 'File that holds the secret.'
+        'path': kinds.Field(
+            kinds.Optional(FILE_PATH), 'File that holds the secret.'
         ),
-        'variable': validation.Field(
-            validation.Optional(VARIABLE),
+        'variable': kinds.Field(
+            kinds.Optional(VARIABLE),
             'Environment variable that holds the secret.',
         ),
     },
 )
 
-TOKEN = validation.Object(
+TOKEN = kinds.Object(
     access.Token,
     {
-        'name': validation.Field(
-            NAME, 'Name of the owner, as the audit trail shows it.'
+        'name': kinds.Field(
+            kinds.NAME, 'Name of the owner, as the audit trail shows it.'
         ),
-        'role': validation.Field(
-            validation.Choice(access.Role),
+        'role': kinds.Field(
+            kinds.Choice(access.Role),
             'operator changes the documents of its team; monitor reads all.',
         ),
-        'sha256': validation.Field(HASH, 'SHA-256 of the token.'),
-        'team': validation.Field(NAME, 'Team of an operator.'),
+        'sha256': kinds.Field(HASH, 'SHA-256 of the token.'),
+        'team': kinds.Field(kinds.NAME, 'Team of an operator.'),
     },
 )
 
-THREADS = validation.Object(
+THREADS = kinds.Object(
     settings_types.Threads,
     {
         'callers': _threads('serve callers, one for each open request'),
@@ -128,48 +122,48 @@
     },
 )
 
-BOUNDS = validation.Object(
+BOUNDS = kinds.Object(
     settings_types.Bounds,
     {
-        'max_body_bytes': validation.Field(
-            validation.Number(1_024, MAX_BODY_BYTES, 'bytes'),
+        'max_body_bytes': kinds.Field(
+            kinds.Number(1_024, MAX_BODY_BYTES, 'bytes'),
             'Longest body accepted from a caller or an operator.',
         ),
-        'max_in_flight': validation.Field(
-            validation.Number(1, MAX_REQUESTS, 'requests'),
+        'max_in_flight': kinds.Field(
+            kinds.Number(1, MAX_REQUESTS, 'requests'),
             'Requests that may run at the same time.',
         ),
-        'max_queued': validation.Field(
-            validation.Number(0, MAX_REQUESTS, 'requests'),
+        'max_queued': kinds.Field(
+            kinds.Number(0, MAX_REQUESTS, 'requests'),
             'Requests that may wait; more are refused.',
         ),
     },
 )
 
-SETTINGS = validation.Object(
+SETTINGS = kinds.Object(
     settings_types.Settings,
     {
-        'host': validation.Field(NAME, 'Name of the host, unique.'),
-        'zone': validation.Field(NAME, 'Name of its data centre.'),
-        'callers': validation.Field(LISTENER, 'Listener for callers.'),
-        'operators': validation.Field(LISTENER, 'Listener for operators.'),
-        'peers': validation.Field(LISTENER, 'Listener for other hosts.'),
-        'platform': validation.Field(PLATFORM, 'Services of the platform.'),
-        'secret': validation.Field(
+        'host': kinds.Field(kinds.NAME, 'Name of the host, unique.'),
+        'zone': kinds.Field(kinds.NAME, 'Name of its data centre.'),
+        'callers': kinds.Field(LISTENER, 'Listener for callers.'),
+        'operators': kinds.Field(LISTENER, 'Listener for operators.'),
+        'peers': kinds.Field(LISTENER, 'Listener for other hosts.'),
+        'platform': kinds.Field(PLATFORM, 'Services of the platform.'),
+        'secret': kinds.Field(
             SECRET, 'Secret that hosts authenticate one another with.'
         ),
-        'tokens': validation.Field(
-            validation.Items(TOKEN), 'Tokens of operators and the monitor.'
+        'tokens': kinds.Field(
+            kinds.Items(TOKEN), 'Tokens of operators and the monitor.'
         ),
-        'statsd_address': validation.Field(
-            validation.Optional(Address()),
+        'statsd_address': kinds.Field(
+            kinds.Optional(Address()),
             'Address of the statsd server; null sends no metrics.',
         ),
-        'log_level': validation.Field(
-            validation.Choice(settings_types.LogLevel),
+        'log_level': kinds.Field(
+            kinds.Choice(settings_types.LogLevel),
             'Least severe level that is logged.',
         ),
-        'threads': validation.Field(THREADS, 'Numbers of threads.'),
-        'bounds': validation.Field(BOUNDS, 'Bounds on what it takes in.'),
+        'threads': kinds.Field(THREADS, 'Numbers of threads.'),
+        'bounds': kinds.Field(BOUNDS, 'Bounds on what it takes in.'),
     },
 )
--- a/packages/operators/src/godwitglade/operators/app.py
+++ b/packages/operators/src/godwitglade/operators/app.py
@@ -13,6 +13,7 @@
 from godwitglade.common import codec
 from godwitglade.common import errors as common_errors
 from godwitglade.common import events
+from godwitglade.common import kinds
 from godwitglade.common import validation
 from godwitglade.common import web
 from godwitglade.coordination import change_rows
@@ -27,7 +28,7 @@
 MAX_AUDIT_LIMIT = 1_000
 MAX_SEQUENCE = 10**12
 
-CHANGE_ID = validation.Text(
+CHANGE_ID = kinds.Text(
     r'[A-Za-z0-9-]{16,64}', '16..64 letters, digits and dashes', 64
 )
 
@@ -41,18 +42,16 @@
     text: str | None
 
 
-CHANGE_BODY = validation.Object(
+CHANGE_BODY = kinds.Object(
     ChangeBody,
     {
-        'based_on': validation.Field(
-            validation.Number(0, MAX_SEQUENCE),
+        'based_on': kinds.Field(
+            kinds.Number(0, MAX_SEQUENCE),
             'Version that the text was edited from; 0 for a new document.',
         ),
-        'change_id': validation.Field(CHANGE_ID, 'Made by the client.'),
-        'text': validation.Field(
-            validation.Optional(
-                validation.Text(r'(?s).*', 'text', MAX_BODY_BYTES)
-            ),
+        'change_id': kinds.Field(CHANGE_ID, 'Made by the client.'),
+        'text': kinds.Field(
+            kinds.Optional(kinds.Text(r'(?s).*', 'text', MAX_BODY_BYTES)),
             'New text of the document; null removes it.',
         ),
     },
@@ -194,12 +193,12 @@
         return _to_pair(self._gateway.settle(change_id), token)
 
     def _audit(self, query: dict[str, str]) -> typing.Any:
-        after = _number(query, 'after', 0, validation.Number(0, MAX_SEQUENCE))
+        after = _number(query, 'after', 0, kinds.Number(0, MAX_SEQUENCE))
         limit = _number(
             query,
             'limit',
             DEFAULT_AUDIT_LIMIT,
-            validation.Number(1, MAX_AUDIT_LIMIT, 'records'),
+            kinds.Number(1, MAX_AUDIT_LIMIT, 'records'),
         )
         return self._gateway.audit(after, limit)
 
@@ -227,7 +226,7 @@
 
 
 def _number(
-    query: dict[str, str], name: str, default: int, kind: validation.Number
+    query: dict[str, str], name: str, default: int, kind: kinds.Number
 ) -> int:
     text = query.get(name)
     if text is None:
--- a/packages/operators/src/godwitglade/operators/schema.py
+++ b/packages/operators/src/godwitglade/operators/schema.py
@@ -1,6 +1,6 @@
 """What a pipeline's document may hold, field by field."""
 
-from godwitglade.common import validation
+from godwitglade.common import kinds
 from godwitglade.decisions import documents
 
 MAX_DEADLINE_MS = 600_000
@@ -11,123 +11,115 @@
 MAX_IN_FLIGHT_PER_TARGET = 4_096
 MAX_RANK = 100
 
-NAME = validation.Text(
-    r'[a-z0-9][a-z0-9._-]*',
-    'lower-case letters, digits, dots, dashes and underscores',
-    64,
-)
-VERSION = validation.Text(
-    r'[A-Za-z0-9][A-Za-z0-9._+-]*', 'a version label', 64
-)
-PATH = validation.Text(r'/[A-Za-z0-9/._-]*', 'a path that starts with /', 128)
+VERSION = kinds.Text(r'[A-Za-z0-9][A-Za-z0-9._+-]*', 'a version label', 64)
+PATH = kinds.Text(r'/[A-Za-z0-9/._-]*', 'a path that starts with /', 128)
 
-MODEL = validation.Object(
+MODEL = kinds.Object(
     documents.Model,
     {
-        'name': validation.Field(NAME, 'Name of the model.'),
-        'version': validation.Field(
+        'name': kinds.Field(kinds.NAME, 'Name of the model.'),
+        'version': kinds.Field(
             VERSION, 'Version to serve; in quotes when it looks a number.'
         ),
-        'adapters': validation.Field(
-            validation.Items(NAME, maximum=64),
+        'adapters': kinds.Field(
+            kinds.Items(kinds.NAME, maximum=64),
             'Adapters loaded together with the model.',
         ),
     },
 )
 
-STAGE = validation.Object(
+STAGE = kinds.Object(
     documents.Stage,
     {
-        'name': validation.Field(NAME, 'Name of the stage, unique here.'),
-        'kind': validation.Field(
-            validation.Choice(documents.StageKind),
+        'name': kinds.Field(kinds.NAME, 'Name of the stage, unique here.'),
+        'kind': kinds.Field(
+            kinds.Choice(documents.StageKind),
             'What the stage does; generate is served by model engines and '
             'call by plain services.',
         ),
-        'pool': validation.Field(
-            NAME, 'Pool of targets that run it, as the host list names it.'
+        'pool': kinds.Field(
+            kinds.NAME,
+            'Pool of targets that run it, as the host list names it.',
         ),
-        'budget_ms': validation.Field(
-            validation.Number(1, MAX_DEADLINE_MS, 'ms'),
+        'budget_ms': kinds.Field(
+            kinds.Number(1, MAX_DEADLINE_MS, 'ms'),
             'Bound on one attempt; at most the deadline.',
         ),
-        'is_repeatable': validation.Field(
-            validation.Flag(),
+        'is_repeatable': kinds.Field(
+            kinds.Flag(),
             'False for a call that runs at most once for an idempotency key.',
         ),
-        'is_hedged': validation.Field(
-            validation.Flag(),
+        'is_hedged': kinds.Field(
+            kinds.Flag(),
             'Whether a slow attempt may get one rival on another target.',
         ),
-        'in_answer': validation.Field(
-            validation.Flag(),
+        'in_answer': kinds.Field(
+            kinds.Flag(),
             'Whether the output is part of the answer; the last stage is '
             'always.',
         ),
-        'path': validation.Field(PATH, 'HTTP path on the target.'),
-        'model': validation.Field(
-            validation.Optional(MODEL), 'Model of a generate stage.'
+        'path': kinds.Field(PATH, 'HTTP path on the target.'),
+        'model': kinds.Field(
+            kinds.Optional(MODEL), 'Model of a generate stage.'
         ),
     },
 )
 
-WORKSPACE = validation.Object(
+WORKSPACE = kinds.Object(
     documents.Workspace,
     {
-        'name': validation.Field(NAME, 'Name of the workspace.'),
-        'share': validation.Field(
-            validation.Number(1, MAX_SHARE), 'Weight in fair sharing.'
-        ),
-        'max_in_flight': validation.Field(
-            validation.Optional(
-                validation.Number(1, MAX_IN_FLIGHT, 'requests')
-            ),
+        'name': kinds.Field(kinds.NAME, 'Name of the workspace.'),
+        'share': kinds.Field(
+            kinds.Number(1, MAX_SHARE), 'Weight in fair sharing.'
+        ),
+        'max_in_flight': kinds.Field(
+            kinds.Optional(kinds.Number(1, MAX_IN_FLIGHT, 'requests')),
             'Bound on requests in flight over all hosts; null for none.',
         ),
     },
 )
 
-POOL = validation.Object(
+POOL = kinds.Object(
     documents.Pool,
     {
-        'name': validation.Field(NAME, 'Name of the pool.'),
-        'checks_fencing': validation.Field(
-            validation.Flag(),
+        'name': kinds.Field(kinds.NAME, 'Name of the pool.'),
+        'checks_fencing': kinds.Field(
+            kinds.Flag(),
             'Whether its engines refuse orders with an old fencing number.',
         ),
-        'max_in_flight_per_target': validation.Field(
-            validation.Number(1, MAX_IN_FLIGHT_PER_TARGET, 'calls'),
+        'max_in_flight_per_target': kinds.Field(
+            kinds.Number(1, MAX_IN_FLIGHT_PER_TARGET, 'calls'),
             'Bound on calls in flight from one host to one target.',
         ),
     },
 )
 
-DOCUMENT = validation.Object(
+DOCUMENT = kinds.Object(
     documents.Document,
     {
-        'pipeline': validation.Field(NAME, 'Name of the pipeline.'),
-        'team': validation.Field(NAME, 'Team that owns the document.'),
-        'deadline_ms': validation.Field(
-            validation.Number(1, MAX_DEADLINE_MS, 'ms'),
+        'pipeline': kinds.Field(kinds.NAME, 'Name of the pipeline.'),
+        'team': kinds.Field(kinds.NAME, 'Team that owns the document.'),
+        'deadline_ms': kinds.Field(
+            kinds.Number(1, MAX_DEADLINE_MS, 'ms'),
             'Longest time of a request; callers may ask for less.',
         ),
-        'stages': validation.Field(
-            validation.Items(STAGE, 1, MAX_STAGES),
+        'stages': kinds.Field(
+            kinds.Items(STAGE, 1, MAX_STAGES),
             'Stages in the order in which they run.',
         ),
-        'workspaces': validation.Field(
-            validation.Items(WORKSPACE, 1, MAX_WORKSPACES),
+        'workspaces': kinds.Field(
+            kinds.Items(WORKSPACE, 1, MAX_WORKSPACES),
             'Workspaces that may send requests.',
         ),
-        'pools': validation.Field(
-            validation.Items(POOL), 'Properties of pools, where not default.'
+        'pools': kinds.Field(
+            kinds.Items(POOL), 'Properties of pools, where not default.'
         ),
-        'priorities': validation.Field(
-            validation.Mapping(NAME, validation.Number(0, MAX_RANK)),
+        'priorities': kinds.Field(
+            kinds.Mapping(kinds.NAME, kinds.Number(0, MAX_RANK)),
             'Names that callers use and their ranks; lower ranks go first.',
         ),
-        'default_priority': validation.Field(
-            NAME, 'Priority of a request that names none.'
+        'default_priority': kinds.Field(
+            kinds.NAME, 'Priority of a request that names none.'
         ),
     },
 )
