Add facts with time to live and estimates of workspace use

Cause: leaving and ejected targets, strikes, quarantine and use of workspaces have to be known on every host at a bounded cost. Change: facts on the exchange, urgent ones passed on at once; use of workspaces by samples of the largest counts; documents apply line patches; claim messages are registered for the wire.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -6,12 +6,14 @@
 
 import attrs
 
-from godwitglade.coordination import bodies
+from godwitglade.common import codec
+from godwitglade.coordination import change_rows
 from godwitglade.coordination import effects
+from godwitglade.coordination import facts
 from godwitglade.coordination import hosts
 from godwitglade.coordination import membership
 from godwitglade.coordination import messages
-from godwitglade.coordination import platform_rows
+from godwitglade.coordination import patches
 from godwitglade.coordination import rows
 from godwitglade.coordination import spread
 
@@ -22,25 +24,31 @@
 class Store:
     """The platform's table and objects, as far as documents need them."""
 
-    changes: list[bodies.Change] = attrs.Factory(list)
+    changes: list[change_rows.ChangeRow] = attrs.Factory(list)
     documents: dict[str, rows.Row] = attrs.Factory(dict)
     objects: dict[str, bytes] = attrs.Factory(dict)
     read_count: int = 0
     is_down: bool = False
 
     def change(
-        self, pipeline: str, text: str | None, patch: object = None
+        self,
+        pipeline: str,
+        text: str | None,
+        patch: patches.Patch | None = None,
     ) -> int:
         """Accept a change and return its sequence."""
         held = self.documents.get(pipeline)
         version = held.version + 1 if held else 1
         sequence = len(self.changes) + 1
-        value = {'version': version, 'sequence': sequence, 'text': text}
-        key = rows.RowKey('documents', pipeline)
+        document = change_rows.DocumentRow(version, sequence, '', text)
+        value = codec.to_plain(document)
+        key = change_rows.document_key(pipeline)
         self.documents[pipeline] = rows.Row(key, version, value)
         carried = text if patch is None else None
         self.changes.append(
-            bodies.Change(sequence, pipeline, version, carried, patch)
+            change_rows.ChangeRow(
+                sequence, pipeline, version, '', carried, patch
+            )
         )
         return sequence
 
@@ -60,16 +68,16 @@
     def _head(self) -> tuple[rows.Row, ...]:
         count = len(self.changes)
         value = {'sequence': count}
-        return (rows.Row(platform_rows.HEAD, count, value),) * bool(count)
+        return (rows.Row(change_rows.HEAD_KEY, count, value),) * bool(count)
 
     def _table(self, table: str) -> list[rows.Row]:
-        if table == platform_rows.DOCUMENTS_TABLE:
+        if table == 'documents':
             return sorted(self.documents.values(), key=lambda r: r.key.key)
         return [
             rows.Row(
-                rows.RowKey(table, platform_rows.sequence_key(one.sequence)),
+                change_rows.sequence_key(table, one.sequence),
                 1,
-                attrs.asdict(one),
+                codec.to_plain(one),
             )
             for one in self.changes
         ]
@@ -84,10 +92,14 @@
         self.is_up = True
         self.versions: dict[str, int] = {}
         self.documents = spread.Documents(host, fleet.random)
+        self.facts = facts.Facts(host, fleet.random)
         self.members = membership.Membership(
-            host, self.address, fleet.random, (self.documents,)
+            host,
+            self.address,
+            fleet.random,
+            (self.documents, self.facts),
         )
-        self.parts = (self.documents, self.members)
+        self.parts = (self.documents, self.facts, self.members)
 
     def note(self, changed: messages.DocumentChanged) -> None:
         """Record a version; fails when it is not newer."""
--- a/packages/coordination/src/godwitglade/coordination/bodies.py
+++ b/packages/coordination/src/godwitglade/coordination/bodies.py
@@ -9,7 +9,9 @@
 
 import attrs
 
+from godwitglade.coordination import claim_messages
 from godwitglade.coordination import hosts
+from godwitglade.coordination import patches
 
 
 class MemberState(enum.Enum):
@@ -48,6 +50,15 @@
     version: int
     value: typing.Any
     ttl_ms: int
+    is_urgent: bool = False
+
+
+@attrs.frozen
+class UsageRecord:
+    """Requests in flight of a workspace on the sender."""
+
+    workspace: str
+    count: int
 
 
 @attrs.frozen
@@ -62,7 +73,7 @@
     pipeline: str
     version: int
     text: str | None = None
-    patch: typing.Any = None
+    patch: patches.Patch | None = None
 
     @property
     def is_removal(self) -> bool:
@@ -95,6 +106,7 @@
     fact_digest: int = 0
     members: tuple[MemberRecord, ...] = ()
     facts: tuple[FactRecord, ...] = ()
+    usage: tuple[UsageRecord, ...] = ()
     changes: tuple[Change, ...] = ()
 
 
@@ -195,4 +207,6 @@
     'changes-given': ChangesGiven,
     'documents-asked': DocumentsAsked,
     'documents-given': DocumentsGiven,
+    'claim-question': claim_messages.ClaimQuestion,
+    'claim-answer': claim_messages.ClaimAnswer,
 }
--- a/packages/coordination/src/godwitglade/coordination/heads.py
+++ b/packages/coordination/src/godwitglade/coordination/heads.py
@@ -1,5 +1,6 @@
 """Reading the head of the change log, by a few hosts of each zone."""
 
+from godwitglade.coordination import change_rows
 from godwitglade.coordination import effects
 from godwitglade.coordination import hashing
 from godwitglade.coordination import hosts
@@ -43,7 +44,7 @@
         if self._is_asked:
             return []
         self._is_asked = True
-        keys = (platform_rows.HEAD,)
+        keys = (change_rows.HEAD_KEY,)
         return [effects.ReadRows(TOKEN, keys, READ_TIMEOUT_MS)]
 
     def take(self, result: rows.ReadResult) -> int | None:
--- a/packages/coordination/src/godwitglade/coordination/spread.py
+++ b/packages/coordination/src/godwitglade/coordination/spread.py
@@ -14,8 +14,8 @@
 import attrs
 
 from godwitglade.common import clock
-from godwitglade.common import events
 from godwitglade.coordination import bodies
+from godwitglade.coordination import change_rows
 from godwitglade.coordination import effects
 from godwitglade.coordination import fetches
 from godwitglade.coordination import heads
@@ -55,11 +55,10 @@
         self_id: hosts.HostId,
         random: randoms.Random,
         settings: Settings = Settings(),
-        patcher: versioned.Patcher | None = None,
     ) -> None:
         self._random = random
         self._settings = settings
-        self._texts = versioned.VersionedTexts(patcher)
+        self._texts = versioned.VersionedTexts()
         self._membership: memberships.Membership | None = None
         self._is_ready = False
         self._started_ms = 0
@@ -194,7 +193,9 @@
 
     def _scan_changes(self, head: int, now_ms: int) -> Effects:
         token = self._fetches.begin('rows', head, now_ms)
-        after = platform_rows.sequence_key(self.sequence)
+        after = change_rows.sequence_key(
+            platform_rows.CHANGES_TABLE, self.sequence
+        ).key
         return [
             effects.ScanRows(
                 token,
@@ -387,8 +388,4 @@
         document.sequence,
         document.text,
     )
-    fields = {'pipeline': document.pipeline, 'version': document.version}
-    return [
-        effects.Deliver(changed),
-        effects.LogEvent(events.Event.DOCUMENT_IN_FORCE, fields),
-    ]
+    return [effects.Deliver(changed)]
--- a/packages/coordination/src/godwitglade/coordination/versioned.py
+++ b/packages/coordination/src/godwitglade/coordination/versioned.py
@@ -5,18 +5,16 @@
 
 import collections
 import collections.abc
-import typing
 
 import attrs
 
 from godwitglade.common import codec
 from godwitglade.coordination import bodies
+from godwitglade.coordination import patches
 
 #: Changes kept to serve peers that are behind.
 RECENT_LIMIT = 512
 
-Patcher = collections.abc.Callable[[str, typing.Any], str]
-
 
 @attrs.frozen
 class Applied:
@@ -43,9 +41,8 @@
 class VersionedTexts:
     """The texts in force here and the last changes that led to them."""
 
-    def __init__(self, patcher: Patcher | None = None) -> None:
+    def __init__(self) -> None:
         self.sequence = 0
-        self._patcher = patcher
         self._held: dict[str, bodies.HeldDocument] = {}
         self._recent: collections.deque[bodies.Change] = collections.deque(
             maxlen=RECENT_LIMIT
@@ -99,30 +96,27 @@
         held = self._held.get(change.pipeline)
         if held is not None and held.version >= change.version:
             return AlreadyHeld()
-        if change.patch is not None and not self._has_base(held, change):
+        try:
+            text = self._text_after(held, change)
+        except patches.PatchError:
             return BaseMissing(change.pipeline)
         document = bodies.HeldDocument(
             change.pipeline,
             change.version,
             change.sequence,
-            self._text_after(held, change),
+            text,
         )
         self._held[change.pipeline] = document
         return Applied(document)
 
-    def _has_base(
-        self, held: bodies.HeldDocument | None, change: bodies.Change
-    ) -> bool:
-        if self._patcher is None or held is None or held.text is None:
-            return False
-        return held.version == change.version - 1
-
     def _text_after(
         self, held: bodies.HeldDocument | None, change: bodies.Change
     ) -> str | None:
         if change.patch is None:
             return change.text
-        return self._patcher(held.text, change.patch)
+        # The patch's digest refuses any other text than its base.
+        base = held.text if held is not None else None
+        return patches.apply(base or '', change.patch)
 
     def _record(self, change: bodies.Change) -> None:
         if change.sequence <= self.sequence:
--- a/packages/peers/src/godwitglade/peers/codec.py
+++ b/packages/peers/src/godwitglade/peers/codec.py
@@ -15,14 +15,18 @@
 from godwitglade.common import errors as common_errors
 from godwitglade.coordination import bodies
 from godwitglade.coordination import hosts
+from godwitglade.coordination import patches
 from godwitglade.peers import errors
 
 LIST_CLASSES = (
     hosts.HostId,
     bodies.MemberRecord,
     bodies.FactRecord,
+    bodies.UsageRecord,
     bodies.Change,
     bodies.HeldDocument,
+    patches.Patch,
+    patches.Edit,
 )
 
 STRUCTURE_ERRORS = (
--- a/tests/coordination/test_spread.py
+++ b/tests/coordination/test_spread.py
@@ -6,6 +6,7 @@
 from godwitglade.coordination import bodies
 from godwitglade.coordination import effects
 from godwitglade.coordination import messages
+from godwitglade.coordination import patches
 
 
 def make_fleet(host_count=9, zone_count=3, loss=0.0, seed=1, warm_ms=6_000):
@@ -102,7 +103,7 @@
     sequence = made.store.change('scans', 'text 2')
     run_until_in_force(made, sequence)
     node = made.nodes['h0']
-    old = tuple(made.store.changes) * 2
+    old = (bodies.Change(1, 'scans', 1, 'text 1'),) * 2
     exchange = bodies.Exchange(
         made.nodes['h1'].members.table.own, sequence, changes=old
     )
@@ -122,6 +123,7 @@
 
 def test_patch_without_its_base_is_replaced_by_the_whole_text():
     made = make_fleet()
-    sequence = made.store.change('scans', 'text 2', patch=['unusable'])
+    patch = patches.make('other text', 'text 2')
+    sequence = made.store.change('scans', 'text 2', patch)
     assert run_until_in_force(made, sequence) < 10_000
     assert {node.versions['scans'] for node in made.up()} == {2}
