Leave the kinds of claim messages to the daemon's codec

Cause: the daemon registers them, so that they stood twice. Change: bodies.KINDS names only the messages of this package's parts. Conclusion: one place names each kind.

--- a/packages/coordination/src/godwitglade/coordination/bodies.py
+++ b/packages/coordination/src/godwitglade/coordination/bodies.py
@@ -9,7 +9,6 @@
 
 import attrs
 
-from godwitglade.coordination import claim_messages
 from godwitglade.coordination import hosts
 from godwitglade.coordination import patches
 
@@ -207,6 +206,4 @@
     'changes-given': ChangesGiven,
     'documents-asked': DocumentsAsked,
     'documents-given': DocumentsGiven,
-    'claim-question': claim_messages.ClaimQuestion,
-    'claim-answer': claim_messages.ClaimAnswer,
 }
