Count the answering host and name refused versions in status

Cause: a status lists the other hosts only, and a version that a host holds but cannot take into force would pass for running. A certificate that is not trusted counts as not sent. Conclusion: the host has to fill StatusView.refused.

--- a/packages/command/src/godwitglade/command/fleet.py
+++ b/packages/command/src/godwitglade/command/fleet.py
@@ -36,14 +36,28 @@
 
 def measure(body: dict[str, typing.Any], sequence: int) -> Progress:
     """Return where change ``sequence`` is in force, by a status body."""
-    live = [host for host in body['hosts'] if host['state'] == LIVE]
+    hosts = all_hosts(body)
+    live = [host for host in hosts if host['state'] == LIVE]
     return Progress(
         tuple(h['name'] for h in live if h['sequence'] >= sequence),
         tuple(h['name'] for h in live if h['sequence'] < sequence),
-        tuple(h['name'] for h in body['hosts'] if h['state'] != LIVE),
+        tuple(h['name'] for h in hosts if h['state'] != LIVE),
     )
 
 
+def all_hosts(body: dict[str, typing.Any]) -> list[dict[str, typing.Any]]:
+    """Return the host that answered and those that it knows of."""
+    answering = {
+        'name': body['host'],
+        'zone': body['zone'],
+        'state': LIVE,
+        'sequence': body['sequence'],
+        'heard_ago_ms': 0,
+    }
+    others = (h for h in body['hosts'] if h['name'] != body['host'])
+    return sorted([answering, *others], key=lambda host: host['name'])
+
+
 def show(
     printer: output.Printer, server: operators.Operators
 ) -> status.ExitStatus:
@@ -55,9 +69,8 @@
 
 def _render(printer: output.Printer, body: dict[str, typing.Any]) -> None:
     columns = ('host', 'zone', 'state', 'change', 'heard', 'in force')
-    newest = max(
-        [body['sequence'], *(host['sequence'] for host in body['hosts'])]
-    )
+    hosts = all_hosts(body)
+    newest = max(host['sequence'] for host in hosts)
     rows = [
         (
             host['name'],
@@ -67,11 +80,16 @@
             _heard(host['heard_ago_ms']),
             _in_force(host, newest),
         )
-        for host in body['hosts']
+        for host in hosts
     ]
     printer.table(columns, rows)
     printer.line('')
     printer.table(('pipeline', 'version'), sorted(body['documents'].items()))
+    for entry in body.get('refused') or ():
+        printer.line(
+            f'not in force on {body["host"]}: {entry["pipeline"]} version '
+            f'{entry["version"]}: {entry["reason"]}'
+        )
 
 
 def _heard(ago_ms: int | None) -> str:
--- a/packages/command/src/godwitglade/command/http_client.py
+++ b/packages/command/src/godwitglade/command/http_client.py
@@ -1,5 +1,6 @@
 """HTTP as the command uses it, by urllib3."""
 
+import ssl
 import typing
 
 import attrs
@@ -76,11 +77,20 @@
         except _NOT_SENT as error:
             raise errors.NotSentError(request.url, str(error)) from error
         except urllib3.exceptions.HTTPError as error:
+            if _is_untrusted(error):
+                raise errors.NotSentError(request.url, str(error)) from error
             raise errors.AnswerLostError(request.url, str(error)) from error
         chunks = _chunks(request.url, response)
         return Reply(response.status, response.headers, chunks)
 
 
+def _is_untrusted(error: urllib3.exceptions.HTTPError) -> bool:
+    """Tell whether the server's certificate was not accepted."""
+    return any(
+        isinstance(part, ssl.SSLCertVerificationError) for part in error.args
+    )
+
+
 def _chunks(
     url: str, response: urllib3.BaseHTTPResponse
 ) -> typing.Iterator[bytes]:
--- a/packages/operators/src/godwitglade/operators/gateway.py
+++ b/packages/operators/src/godwitglade/operators/gateway.py
@@ -37,9 +37,22 @@
     heard_ago_ms: int | None
 
 
+@attrs.frozen
+class RefusedView:
+    """A version that this host holds but could not take into force."""
+
+    pipeline: str
+    version: int
+    reason: str
+
+
 @attrs.frozen
 class StatusView:
-    """This host, the change in force on it and all hosts it knows of."""
+    """This host, the change in force on it and all hosts it knows of.
+
+    ``refused`` names versions that are not in force here although the host
+    holds them, since its release does not understand them.
+    """
 
     host: str
     zone: str
@@ -47,6 +60,7 @@
     sequence: int
     hosts: tuple[HostView, ...]
     documents: dict[str, int] = attrs.Factory(dict)
+    refused: tuple[RefusedView, ...] = ()
 
 
 @attrs.frozen
--- a/tests/command/test_documents.py
+++ b/tests/command/test_documents.py
@@ -96,16 +96,17 @@
     fake = gateways.FakeGateway()
     behind = gateway.HostView('e2', 'b', 'x', 'live', 0, 5)
     gone = gateway.HostView('e3', 'b', 'x', 'gone', 0, None)
-    current = gateway.HostView('e1', 'a', 'x', 'live', 9, 0)
-    fake.hosts = (current, behind, gone)
+    fake.hosts = (behind, gone)
     result = apply(fake, TEXT, '--wait', '--wait-s', 2)
     assert result.status == 'NOT_IN_FORCE'
     assert 'in force on 1 of 2 live hosts; not heard' in result.stderr
     assert 'behind: e2' in result.stderr
-    fake.hosts = (current, gone)
+    fake.hosts = (gone,)
+    fake.refused = (gateway.RefusedView('checks', 2, 'unknown field'),)
     assert apply(fake, OTHER, '--overwrite', '--wait').status == 'OK'
     shown = commands.run('status', fake=fake).stdout
     assert 'not heard from since' in shown and 'never' in shown
+    assert 'not in force on e1: checks version 2: unknown field' in shown
 
 
 def test_diff_and_remove():
--- a/tests/operators/gateways.py
+++ b/tests/operators/gateways.py
@@ -67,6 +67,7 @@
         self.host = tables.Host(tables.Table(*script))
         self.quarantined = {}
         self.hosts = ()
+        self.refused = ()
         self.logged = []
 
     def apply(self, request):
@@ -99,11 +100,10 @@
     def status(self):
         views = self.documents()
         sequence = max((view.sequence for view in views), default=0)
-        hosts = self.hosts or (
-            gateway.HostView('e1', 'a', '10.0.0.1:1', 'live', sequence, 0),
-        )
         versions = {view.pipeline: view.version for view in views}
-        return gateway.StatusView('e1', 'a', True, sequence, hosts, versions)
+        return gateway.StatusView(
+            'e1', 'a', True, sequence, self.hosts, versions, self.refused
+        )
 
     def audit(self, after, limit):
         records = self.host.table.audit()
