--- a/packages/callers/src/godwitglade/callers/app.py
+++ b/packages/callers/src/godwitglade/callers/app.py
@@ -15,6 +15,7 @@
 from godwitglade.callers import rendering
 from godwitglade.common import clock as clocks
 from godwitglade.common import errors as common_errors
+from godwitglade.common import web
 from godwitglade.decisions import effects
 from godwitglade.decisions import messages
 
@@ -40,18 +41,7 @@
 
 def make_app(gateway: Gateway) -> cherrypy.Application:
     """Return the application; serve it with any WSGI server."""
-    config = {
-        '/': {
-            'request.process_request_body': False,
-            'request.show_tracebacks': False,
-            'tools.encode.on': False,
-            'tools.trailing_slash.on': False,
-        }
-    }
-    app = cherrypy.Application(Root(gateway), '', config)
-    # The structured log replaces CherryPy's access and error logs.
-    app.log.screen = False
-    return app
+    return web.make_app(Root(gateway))
 
 
 class Root:
@@ -63,14 +53,14 @@
     @cherrypy.expose
     def healthz(self) -> bytes:
         """Answer as long as the process lives."""
-        return _json(200, b'{"status": "alive"}')
+        return web.answer(200, b'{"status": "alive"}')
 
     @cherrypy.expose
     def readyz(self) -> bytes:
         """Answer 200 only while new requests are accepted."""
         if self._gateway.is_ready():
-            return _json(200, b'{"status": "ready"}')
-        return _json(503, b'{"status": "not_ready"}')
+            return web.answer(200, b'{"status": "ready"}')
+        return web.answer(503, b'{"status": "not_ready"}')
 
     @cherrypy.expose
     def default(self, *path: str, **_query: str) -> typing.Any:
@@ -78,21 +68,21 @@
         try:
             return self._route(path)
         except common_errors.CodedError as error:
-            return _json(error.http_status, rendering.error_body(error))
+            return web.answer(error.http_status, rendering.error_body(error))
 
     def _route(self, path: tuple[str, ...]) -> typing.Any:
         match path:
             case ('v1', 'pipelines', pipeline, 'requests'):
-                _check_method('POST')
+                web.check_method('POST')
                 return self._serve_request(pipeline)
             case ('v1', 'pipelines', pipeline, 'outcomes', key):
-                _check_method('GET')
+                web.check_method('GET')
                 return self._serve_query(pipeline, key)
-        raise errors.NotFoundError(cherrypy.request.path_info)
+        raise web.NotFoundError(cherrypy.request.path_info)
 
     def _serve_request(self, pipeline: str) -> typing.Any:
         headers = arrivals.parse_headers(cherrypy.request.headers)
-        body = _read_body(self._gateway.max_body_bytes)
+        body = web.read_body(self._gateway.max_body_bytes)
         exchange = self._gateway.exchanges.open()
         try:
             arrival = arrivals.make_arrival(
@@ -121,7 +111,9 @@
         outcome = event.outcome
         cherrypy.response.headers.update(rendering.outcome_headers(outcome))
         fields = rendering.outcome_fields(exchange.identifier, outcome)
-        return _json(outcome.http_status, rendering.codec.to_json(fields))
+        return web.answer(
+            outcome.http_status, rendering.codec.toweb.answer(fields)
+        )
 
     def _stream(
         self, exchange: exchanges.Exchange, wait_ms: int
@@ -179,25 +171,4 @@
             self._gateway.exchanges.close(exchange)
         if event is None:
             event = effects.AnswerQuery(exchange.identifier, 'unavailable')
-        return _json(200, rendering.query_body(event))
-
-
-def _check_method(allowed: str) -> None:
-    if cherrypy.request.method != allowed:
-        raise errors.MethodError(cherrypy.request.path_info, allowed)
-
-
-def _read_body(limit_bytes: int) -> bytes:
-    declared = cherrypy.request.headers.get('Content-Length', '0')
-    if declared.isdigit() and int(declared) > limit_bytes:
-        raise errors.BodyTooLargeError(limit_bytes)
-    body = cherrypy.request.rfile.read(limit_bytes + 1)
-    if len(body) > limit_bytes:
-        raise errors.BodyTooLargeError(limit_bytes)
-    return body
-
-
-def _json(status: int, body: bytes) -> bytes:
-    cherrypy.response.status = status
-    cherrypy.response.headers['Content-Type'] = rendering.JSON
-    return body
+        return web.answer(200, rendering.query_body(event))
--- a/packages/callers/src/godwitglade/callers/rendering.py
+++ b/packages/callers/src/godwitglade/callers/rendering.py
@@ -8,8 +8,6 @@
 from godwitglade.decisions import effects
 from godwitglade.decisions import outcomes
 
-JSON = 'application/json'
-
 
 @functools.singledispatch
 def retry_after_ms(outcome: typing.Any) -> int:
--- a/packages/common/src/godwitglade/common/events.py
+++ b/packages/common/src/godwitglade/common/events.py
@@ -35,6 +35,9 @@
     SETTINGS_REFUSED = Description(
         1006, logging.ERROR, 'The settings file has faults; not started.'
     )
+    CANNOT_BIND = Description(
+        1007, logging.ERROR, 'A listener could not be bound; not started.'
+    )
     REQUEST_SETTLED = Description(
         2001, logging.INFO, 'A request got its final outcome.'
     )
--- /dev/null
+++ b/packages/daemon/src/godwitglade/daemon/assembly.py
@@ -0,0 +1,249 @@
+"""Joins the decisions, clients and listeners of a daemon."""
+
+import functools
+import random
+import traceback
+import typing
+
+import attrs
+import statsd
+import urllib3
+
+from godwitglade.callers import app as callers_app
+from godwitglade.callers import exchanges
+from godwitglade.common import events
+from godwitglade.coordination import hosts
+from godwitglade.daemon import context
+from godwitglade.daemon import effector
+from godwitglade.daemon import gateway
+from godwitglade.daemon import logs
+from godwitglade.daemon import loop as loops
+from godwitglade.daemon import peer_codec
+from godwitglade.daemon import pools
+from godwitglade.daemon import servers
+from godwitglade.daemon import settings as settings_files
+from godwitglade.daemon import settings_types
+from godwitglade.decisions import host as deciders
+from godwitglade.decisions import settings as request_settings
+from godwitglade.operators import app as operators_app
+from godwitglade.operators import parsing
+from godwitglade.peers import app as peers_app
+from godwitglade.peers import client as peer_client
+from godwitglade.peers import replies
+from godwitglade.peers import signing
+from godwitglade.peers import traffic
+from godwitglade.platform import host_list
+from godwitglade.platform import objects
+from godwitglade.platform import service
+from godwitglade.platform import table
+from godwitglade.targets import calls
+
+#: Threads kept beyond the bound on requests, to refuse the rest at once.
+SPARE_THREADS = 8
+PLATFORM_CONNECTIONS = 8
+PEER_BODY_BYTES = 4 * 1024 * 1024
+
+
+@attrs.frozen
+class Daemon:
+    """The assembled daemon, not yet started."""
+
+    loop: loops.Loop
+    servers: servers.Servers
+    effector: effector.Effector
+    logger: typing.Any
+
+
+def assemble(
+    settings: settings_types.Settings, env: context.Environment
+) -> Daemon:
+    """Return a daemon for ``settings``; nothing is bound yet."""
+    logger = logs.make_logger(
+        env.stderr, settings.log_level.value, settings.host, settings.zone
+    )
+    self_id = hosts.HostId(settings.host, settings.zone, env.clock.wall_ms())
+    peers = _make_peers(self_id, settings, env)
+    clients = _make_clients(settings, env, peers)
+    waiting = exchanges.Exchanges(str(self_id))
+    effector_ = effector.Effector(
+        clients,
+        waiting,
+        peers.replies,
+        logger,
+        _make_metrics(settings),
+        settings.threads.targets,
+        _fault_reporter(logger),
+    )
+    loop = _make_loop(self_id, settings, env, effector_, logger)
+    listeners = _make_listeners(
+        settings, env, loop, waiting, peers, clients, logger
+    )
+    return Daemon(loop, servers.Servers(listeners), effector_, logger)
+
+
+@attrs.frozen
+class _Peers:
+    """What the client and the listener for other hosts share."""
+
+    client: peer_client.Client
+    replies: replies.Replies
+    codec: typing.Any
+    signer: signing.Signer
+    traffic: traffic.Traffic
+
+
+def _make_peers(
+    self_id: hosts.HostId,
+    settings: settings_types.Settings,
+    env: context.Environment,
+) -> _Peers:
+    secret = settings_files.read_secret(settings.secret, env.variables)
+    codec = peer_codec.make_codec()
+    signer = signing.Signer(secret, env.clock)
+    counted = traffic.Traffic()
+    client = peer_client.Client(self_id, codec, signer, counted)
+    return _Peers(client, replies.Replies(), codec, signer, counted)
+
+
+def _make_clients(
+    settings: settings_types.Settings,
+    env: context.Environment,
+    peers: _Peers,
+) -> effector.Clients:
+    manager = urllib3.PoolManager(
+        maxsize=PLATFORM_CONNECTIONS, retries=False, block=False
+    )
+
+    def connect(url: str) -> service.Service:
+        rng = random.Random(env.rng.getrandbits(64))
+        return service.Service(url, manager, env.clock, rng)
+
+    platform = settings.platform
+    return effector.Clients(
+        targets=calls.TargetClient(env.clock),
+        table=table.TableClient(connect(platform.table_url)),
+        objects=objects.ObjectClient(connect(platform.objects_url)),
+        host_list=host_list.HostListClient(connect(platform.host_list_url)),
+        peers=peers.client,
+    )
+
+
+def _make_metrics(
+    settings: settings_types.Settings,
+) -> statsd.StatsClient | None:
+    if settings.statsd_address is None:
+        return None
+    host, _, port = settings.statsd_address.rpartition(':')
+    return statsd.StatsClient(host, int(port), prefix='godwitglade')
+
+
+def _make_loop(
+    self_id: hosts.HostId,
+    settings: settings_types.Settings,
+    env: context.Environment,
+    effector_: effector.Effector,
+    logger: typing.Any,
+) -> loops.Loop:
+    parts = deciders.make_parts(
+        self_id,
+        settings.peers.address,
+        random.Random(env.rng.getrandbits(64)),
+        request_settings.RequestSettings(
+            max_jobs=_max_requests(settings),
+            max_queued_per_pool=settings.bounds.max_queued,
+        ),
+        env.clock.wall_ms() - env.clock.monotonic_ms(),
+    )
+    host = deciders.Host(self_id, parts, parsing.parse_document)
+    report = _fault_reporter(logger)
+    loop = loops.Loop(
+        host,
+        env.clock,
+        effector_.carry_out,
+        lambda _message, error: report(error),
+    )
+    effector_.post = loop.post
+    effector_.start_timer = loop.timers.start
+    effector_.exit_ = loop.stop
+    return loop
+
+
+def _make_listeners(
+    settings: settings_types.Settings,
+    env: context.Environment,
+    loop: loops.Loop,
+    waiting: exchanges.Exchanges,
+    peers: _Peers,
+    clients: effector.Clients,
+    logger: typing.Any,
+) -> tuple[servers.Listener, ...]:
+    callers = callers_app.make_app(
+        callers_app.Gateway(
+            loop.post,
+            waiting,
+            env.clock,
+            lambda: loop.host.is_ready,
+            settings.bounds.max_body_bytes,
+        )
+    )
+    operators = operators_app.make_app(
+        gateway.HostGateway(
+            loop,
+            waiting,
+            clients.table,
+            functools.partial(logs.log_event, logger),
+        ),
+        settings.tokens,
+        env.clock,
+    )
+    peers_ = peers_app.make_app(
+        peers_app.Gateway(
+            loop.post,
+            peers.replies,
+            peers.codec,
+            peers.signer,
+            peers.traffic,
+        )
+    )
+    threads = settings.threads
+    body_bytes = settings.bounds.max_body_bytes
+    return (
+        _listen(settings.callers, callers, threads.callers, body_bytes),
+        _listen(
+            settings.operators,
+            operators,
+            threads.operators,
+            operators_app.MAX_BODY_BYTES,
+        ),
+        _listen(settings.peers, peers_, threads.peers, PEER_BODY_BYTES),
+    )
+
+
+def _listen(
+    listener: settings_types.Listener,
+    app: typing.Any,
+    threads: int,
+    max_body_bytes: int,
+) -> servers.Listener:
+    host, _, port = listener.address.rpartition(':')
+    return servers.Listener(host, int(port), app, threads, max_body_bytes)
+
+
+def _max_requests(settings: settings_types.Settings) -> int:
+    """Return the bound on requests that leaves threads to refuse more."""
+    spare = max(1, settings.threads.callers - SPARE_THREADS)
+    return min(settings.bounds.max_in_flight, spare)
+
+
+def _fault_reporter(logger: typing.Any) -> pools.Report:
+    """Return a function that logs an exception that nothing expected."""
+
+    def report(error: BaseException) -> None:
+        fields = {
+            'error': type(error).__name__,
+            'reason': str(error),
+            'trace': ''.join(traceback.format_exception(error)),
+        }
+        logs.log_event(logger, events.Event.LOOP_FAULT, fields)
+
+    return report
--- /dev/null
+++ b/packages/daemon/src/godwitglade/daemon/core.py
@@ -0,0 +1,82 @@
+"""The daemon's program: arguments in, exit status out."""
+
+import pathlib
+import signal
+import typing
+
+import click
+import typer
+
+from godwitglade.common import errors
+from godwitglade.common import events
+from godwitglade.daemon import assembly
+from godwitglade.daemon import context
+from godwitglade.daemon import definitions
+from godwitglade.daemon import logs
+from godwitglade.daemon import settings
+from godwitglade.daemon import status
+from godwitglade.decisions import messages
+
+
+def main(
+    args: typing.Sequence[str], env: context.Environment
+) -> status.ExitStatus:
+    """Run ``godwitgladed`` with ``args``; return when it has stopped.
+
+    >>> main(['--settings', 'host.yaml', '--check'], Environment())
+    <ExitStatus.SUCCESS: 0>
+    """
+    app = typer.Typer(add_completion=False)
+
+    @app.command(epilog=definitions.EPILOG)
+    def serve(
+        path: definitions.SettingsPath,
+        is_check: definitions.CheckOnly = False,
+    ) -> None:
+        """Serve pipelines on this entry host until told to stop."""
+        raise typer.Exit(_run(path, is_check, env))
+
+    command = typer.main.get_command(app)
+    try:
+        result = command.main(
+            list(args), prog_name='godwitgladed', standalone_mode=False
+        )
+    except click.ClickException as error:
+        error.show(env.stderr)
+        return status.ExitStatus.USAGE
+    return status.ExitStatus(result or 0)
+
+
+def _run(
+    path: pathlib.Path, is_check: bool, env: context.Environment
+) -> status.ExitStatus:
+    try:
+        found = settings.load_settings(path, env.variables)
+    except errors.CodedError as error:
+        logger = logs.make_logger(env.stderr, 'info', '', '')
+        fields = {'code': error.code, 'reason': str(error)}
+        logs.log_event(logger, events.Event.SETTINGS_REFUSED, fields)
+        return status.ExitStatus.SETTINGS
+    if is_check:
+        return status.ExitStatus.SUCCESS
+    return _serve(found, env)
+
+
+def _serve(found: typing.Any, env: context.Environment) -> status.ExitStatus:
+    daemon = assembly.assemble(found, env)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(
+            number, lambda *_: daemon.loop.post(messages.StopAsked())
+        )
+    try:
+        daemon.servers.start()
+    except OSError as error:
+        fields = {'reason': str(error)}
+        logs.log_event(daemon.logger, events.Event.CANNOT_BIND, fields)
+        return status.ExitStatus.CANNOT_BIND
+    logs.log_event(daemon.logger, events.Event.STARTED, {})
+    daemon.loop.run()
+    daemon.servers.stop()
+    daemon.effector.stop()
+    logs.log_event(daemon.logger, events.Event.STOPPED, {})
+    return status.ExitStatus.SUCCESS
--- /dev/null
+++ b/packages/daemon/src/godwitglade/daemon/definitions.py
@@ -0,0 +1,23 @@
+"""Arguments of ``godwitgladed``, apart from their processing."""
+
+import pathlib
+import typing
+
+import typer
+
+SettingsPath = typing.Annotated[
+    pathlib.Path,
+    typer.Option(
+        '--settings',
+        help='YAML file with the settings of this host.',
+        metavar='FILE',
+        show_default=False,
+    ),
+]
+
+CheckOnly = typing.Annotated[
+    bool,
+    typer.Option('--check', help='Check the settings and end.'),
+]
+
+EPILOG = 'Example: godwitgladed --settings /etc/godwitglade/host.yaml'
--- a/packages/daemon/src/godwitglade/daemon/effector.py
+++ b/packages/daemon/src/godwitglade/daemon/effector.py
@@ -8,11 +8,14 @@
 
 from godwitglade.callers import exchanges
 from godwitglade.coordination import effects as shared_effects
+from godwitglade.coordination import members
 from godwitglade.daemon import logs
 from godwitglade.daemon import pools
-from godwitglade.daemon import replies
 from godwitglade.decisions import effects
+from godwitglade.decisions import messages
 from godwitglade.peers import client as peer_client
+from godwitglade.peers import replies
+from godwitglade.platform import host_list
 from godwitglade.platform import objects
 from godwitglade.platform import table
 from godwitglade.targets import calls
@@ -30,7 +33,8 @@
     targets: calls.TargetClient
     table: table.TableClient
     objects: objects.ObjectClient
-    peers: peer_client.PeerClient
+    host_list: host_list.HostListClient
+    peers: peer_client.Client
 
 
 class Effector:
@@ -78,6 +82,17 @@
     ) -> None:
         self.post(function(effect))
 
+    def _read_host_list(self) -> None:
+        found = self._clients.host_list.read()
+        if not isinstance(found, host_list.HostList):
+            return
+        entries = tuple(
+            members.HostEntry(entry.name, entry.zone, entry.address)
+            for entry in found.entry_hosts
+        )
+        self.post(messages.EntryHostsListed(entries))
+        self.post(found.listed)
+
     @carry_out.register
     def _(self, effect: effects.CallTarget) -> None:
         self._calls.submit(self._clients.targets.call, effect, self.post)
@@ -112,6 +127,14 @@
     def _(self, effect: effects.AnswerQuery) -> None:
         self._exchanges.deliver(effect.query_id, effect)
 
+    @carry_out.register
+    def _(self, effect: effects.AnswerOperator) -> None:
+        self._exchanges.deliver(effect.query_id, effect)
+
+    @carry_out.register
+    def _(self, effect: effects.ReadHostList) -> None:
+        self._store.submit(self._read_host_list)
+
     @carry_out.register
     def _(self, effect: effects.Exit) -> None:
         self.exit_()
--- /dev/null
+++ b/packages/daemon/src/godwitglade/daemon/gateway.py
@@ -0,0 +1,125 @@
+"""The operators' gateway of this host: typed calls into the loop."""
+
+import typing
+
+from godwitglade.callers import exchanges
+from godwitglade.common import codec
+from godwitglade.common import events
+from godwitglade.coordination import audit
+from godwitglade.coordination import change_results
+from godwitglade.coordination import change_rows
+from godwitglade.coordination import effects as shared_effects
+from godwitglade.coordination import rows
+from godwitglade.daemon import loop as loops
+from godwitglade.daemon import views
+from godwitglade.decisions import messages
+from godwitglade.operators import errors
+from godwitglade.operators import gateway
+from godwitglade.platform import table
+
+ANSWER_TIMEOUT_MS = 15_000
+LOOP_TIMEOUT_MS = 5_000
+AUDIT_TIMEOUT_MS = 5_000
+AUDIT_TABLE = 'audit'
+AUDIT_TOKEN = 'operators:audit'
+
+MakeMessage = typing.Callable[[str], typing.Any]
+
+
+class HostGateway:
+    """Implements `operators.gateway.Gateway` over the loop of a daemon."""
+
+    def __init__(
+        self,
+        loop: loops.Loop,
+        waiting: exchanges.Exchanges,
+        table_client: table.TableClient,
+        log: typing.Callable[[events.Event, dict[str, typing.Any]], None],
+    ) -> None:
+        self._loop = loop
+        self._waiting = waiting
+        self._table = table_client
+        self._log = log
+
+    def apply(
+        self, request: change_rows.ChangeRequest
+    ) -> change_results.ChangeResult:
+        """Apply a change of a document."""
+        return self._run(
+            lambda query_id: messages.ChangeAsked(query_id, request),
+            request.change_id,
+        )
+
+    def change(self, change_id: str) -> change_results.ChangeResult:
+        """Say how a change id was settled, without settling it."""
+        return self._run(
+            lambda query_id: messages.ChangeLookedUp(query_id, change_id),
+            change_id,
+        )
+
+    def settle(self, change_id: str) -> change_results.ChangeResult:
+        """Make the state of a change id final; raises when unavailable."""
+        result = self._run(
+            lambda query_id: messages.ChangeSettleAsked(query_id, change_id),
+            change_id,
+        )
+        if isinstance(result, change_results.ChangeUnavailable):
+            raise errors.StoreUnavailableError(result.retry_after_ms)
+        return result
+
+    def documents(self) -> tuple[gateway.DocumentView, ...]:
+        """Return the documents in force, ordered by pipeline."""
+        return self._loop.ask(views.documents_of, LOOP_TIMEOUT_MS)
+
+    def document(self, pipeline: str) -> gateway.DocumentView | None:
+        """Return the document in force of ``pipeline``."""
+        found = (d for d in self.documents() if d.pipeline == pipeline)
+        return next(found, None)
+
+    def status(self) -> gateway.StatusView:
+        """Return what is in force on each host."""
+        return self._loop.ask(views.status_of, LOOP_TIMEOUT_MS)
+
+    def audit(self, after: int, limit: int) -> tuple[audit.AuditRecord, ...]:
+        """Return up to ``limit`` records after sequence ``after``."""
+        effect = shared_effects.ScanRows(
+            AUDIT_TOKEN,
+            AUDIT_TABLE,
+            change_rows.sequence_key(AUDIT_TABLE, after).key,
+            limit,
+            AUDIT_TIMEOUT_MS,
+        )
+        result = self._table.scan(effect).result
+        if isinstance(result, rows.Unavailable):
+            raise errors.StoreUnavailableError(result.retry_after_ms)
+        return tuple(
+            codec.from_plain(row.value, audit.AuditRecord)
+            for row in result.rows
+        )
+
+    def quarantine(self) -> tuple[gateway.QuarantineView, ...]:
+        """Return the requests in quarantine."""
+        return self._loop.ask(views.quarantine_of, LOOP_TIMEOUT_MS)
+
+    def clear_quarantine(self, fingerprint: str) -> bool:
+        """End a quarantine everywhere; False when there was none."""
+        found = {entry.fingerprint for entry in self.quarantine()}
+        self._loop.post(messages.QuarantineCleared(fingerprint))
+        return fingerprint in found
+
+    def log(self, event: events.Event, fields: dict[str, typing.Any]) -> None:
+        """Write a numbered event to the log."""
+        self._log(event, fields)
+
+    def _run(
+        self, make_message: MakeMessage, change_id: str
+    ) -> change_results.ChangeResult:
+        exchange = self._waiting.open()
+        try:
+            self._loop.post(make_message(exchange.identifier))
+            answer = self._waiting.wait(exchange, ANSWER_TIMEOUT_MS)
+        finally:
+            self._waiting.close(exchange)
+        if answer is None:
+            return change_results.ChangeUnknown(change_id)
+        return answer.result
--- a/packages/daemon/src/godwitglade/daemon/loop.py
+++ b/packages/daemon/src/godwitglade/daemon/loop.py
@@ -69,7 +69,7 @@
         carry_out: typing.Callable[[typing.Any], None],
         report_fault: typing.Callable[[typing.Any, Exception], None],
     ) -> None:
-        self._host = host
+        self.host = host
         self._clock = clock
         self._carry_out = carry_out
         self._report_fault = report_fault
@@ -101,7 +101,7 @@
 
     def run(self) -> None:
         """Start the host and decide until `stop`."""
-        self._perform(self._host.start(self._clock.monotonic_ms()))
+        self._perform(self.host.start(self._clock.monotonic_ms()))
         while self._is_running:
             self.run_once()
 
@@ -123,7 +123,7 @@
             self._answer(message, now_ms)
             return
         try:
-            effects = self._host.handle(message, now_ms)
+            effects = self.host.handle(message, now_ms)
         except Exception as error:
             self._report_fault(message, error)
             return
@@ -131,7 +131,7 @@
 
     def _answer(self, ask: Ask, now_ms: int) -> None:
         try:
-            ask.answer.set_result(ask.function(self._host, now_ms))
+            ask.answer.set_result(ask.function(self.host, now_ms))
         except Exception as error:
             ask.answer.set_exception(error)
 
--- a/packages/daemon/src/godwitglade/daemon/servers.py
+++ b/packages/daemon/src/godwitglade/daemon/servers.py
@@ -13,13 +13,13 @@
 #: Wait for answers that are being written when a listener stops.
 STOP_TIMEOUT_S = 5
 MAX_HEADER_BYTES = 16 * 1024
+SERVER_NAME = 'godwitglade'
 
 
 @attrs.frozen
 class Listener:
     """Where a WSGI application is served, and with how many threads."""
 
-    name: str
     host: str
     port: int
     app: typing.Any
@@ -57,7 +57,7 @@
         (listener.host, listener.port),
         listener.app,
         numthreads=listener.threads,
-        server_name=listener.name,
+        server_name=SERVER_NAME,
         request_queue_size=LISTEN_BACKLOG,
         timeout=IDLE_TIMEOUT_S,
         shutdown_timeout=STOP_TIMEOUT_S,
--- /dev/null
+++ b/packages/daemon/src/godwitglade/daemon/status.py
@@ -0,0 +1,13 @@
+"""Exit statuses of the daemon."""
+
+import enum
+
+
+class ExitStatus(enum.IntEnum):
+    """How the process ended."""
+
+    SUCCESS = 0
+    ERROR = 1
+    USAGE = 2
+    SETTINGS = 3
+    CANNOT_BIND = 4
--- a/packages/decisions/src/godwitglade/decisions/host.py
+++ b/packages/decisions/src/godwitglade/decisions/host.py
@@ -1,7 +1,7 @@
 """All decisions of one host: routes messages to the parts that decide.
 
 >>> parts = host.make_parts(self_id, address, random.Random(1))
->>> decider = host.Host(parts, parse_document)
+>>> decider = host.Host(self_id, parts, parse_document)
 >>> effects = decider.handle(message, now_ms)
 """
 
@@ -91,8 +91,15 @@
     CodedError for a text that this release does not understand.
     """
 
-    def __init__(self, parts: Parts, parse_document: ParseDocument) -> None:
+    def __init__(
+        self,
+        self_id: hosts.HostId,
+        parts: Parts,
+        parse_document: ParseDocument,
+    ) -> None:
+        self.self_id = self_id
         self.parts = parts
+        self._teams: dict[str, str] = {}
         self._parse_document = parse_document
         self._refused: dict[str, RefusedDocument] = {}
         self._by_prefix = {
@@ -116,6 +123,10 @@
         """Return the versions held that are not in force here."""
         return tuple(self._refused.values())
 
+    def team_of(self, pipeline: str) -> str:
+        """Return the team of a pipeline in force, else an empty text."""
+        return self._teams.get(pipeline, '')
+
     def start(self, now_ms: int) -> Effects:
         """Begin every part; return their first effects."""
         parts = (
@@ -132,20 +143,6 @@
         """Decide on one message at monotonic time ``now_ms``."""
         return self._settle(self._decide(message, now_ms), now_ms)
 
-    def submit_change(
-        self, query_id: str, request: typing.Any, now_ms: int
-    ) -> Effects:
-        """Apply a document change; ends in one AnswerOperator."""
-        found = self.parts.changes.submit(query_id, request, now_ms)
-        return self._settle(found, now_ms)
-
-    def look_up_change(
-        self, query_id: str, change_id: str, now_ms: int
-    ) -> Effects:
-        """Ask how a change id was settled; ends in one AnswerOperator."""
-        found = self.parts.changes.look_up(query_id, change_id, now_ms)
-        return self._settle(found, now_ms)
-
     def _settle(self, found: Effects, now_ms: int) -> Effects:
         """Hand messages between parts until only outside effects remain."""
         pending = collections.deque(found)
@@ -210,6 +207,7 @@
                 document = self._parse_document(message.text)
             except errors.CodedError as error:
                 return self._refuse_document(message, error)
+        self._teams[message.pipeline] = document.team if document else ''
         in_force = messages.DocumentsInForce({message.pipeline: document})
         fields = {
             'pipeline': message.pipeline,
@@ -235,6 +233,23 @@
         catch_up = self.parts.documents.catch_up_to(result.sequence, now_ms)
         return [answer, *catch_up]
 
+    @_decide.register
+    def _(self, message: messages.ChangeAsked, now_ms: int) -> Effects:
+        changes_part = self.parts.changes
+        return changes_part.submit(message.query_id, message.request, now_ms)
+
+    @_decide.register
+    def _(self, message: messages.ChangeLookedUp, now_ms: int) -> Effects:
+        return self.parts.changes.look_up(
+            message.query_id, message.change_id, now_ms
+        )
+
+    @_decide.register
+    def _(self, message: messages.ChangeSettleAsked, now_ms: int) -> Effects:
+        return self.parts.changes.settle(
+            message.query_id, message.change_id, now_ms
+        )
+
     @_decide.register
     def _(self, message: messages.StopAsked, now_ms: int) -> Effects:
         return [
--- a/packages/decisions/src/godwitglade/decisions/messages.py
+++ b/packages/decisions/src/godwitglade/decisions/messages.py
@@ -9,6 +9,8 @@
 
 import attrs
 
+from godwitglade.coordination import change_rows
+from godwitglade.coordination import members
 from godwitglade.decisions import documents
 from godwitglade.decisions import targets
 
@@ -168,3 +170,34 @@
 @attrs.frozen
 class StopAsked:
     """A planned stop begins."""
+
+
+@attrs.frozen
+class ChangeAsked:
+    """An operator asks for a change; ends in one AnswerOperator."""
+
+    query_id: str
+    request: change_rows.ChangeRequest
+
+
+@attrs.frozen
+class ChangeLookedUp:
+    """An operator asks how a change id was settled."""
+
+    query_id: str
+    change_id: str
+
+
+@attrs.frozen
+class ChangeSettleAsked:
+    """An operator asks to make the state of a change id final."""
+
+    query_id: str
+    change_id: str
+
+
+@attrs.frozen
+class QuarantineCleared:
+    """An operator ends the quarantine of a fingerprint everywhere."""
+
+    fingerprint: str
