--- a/packages/decisions/src/godwitglade/decisions/effects.py
+++ b/packages/decisions/src/godwitglade/decisions/effects.py
@@ -108,3 +108,16 @@
 @attrs.frozen
 class Exit:
     """End the process: a planned stop is complete."""
+
+
+@attrs.frozen
+class ReadHostList:
+    """Read the platform's list of hosts."""
+
+
+@attrs.frozen
+class AnswerOperator:
+    """Give an operator the typed result of what it asked for."""
+
+    query_id: str
+    result: typing.Any
--- a/packages/decisions/src/godwitglade/decisions/messages.py
+++ b/packages/decisions/src/godwitglade/decisions/messages.py
@@ -201,3 +201,10 @@
     """An operator ends the quarantine of a fingerprint everywhere."""
 
     fingerprint: str
+
+
+@attrs.frozen
+class EntryHostsListed:
+    """Hosts of this system in the host list, with peers' addresses."""
+
+    entries: tuple[members.HostEntry, ...]
