--- a/packages/callers/src/godwitglade/callers/app.py
+++ b/packages/callers/src/godwitglade/callers/app.py
@@ -14,6 +14,7 @@
 from godwitglade.callers import exchanges
 from godwitglade.callers import rendering
 from godwitglade.common import clock as clocks
+from godwitglade.common import codec
 from godwitglade.common import errors as common_errors
 from godwitglade.common import web
 from godwitglade.decisions import effects
@@ -111,9 +112,7 @@
         outcome = event.outcome
         cherrypy.response.headers.update(rendering.outcome_headers(outcome))
         fields = rendering.outcome_fields(exchange.identifier, outcome)
-        return web.answer(
-            outcome.http_status, rendering.codec.toweb.answer(fields)
-        )
+        return web.answer(outcome.http_status, codec.to_json(fields))
 
     def _stream(
         self, exchange: exchanges.Exchange, wait_ms: int
--- a/packages/common/src/godwitglade/common/web.py
+++ b/packages/common/src/godwitglade/common/web.py
@@ -86,13 +86,19 @@
     """Return the body; raises BodyTooLargeError."""
     declared = cherrypy.request.headers.get('Content-Length', '0')
     if declared.isdigit() and int(declared) > limit_bytes:
-        raise BodyTooLargeError(limit_bytes)
+        raise _too_large(limit_bytes)
     body = cherrypy.request.rfile.read(limit_bytes + 1)
     if len(body) > limit_bytes:
-        raise BodyTooLargeError(limit_bytes)
+        raise _too_large(limit_bytes)
     return body
 
 
+def _too_large(limit_bytes: int) -> BodyTooLargeError:
+    # What was not read would be taken for the connection's next request.
+    cherrypy.response.headers['Connection'] = 'close'
+    return BodyTooLargeError(limit_bytes)
+
+
 def answer(status: int, body: bytes) -> bytes:
     """Set status and type of the answer and return its JSON body."""
     cherrypy.response.status = status
--- a/packages/daemon/src/godwitglade/daemon/assembly.py
+++ b/packages/daemon/src/godwitglade/daemon/assembly.py
@@ -41,7 +41,6 @@
 #: Threads kept beyond the bound on requests, to refuse the rest at once.
 SPARE_THREADS = 8
 PLATFORM_CONNECTIONS = 8
-PEER_BODY_BYTES = 4 * 1024 * 1024
 
 
 @attrs.frozen
@@ -206,27 +205,18 @@
         )
     )
     threads = settings.threads
-    body_bytes = settings.bounds.max_body_bytes
     return (
-        _listen(settings.callers, callers, threads.callers, body_bytes),
-        _listen(
-            settings.operators,
-            operators,
-            threads.operators,
-            operators_app.MAX_BODY_BYTES,
-        ),
-        _listen(settings.peers, peers_, threads.peers, PEER_BODY_BYTES),
+        _listen(settings.callers, callers, threads.callers),
+        _listen(settings.operators, operators, threads.operators),
+        _listen(settings.peers, peers_, threads.peers),
     )
 
 
 def _listen(
-    listener: settings_types.Listener,
-    app: typing.Any,
-    threads: int,
-    max_body_bytes: int,
+    listener: settings_types.Listener, app: typing.Any, threads: int
 ) -> servers.Listener:
     host, _, port = listener.address.rpartition(':')
-    return servers.Listener(host, int(port), app, threads, max_body_bytes)
+    return servers.Listener(host, int(port), app, threads)
 
 
 def _max_requests(settings: settings_types.Settings) -> int:
--- a/packages/daemon/src/godwitglade/daemon/servers.py
+++ b/packages/daemon/src/godwitglade/daemon/servers.py
@@ -18,13 +18,16 @@
 
 @attrs.frozen
 class Listener:
-    """Where a WSGI application is served, and with how many threads."""
+    """Where a WSGI application is served, and with how many threads.
+
+    The applications bound the size of a body themselves, so that a body too
+    large gets a typed error.
+    """
 
     host: str
     port: int
     app: typing.Any
     threads: int
-    max_body_bytes: int
     ssl_adapter: typing.Any = None
 
 
@@ -62,7 +65,6 @@
         timeout=IDLE_TIMEOUT_S,
         shutdown_timeout=STOP_TIMEOUT_S,
     )
-    server.max_request_body_size = listener.max_body_bytes
     server.max_request_header_size = MAX_HEADER_BYTES
     server.ssl_adapter = listener.ssl_adapter
     # A reset connection of one client is no fault of the server.
--- a/packages/decisions/src/godwitglade/decisions/host.py
+++ b/packages/decisions/src/godwitglade/decisions/host.py
@@ -18,7 +18,6 @@
 from godwitglade.coordination import changes
 from godwitglade.coordination import claims
 from godwitglade.coordination import effects as shared_effects
-from godwitglade.coordination import facts
 from godwitglade.coordination import hosts
 from godwitglade.coordination import membership
 from godwitglade.coordination import messages as shared_messages
@@ -43,7 +42,6 @@
 
     members: membership.Membership
     documents: spread.Documents
-    facts: facts.Facts
     claims: claims.Claims
     changes: changes.Changes
     requests: requests.Requests
@@ -68,14 +66,12 @@
     """Return the parts of a host, each with a random source of its own."""
     seeds = (random.Random(rng.getrandbits(64)) for _ in iter(int, 1))
     spread_part = spread.Documents(self_id, next(seeds))
-    facts_part = facts.Facts(self_id, next(seeds))
     claims_part = claims.Claims(self_id, next(seeds), address, wall_offset_ms)
     return Parts(
         members=membership.Membership(
-            self_id, address, next(seeds), (spread_part, facts_part)
+            self_id, address, next(seeds), (spread_part,)
         ),
         documents=spread_part,
-        facts=facts_part,
         claims=claims_part,
         changes=changes.Changes(next(seeds)),
         requests=requests.Requests(
@@ -105,7 +101,6 @@
         self._by_prefix = {
             'members': parts.members,
             'documents': parts.documents,
-            'facts': parts.facts,
             'claims': parts.claims,
             'changes': parts.changes,
             'requests': parts.requests,
@@ -132,7 +127,6 @@
         parts = (
             self.parts.members,
             self.parts.documents,
-            self.parts.facts,
             self.parts.claims,
             self.parts.requests,
         )
@@ -152,11 +146,17 @@
             if isinstance(effect, shared_effects.Deliver):
                 pending.extend(self._decide(effect.message, now_ms))
             elif isinstance(effect, shared_effects.PublishFact):
-                pending.extend(self.parts.facts.publish(effect, now_ms))
+                pending.append(self._learn(effect))
             else:
                 outside.append(effect)
         return outside
 
+    def _learn(self, fact: shared_effects.PublishFact) -> Effects:
+        learned = shared_messages.FactLearned(
+            fact.kind, fact.key, fact.value, self.self_id.name
+        )
+        return shared_effects.Deliver(learned)
+
     @functools.singledispatchmethod
     def _decide(self, message: typing.Any, now_ms: int) -> Effects:
         return self.parts.requests.handle(message, now_ms)
@@ -189,7 +189,6 @@
         parts = (
             self.parts.members,
             self.parts.documents,
-            self.parts.facts,
             self.parts.claims,
         )
         return [
