--- a/packages/common/src/godwitglade/common/events.py
+++ b/packages/common/src/godwitglade/common/events.py
@@ -35,6 +35,9 @@
     SETTINGS_REFUSED = Description(
         1006, logging.ERROR, 'The settings file has faults; not started.'
     )
+    CANNOT_BIND = Description(
+        1007, logging.ERROR, 'A listener could not be bound; not started.'
+    )
     CERTIFICATE_LOADED = Description(
         1010, logging.INFO, 'A new certificate is used from now on.'
     )
