--- a/packages/common/src/godwitglade/common/events.py
+++ b/packages/common/src/godwitglade/common/events.py
@@ -72,6 +72,14 @@
     CLAIM_ROW_LOST = Description(
         7001, logging.ERROR, 'A held claim row was changed by another writer.'
     )
+    ENGINE_ORDERED = Description(
+        8001, logging.INFO, 'An engine was ordered to load a model.'
+    )
+    ORDER_REFUSED = Description(
+        8002,
+        logging.WARNING,
+        'An engine refused an order for its old fencing number.',
+    )
 
 
 def number_of(event: Event) -> int:
--- a/tests/coordination/test_spread.py
+++ b/tests/coordination/test_spread.py
@@ -7,6 +7,7 @@
 from godwitglade.coordination import effects
 from godwitglade.coordination import messages
 from godwitglade.coordination import patches
+from godwitglade.coordination import versioned
 
 
 def make_fleet(host_count=9, zone_count=3, loss=0.0, seed=1, warm_ms=6_000):
@@ -121,6 +122,16 @@
     assert node.documents.catch_up_to(1, made.now_ms) == []
 
 
+def test_whole_document_never_replaces_a_later_version():
+    texts = versioned.VersionedTexts()
+    newer = bodies.HeldDocument('scans', 3, 9, 'text 3')
+    assert texts.restore(newer)
+    texts.advance(9)
+    assert not texts.restore(bodies.HeldDocument('scans', 2, 8, 'text 2'))
+    texts.advance(8)
+    assert (texts.sequence, texts.get('scans')) == (9, newer)
+
+
 def test_patch_without_its_base_is_replaced_by_the_whole_text():
     made = make_fleet()
     patch = patches.make('other text', 'text 2')
