--- a/packages/decisions/src/godwitglade/decisions/host.py
+++ b/packages/decisions/src/godwitglade/decisions/host.py
@@ -18,13 +18,16 @@
 from godwitglade.coordination import changes
 from godwitglade.coordination import claims
 from godwitglade.coordination import effects as shared_effects
+from godwitglade.coordination import facts
 from godwitglade.coordination import hosts
+from godwitglade.coordination import leases
 from godwitglade.coordination import membership
 from godwitglade.coordination import messages as shared_messages
 from godwitglade.coordination import spread
 from godwitglade.decisions import documents
 from godwitglade.decisions import effects
 from godwitglade.decisions import messages
+from godwitglade.decisions import orders
 from godwitglade.decisions import outcomes
 from godwitglade.decisions import requests
 from godwitglade.decisions import settings as request_settings
@@ -42,8 +45,11 @@
 
     members: membership.Membership
     documents: spread.Documents
+    facts: facts.Facts
     claims: claims.Claims
     changes: changes.Changes
+    leases: leases.Leases
+    orders: orders.Orders
     requests: requests.Requests
 
 
@@ -65,18 +71,25 @@
 ) -> Parts:
     """Return the parts of a host, each with a random source of its own."""
     seeds = (random.Random(rng.getrandbits(64)) for _ in iter(int, 1))
-    spread_part = spread.Documents(self_id, next(seeds))
-    claims_part = claims.Claims(self_id, next(seeds), address, wall_offset_ms)
+    documents_ = spread.Documents(self_id, next(seeds))
+    facts_ = facts.Facts(self_id, next(seeds))
+    claims_ = claims.Claims(self_id, next(seeds), address, wall_offset_ms)
+    leases_ = leases.Leases(self_id, next(seeds))
+    members = membership.Membership(
+        self_id, address, next(seeds), (documents_, facts_)
+    )
+    orders_ = orders.Orders(
+        self_id, next(seeds), leases_, members.live, wall_offset_ms
+    )
     return Parts(
-        members=membership.Membership(
-            self_id, address, next(seeds), (spread_part,)
-        ),
-        documents=spread_part,
-        claims=claims_part,
+        members=members,
+        documents=documents_,
+        facts=facts_,
+        claims=claims_,
         changes=changes.Changes(next(seeds)),
-        requests=requests.Requests(
-            self_id, next(seeds), claims_part, settings
-        ),
+        leases=leases_,
+        orders=orders_,
+        requests=requests.Requests(self_id, next(seeds), claims_, settings),
     )
 
 
@@ -101,8 +114,11 @@
         self._by_prefix = {
             'members': parts.members,
             'documents': parts.documents,
+            'facts': parts.facts,
             'claims': parts.claims,
             'changes': parts.changes,
+            'leases': parts.leases,
+            'orders': parts.orders,
             'requests': parts.requests,
             'host': self,
         }
@@ -127,7 +143,10 @@
         parts = (
             self.parts.members,
             self.parts.documents,
+            self.parts.facts,
             self.parts.claims,
+            self.parts.leases,
+            self.parts.orders,
             self.parts.requests,
         )
         found = [effect for part in parts for effect in part.start(now_ms)]
@@ -146,17 +165,11 @@
             if isinstance(effect, shared_effects.Deliver):
                 pending.extend(self._decide(effect.message, now_ms))
             elif isinstance(effect, shared_effects.PublishFact):
-                pending.append(self._learn(effect))
+                pending.extend(self.parts.facts.publish(effect, now_ms))
             else:
                 outside.append(effect)
         return outside
 
-    def _learn(self, fact: shared_effects.PublishFact) -> Effects:
-        learned = shared_messages.FactLearned(
-            fact.kind, fact.key, fact.value, self.self_id.name
-        )
-        return shared_effects.Deliver(learned)
-
     @functools.singledispatchmethod
     def _decide(self, message: typing.Any, now_ms: int) -> Effects:
         return self.parts.requests.handle(message, now_ms)
@@ -189,6 +202,7 @@
         parts = (
             self.parts.members,
             self.parts.documents,
+            self.parts.facts,
             self.parts.claims,
         )
         return [
@@ -249,10 +263,27 @@
             message.query_id, message.change_id, now_ms
         )
 
+    @_decide.register(messages.DocumentsInForce)
+    @_decide.register(messages.TargetsListed)
+    @_decide.register(messages.LoadReported)
+    @_decide.register(shared_messages.FactLearned)
+    def _(self, message: typing.Any, now_ms: int) -> Effects:
+        return [
+            *self.parts.requests.handle(message, now_ms),
+            *self.parts.orders.handle(message, now_ms),
+        ]
+
+    @_decide.register(messages.OrderAnswered)
+    @_decide.register(leases.LeaseAcquired)
+    @_decide.register(leases.LeaseLost)
+    def _(self, message: typing.Any, now_ms: int) -> Effects:
+        return self.parts.orders.handle(message, now_ms)
+
     @_decide.register
     def _(self, message: messages.StopAsked, now_ms: int) -> Effects:
         return [
             *self.parts.members.leave(now_ms),
+            *self.parts.orders.handle(message, now_ms),
             *self.parts.requests.handle(message, now_ms),
         ]
 
