--- a/packages/coordination/src/godwitglade/coordination/claim_progress.py
+++ b/packages/coordination/src/godwitglade/coordination/claim_progress.py
@@ -127,7 +127,10 @@
         content = claim_rows.parse(row) if row else None
         if content is not None and content.nonce == hold.nonce:
             return self._on_own_row(hold, row, content, now_ms)
-        if hold.step in (_Step.SETTLE, _Step.RELEASE):
+        if hold.step is _Step.RELEASE:
+            # An earlier try released it, and somebody took the free key.
+            return self._forget(hold)
+        if hold.step is _Step.SETTLE:
             return self._on_lost(hold)
         hold.is_uncertain = False
         if hold.is_answered:
--- a/packages/coordination/src/godwitglade/coordination/claim_rows.py
+++ b/packages/coordination/src/godwitglade/coordination/claim_rows.py
@@ -63,7 +63,8 @@
 
 def write(claim_key: str, content: ClaimRow) -> rows.Write:
     """Return the write that sets the row of ``claim_key``."""
-    return rows.Write(row_key(claim_key), codec.to_plain(content))
+    plain = {**codec.to_plain(content), 'state': content.state.value}
+    return rows.Write(row_key(claim_key), plain)
 
 
 def is_large(outcome: dict[str, typing.Any]) -> bool:
--- a/proof/claim_world.py
+++ b/proof/claim_world.py
@@ -36,6 +36,7 @@
     nonce: str = ''
     sent: list = attrs.Factory(list)
     is_down: bool = False
+    paused_ms: int = 0
 
     @property
     def verdict(self) -> str:
@@ -64,12 +65,11 @@
         """Begin a claim with a nonce named after the host."""
         state = self.hosts[host]
         state.nonce = f'{host}:{len(state.verdicts)}:{self.now_ms}:{key}'
-        send_by_ms = self.now_ms + for_ms
+        now_ms = self.local_ms(host)
+        send_by_ms = now_ms + for_ms
         self._carry_out(
             host,
-            state.claims.claim(
-                key, digest, send_by_ms, self.now_ms, state.nonce
-            ),
+            state.claims.claim(key, digest, send_by_ms, now_ms, state.nonce),
         )
 
     def answer_write(self, host: int) -> None:
@@ -109,7 +109,7 @@
     def send(self, host: int, key: str = KEY) -> bool:
         """Send the call if the host may right now; tell whether it did."""
         state = self.hosts[host]
-        may = state.claims.may_send(key, state.nonce, self.now_ms)
+        may = state.claims.may_send(key, state.nonce, self.local_ms(host))
         if may:
             state.sent.append(key)
         return may
@@ -118,20 +118,22 @@
         """Record the outcome of the host's claim."""
         state = self.hosts[host]
         recorded = state.claims.settle(
-            KEY, state.nonce, outcome or OUTCOME, self.now_ms
+            KEY, state.nonce, outcome or OUTCOME, self.local_ms(host)
         )
         self._carry_out(host, recorded)
 
     def release(self, host: int) -> None:
         """Free the host's claim, whose call was not sent."""
         state = self.hosts[host]
-        freed = state.claims.release(KEY, state.nonce, 'x', self.now_ms)
+        freed = state.claims.release(
+            KEY, state.nonce, 'x', self.local_ms(host)
+        )
         self._carry_out(host, freed)
 
     def look(self, host: int) -> str:
         """Return the state that the host finds the key in."""
         state = self.hosts[host]
-        self._carry_out(host, state.claims.look(KEY, 'q', self.now_ms))
+        self._carry_out(host, state.claims.look(KEY, 'q', self.local_ms(host)))
         return state.looked[-1].state
 
     def crash(self, host: int) -> None:
@@ -160,6 +162,23 @@
             self._handle(host, messages.TimerFired(timer.token))
         self.now_ms = end_ms
 
+    def pause(self, host: int, by_ms: int) -> None:
+        """Move the host's clock without letting its timers fire."""
+        self.hosts[host].paused_ms += by_ms
+
+    def local_ms(self, host: int) -> int:
+        """Return the time of the host's clock."""
+        return self.now_ms + self.hosts[host].paused_ms
+
+    def fire(self, host: int, is_deadline: bool) -> None:
+        """Fire the host's deadline timer, or else its other timer."""
+        timers = self.hosts[host].timers
+        timer = next(
+            t for t in timers if (t.due_ms == SEND_BY_MS) is is_deadline
+        )
+        timers.remove(timer)
+        self._handle(host, messages.TimerFired(timer.token))
+
     def row(self) -> claim_rows.ClaimRow | None:
         """Return the content of the key's row."""
         found = self.table.rows_by_key.get(claim_rows.row_key(KEY))
@@ -182,7 +201,9 @@
     def _handle(self, host: int, message) -> None:
         state = self.hosts[host]
         if not state.is_down:
-            self._carry_out(host, state.claims.handle(message, self.now_ms))
+            self._carry_out(
+                host, state.claims.handle(message, self.local_ms(host))
+            )
 
     def _carry_out(self, host: int, wanted: list) -> None:
         for effect in wanted:
@@ -221,7 +242,7 @@
         if not state.is_down:
             sender = hosts.HostId(f'host-{host}', 'zone-a', 1)
             question = messages.PeerMessage(sender, body, 'r')
-            wanted = state.claims.handle(question, self.now_ms)
+            wanted = state.claims.handle(question, self.local_ms(peer))
             answers = [e for e in wanted if isinstance(e, effects.ReplyPeer)]
             self._carry_out(peer, wanted)
         answer = answers[0].body if answers else None
