--- a/packages/daemon/src/godwitglade/daemon/servers.py
+++ b/packages/daemon/src/godwitglade/daemon/servers.py
@@ -13,18 +13,21 @@
 #: Wait for answers that are being written when a listener stops.
 STOP_TIMEOUT_S = 5
 MAX_HEADER_BYTES = 16 * 1024
+SERVER_NAME = 'godwitglade'
 
 
 @attrs.frozen
 class Listener:
-    """Where a WSGI application is served, and with how many threads."""
+    """Where a WSGI application is served, and with how many threads.
+
+    The applications bound the size of a body themselves, so that a body too
+    large gets a typed error.
+    """
 
-    name: str
     host: str
     port: int
     app: typing.Any
     threads: int
-    max_body_bytes: int
     ssl_adapter: typing.Any = None
 
 
@@ -57,12 +60,11 @@
         (listener.host, listener.port),
         listener.app,
         numthreads=listener.threads,
-        server_name=listener.name,
+        server_name=SERVER_NAME,
         request_queue_size=LISTEN_BACKLOG,
         timeout=IDLE_TIMEOUT_S,
         shutdown_timeout=STOP_TIMEOUT_S,
     )
-    server.max_request_body_size = listener.max_body_bytes
     server.max_request_header_size = MAX_HEADER_BYTES
     server.ssl_adapter = listener.ssl_adapter
     # A reset connection of one client is no fault of the server.
--- a/packages/daemon/src/godwitglade/daemon/settings_types.py
+++ b/packages/daemon/src/godwitglade/daemon/settings_types.py
@@ -4,12 +4,7 @@
 
 import attrs
 
-
-class Role(enum.Enum):
-    """What the owner of a token may do."""
-
-    OPERATOR = 'operator'
-    MONITOR = 'monitor'
+from godwitglade.operators import access
 
 
 class LogLevel(enum.Enum):
@@ -34,6 +29,11 @@
         """Tell whether the listener speaks TLS."""
         return self.certificate_path is not None
 
+    @property
+    def host_and_port(self) -> tuple[str, int]:
+        """Return the IP number, without brackets, and the port."""
+        return split_address(self.address)
+
 
 @attrs.frozen
 class Platform:
@@ -52,16 +52,6 @@
     variable: str | None = None
 
 
-@attrs.frozen
-class Token:
-    """An operator's token, as the SHA-256 of its text."""
-
-    name: str
-    role: Role
-    sha256: str = attrs.field(repr=False)
-    team: str = ''
-
-
 @attrs.frozen
 class Threads:
     """Numbers of threads that only move bytes."""
@@ -93,8 +83,14 @@
     peers: Listener
     platform: Platform
     secret: Secret
-    tokens: tuple[Token, ...] = ()
+    tokens: tuple[access.Token, ...] = ()
     statsd_address: str | None = None
     log_level: LogLevel = LogLevel.INFO
     threads: Threads = Threads()
     bounds: Bounds = Bounds()
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return the IP number and the port of a valid ``address``."""
+    host, _, port = address.rpartition(':')
+    return host.strip('[]'), int(port)
