--- a/packages/command/src/godwitglade/command/applying.py
+++ b/packages/command/src/godwitglade/command/applying.py
@@ -83,7 +83,8 @@
     )
     if wait_ms is None:
         return status.ExitStatus.OK
-    return fleet.wait(printer, server, body['sequence'], wait_ms)
+    change = fleet.Change(body['sequence'], body['pipeline'])
+    return fleet.wait(printer, server, change, wait_ms)
 
 
 class Sender:
--- a/packages/command/src/godwitglade/command/fleet.py
+++ b/packages/command/src/godwitglade/command/fleet.py
@@ -13,6 +13,14 @@
 LIVE = 'live'
 
 
+@attrs.frozen
+class Change:
+    """An accepted change: its number and the pipeline it changes."""
+
+    sequence: int
+    pipeline: str
+
+
 @attrs.frozen
 class Progress:
     """Where a change is in force, among the hosts known."""
@@ -34,17 +42,27 @@
         return text
 
 
-def measure(body: dict[str, typing.Any], sequence: int) -> Progress:
-    """Return where change ``sequence`` is in force, by a status body."""
+def measure(
+    body: dict[str, typing.Any], sequence: int, pipeline: str
+) -> Progress:
+    """Return where change ``sequence`` of ``pipeline`` is in force.
+
+    ``body`` is a status body.
+    """
     hosts = all_hosts(body)
     live = [host for host in hosts if host['state'] == LIVE]
     return Progress(
-        tuple(h['name'] for h in live if h['sequence'] >= sequence),
-        tuple(h['name'] for h in live if h['sequence'] < sequence),
+        tuple(h['name'] for h in live if _holds(h, sequence, pipeline)),
+        tuple(h['name'] for h in live if not _holds(h, sequence, pipeline)),
         tuple(h['name'] for h in hosts if h['state'] != LIVE),
     )
 
 
+def _holds(host: dict[str, typing.Any], sequence: int, pipeline: str) -> bool:
+    is_refused = pipeline in host.get('refused', ())
+    return host['sequence'] >= sequence and not is_refused
+
+
 def all_hosts(body: dict[str, typing.Any]) -> list[dict[str, typing.Any]]:
     """Return the host that answered and those that it knows of."""
     answering = {
@@ -53,6 +71,7 @@
         'state': LIVE,
         'sequence': body['sequence'],
         'heard_ago_ms': 0,
+        'refused': [e['pipeline'] for e in body.get('refused') or ()],
     }
     others = (h for h in body['hosts'] if h['name'] != body['host'])
     return sorted([answering, *others], key=lambda host: host['name'])
@@ -99,6 +118,8 @@
 def _in_force(host: dict[str, typing.Any], newest: int) -> str:
     if host['state'] != LIVE:
         return 'not heard from since'
+    if host.get('refused'):
+        return f'refused: {", ".join(host["refused"])}'
     behind = newest - host['sequence']
     return 'current' if behind == 0 else f'{behind} changes behind'
 
@@ -106,15 +127,15 @@
 def wait(
     printer: output.Printer,
     server: operators.Operators,
-    sequence: int,
+    change: Change,
     wait_ms: int,
 ) -> status.ExitStatus:
-    """Wait until change ``sequence`` is in force on every live host."""
+    """Wait until ``change`` is in force on every live host."""
     clock = printer.env.clock
     until_ms = clock.monotonic_ms() + wait_ms
     shown = ''
     while True:
-        progress = _poll(server, sequence)
+        progress = _poll(server, change)
         if str(progress) != shown:
             shown = str(progress)
             printer.note(shown)
@@ -125,9 +146,10 @@
         printer.env.sleep_ms(POLL_MS)
 
 
-def _poll(server: operators.Operators, sequence: int) -> Progress | None:
+def _poll(server: operators.Operators, change: Change) -> Progress | None:
     try:
-        return measure(server.call('GET', 'status').body, sequence)
+        answer = server.call('GET', 'status', at_least=change.sequence)
+        return measure(answer.body, change.sequence, change.pipeline)
     except errors.CommandError as error:
         if not error.is_retryable:
             raise
--- a/packages/coordination/src/godwitglade/coordination/bodies.py
+++ b/packages/coordination/src/godwitglade/coordination/bodies.py
@@ -121,6 +121,25 @@
     is_alive: bool = True
 
 
+@attrs.frozen
+class StatusAsked:
+    """Asks a host for its `StatusGiven`."""
+
+
+@attrs.frozen
+class StatusGiven:
+    """What is in force on a host, as the host itself says.
+
+    ``refused`` names pipelines of which it holds a version that its release
+    does not understand, so that an earlier one is in force.
+    """
+
+    host: hosts.HostId
+    sequence: int
+    is_ready: bool
+    refused: tuple[str, ...] = ()
+
+
 @attrs.frozen
 class IndirectProbe:
     """Asks the receiver to ping the host at ``address``."""
@@ -198,6 +217,8 @@
     'ping': Ping,
     'pong': Pong,
     'indirect-probe': IndirectProbe,
+    'status-asked': StatusAsked,
+    'status-given': StatusGiven,
     'members-compared': MembersCompared,
     'members-given': MembersGiven,
     'facts-compared': FactsCompared,
--- a/packages/coordination/src/godwitglade/coordination/members.py
+++ b/packages/coordination/src/godwitglade/coordination/members.py
@@ -34,6 +34,17 @@
     state: bodies.MemberState
     sequence: int
     last_heard_ms: int | None
+    refused: tuple[str, ...] = ()
+
+
+@attrs.frozen
+class _Heard:
+    """What one life of a host last said of itself."""
+
+    incarnation: int
+    heard_ms: int | None = None
+    sequence: int = 0
+    refused: tuple[str, ...] = ()
 
 
 @attrs.frozen
@@ -51,8 +62,7 @@
     def __init__(self, own: bodies.MemberRecord) -> None:
         self.records = replicas.Replicas(record_version)
         self.own_name = own.host.name
-        self._sequences: dict[str, int] = {}
-        self._heard_ms: dict[str, int] = {}
+        self._heard: dict[str, _Heard] = {}
         self._gone_ms: dict[str, int] = {}
         self._suspects_ms: dict[str, int] = {}
         self._returns: dict[str, collections.deque] = {}
@@ -80,10 +90,29 @@
         self._note_state(name, held, record, now_ms)
         return True
 
-    def hear(self, name: str, sequence: int, now_ms: int) -> None:
-        """Note that ``name`` was heard from directly."""
-        self._heard_ms[name] = now_ms
-        self._sequences[name] = max(sequence, self._sequences.get(name, 0))
+    def hear(
+        self,
+        host: hosts.HostId,
+        sequence: int,
+        now_ms: int,
+        refused: tuple[str, ...] | None = None,
+    ) -> None:
+        """Note what one life of a host said of itself directly.
+
+        A new life starts from what it says: it may hold less than the
+        earlier one. Within a life the number never falls.
+        """
+        held = self._heard.get(host.name)
+        if held is None or held.incarnation < host.incarnation:
+            held = _Heard(host.incarnation)
+        elif held.incarnation > host.incarnation:
+            return
+        self._heard[host.name] = attrs.evolve(
+            held,
+            heard_ms=now_ms,
+            sequence=max(sequence, held.sequence),
+            refused=held.refused if refused is None else refused,
+        )
 
     def set_state(
         self, name: str, state: bodies.MemberState, now_ms: int
@@ -140,13 +169,15 @@
         return [self.records.get(name) for name in self._gone_ms]
 
     def _member(self, record: bodies.MemberRecord) -> Member:
-        name = record.host.name
+        unheard = _Heard(record.host.incarnation)
+        heard = self._heard.get(record.host.name, unheard)
         return Member(
             record.host,
             record.address,
             record.state,
-            self._sequences.get(name, 0),
-            self._heard_ms.get(name),
+            heard.sequence,
+            heard.heard_ms,
+            heard.refused,
         )
 
     def _note_state(
@@ -164,9 +195,9 @@
             self._gone_ms[name] = now_ms
         if held is not None and _is_return(held, record):
             self._note_return(name, now_ms)
-        if held is not None and held.host != record.host:
-            self._sequences.pop(name, None)
-            self._heard_ms.pop(name, None)
+        heard = self._heard.get(name)
+        if heard is not None and heard.incarnation < record.host.incarnation:
+            del self._heard[name]
 
     def _note_return(self, name: str, now_ms: int) -> None:
         returns = self._returns.setdefault(
@@ -180,8 +211,7 @@
     def _forget(self, name: str) -> None:
         self.records.discard(name)
         for kept in (
-            self._sequences,
-            self._heard_ms,
+            self._heard,
             self._gone_ms,
             self._returns,
             self._held_until_ms,
--- a/packages/coordination/src/godwitglade/coordination/membership.py
+++ b/packages/coordination/src/godwitglade/coordination/membership.py
@@ -281,7 +281,7 @@
         for record in (exchange.sender, *exchange.members):
             self._merge(record, now_ms)
         if self.table.records.get(host.name).host == host:
-            self.table.hear(host.name, exchange.sequence, now_ms)
+            self.table.hear(host, exchange.sequence, now_ms)
         found = self._repair_with(exchange, now_ms)
         for attachment in self._attachments:
             found += attachment.receive(exchange, now_ms)
--- a/packages/daemon/src/godwitglade/daemon/gateway.py
+++ b/packages/daemon/src/godwitglade/daemon/gateway.py
@@ -76,8 +76,9 @@
         found = (d for d in self.documents() if d.pipeline == pipeline)
         return next(found, None)
 
-    def status(self) -> gateway.StatusView:
-        """Return what is in force on each host."""
+    def status(self, at_least: int = 0) -> gateway.StatusView:
+        """Ask the hosts and return what is in force on each."""
+        self._ask(lambda query_id: messages.StatusAsked(query_id, at_least))
         return self._loop.ask(views.status_of, LOOP_TIMEOUT_MS)
 
     def audit(self, after: int, limit: int) -> tuple[audit.AuditRecord, ...]:
@@ -114,12 +115,17 @@
     def _run(
         self, make_message: MakeMessage, change_id: str
     ) -> change_results.ChangeResult:
+        result = self._ask(make_message)
+        if result is None:
+            return change_results.ChangeUnknown(change_id)
+        return result
+
+    def _ask(self, make_message: MakeMessage) -> typing.Any:
+        """Return the result of a message, None when none came in time."""
         exchange = self._waiting.open()
         try:
             self._loop.post(make_message(exchange.identifier))
             answer = self._waiting.wait(exchange, ANSWER_TIMEOUT_MS)
         finally:
             self._waiting.close(exchange)
-        if answer is None:
-            return change_results.ChangeUnknown(change_id)
-        return answer.result
+        return None if answer is None else answer.result
--- a/packages/daemon/src/godwitglade/daemon/views.py
+++ b/packages/daemon/src/godwitglade/daemon/views.py
@@ -38,10 +38,11 @@
             for member in host.parts.members.all_members()
             if member.host.name != self_id.name
         ),
-        documents={
-            document.pipeline: document.version
-            for document in documents_of(host, now_ms)
-        },
+        documents=host.versions_in_force(),
+        refused=tuple(
+            gateway.RefusedView(found.pipeline, found.version, found.reason)
+            for found in host.refused_documents
+        ),
     )
 
 
@@ -64,6 +65,7 @@
         state=member.state.value,
         sequence=member.sequence,
         heard_ago_ms=None if heard_ms is None else now_ms - heard_ms,
+        refused=member.refused,
     )
 
 
--- a/packages/decisions/src/godwitglade/decisions/host.py
+++ b/packages/decisions/src/godwitglade/decisions/host.py
@@ -14,6 +14,7 @@
 
 from godwitglade.common import errors
 from godwitglade.common import events
+from godwitglade.coordination import bodies
 from godwitglade.coordination import change_results
 from godwitglade.coordination import changes
 from godwitglade.coordination import claims
@@ -24,6 +25,7 @@
 from godwitglade.coordination import membership
 from godwitglade.coordination import messages as shared_messages
 from godwitglade.coordination import spread
+from godwitglade.coordination import survey
 from godwitglade.decisions import documents
 from godwitglade.decisions import effects
 from godwitglade.decisions import messages
@@ -53,6 +55,14 @@
     requests: requests.Requests
 
 
+@attrs.frozen
+class InForce:
+    """The version of a document that requests are served by."""
+
+    version: int
+    team: str
+
+
 @attrs.frozen
 class RefusedDocument:
     """A version that this host could not parse and has not in force."""
@@ -108,9 +118,10 @@
     ) -> None:
         self.self_id = self_id
         self.parts = parts
-        self._teams: dict[str, str] = {}
+        self._in_force: dict[str, InForce] = {}
         self._parse_document = parse_document
         self._refused: dict[str, RefusedDocument] = {}
+        self._survey = survey.Survey(parts.members, self._report)
         self._by_prefix = {
             'members': parts.members,
             'documents': parts.documents,
@@ -120,6 +131,7 @@
             'leases': parts.leases,
             'orders': parts.orders,
             'requests': parts.requests,
+            'survey': self._survey,
             'host': self,
         }
 
@@ -136,7 +148,15 @@
 
     def team_of(self, pipeline: str) -> str:
         """Return the team of a pipeline in force, else an empty text."""
-        return self._teams.get(pipeline, '')
+        found = self._in_force.get(pipeline)
+        return '' if found is None else found.team
+
+    def versions_in_force(self) -> dict[str, int]:
+        """Return the version that requests are served by, by pipeline."""
+        return {
+            pipeline: found.version
+            for pipeline, found in sorted(self._in_force.items())
+        }
 
     def start(self, now_ms: int) -> Effects:
         """Begin every part; return their first effects."""
@@ -204,6 +224,7 @@
             self.parts.documents,
             self.parts.facts,
             self.parts.claims,
+            self._survey,
         )
         return [
             effect for part in parts for effect in part.handle(message, now_ms)
@@ -220,7 +241,7 @@
                 document = self._parse_document(message.text)
             except errors.CodedError as error:
                 return self._refuse_document(message, error)
-        self._teams[message.pipeline] = document.team if document else ''
+        self._note_in_force(message, document)
         in_force = messages.DocumentsInForce({message.pipeline: document})
         fields = {
             'pipeline': message.pipeline,
@@ -279,6 +300,14 @@
     def _(self, message: typing.Any, now_ms: int) -> Effects:
         return self.parts.orders.handle(message, now_ms)
 
+    @_decide.register
+    def _(self, message: messages.StatusAsked, now_ms: int) -> Effects:
+        return self._survey.ask(message.query_id, message.at_least, now_ms)
+
+    @_decide.register
+    def _(self, message: survey.SurveyEnded, now_ms: int) -> Effects:
+        return [effects.AnswerOperator(message.query_id, message)]
+
     @_decide.register
     def _(self, message: messages.StopAsked, now_ms: int) -> Effects:
         return [
@@ -287,6 +316,16 @@
             *self.parts.requests.handle(message, now_ms),
         ]
 
+    def _note_in_force(
+        self,
+        message: shared_messages.DocumentChanged,
+        document: documents.Document | None,
+    ) -> None:
+        self._in_force.pop(message.pipeline, None)
+        if document is not None:
+            found = InForce(message.version, document.team)
+            self._in_force[message.pipeline] = found
+
     def _refuse_document(
         self,
         message: shared_messages.DocumentChanged,
@@ -301,6 +340,14 @@
         event = events.Event.DOCUMENT_REFUSED
         return [shared_effects.LogEvent(event, fields)]
 
+    def _report(self) -> bodies.StatusGiven:
+        return bodies.StatusGiven(
+            self.self_id,
+            self.parts.documents.sequence,
+            self.is_ready,
+            tuple(sorted(self._refused)),
+        )
+
     def _read_host_list(self, now_ms: int) -> Effects:
         due_ms = now_ms + HOST_LIST_INTERVAL_MS
         return [
--- a/packages/decisions/src/godwitglade/decisions/messages.py
+++ b/packages/decisions/src/godwitglade/decisions/messages.py
@@ -196,6 +196,18 @@
     change_id: str
 
 
+@attrs.frozen
+class StatusAsked:
+    """An operator asks what is in force on every host.
+
+    Hosts known to have change ``at_least`` in force are not asked again;
+    0 asks all of them.
+    """
+
+    query_id: str
+    at_least: int = 0
+
+
 @attrs.frozen
 class QuarantineCleared:
     """An operator ends the quarantine of a fingerprint everywhere."""
--- a/packages/operators/src/godwitglade/operators/app.py
+++ b/packages/operators/src/godwitglade/operators/app.py
@@ -122,7 +122,7 @@
                 return self._change(token, change_id)
             case ('v1', 'status'):
                 web.check_method('GET')
-                return 200, self._gateway.status()
+                return 200, self._gateway.status(_at_least(query))
             case ('v1', 'audit'):
                 web.check_method('GET')
                 return 200, {'records': self._audit(query)}
@@ -225,6 +225,10 @@
     return answer.http_status, answer.body
 
 
+def _at_least(query: dict[str, str]) -> int:
+    return _number(query, 'at_least', 0, kinds.Number(0, MAX_SEQUENCE))
+
+
 def _number(
     query: dict[str, str], name: str, default: int, kind: kinds.Number
 ) -> int:
--- a/packages/operators/src/godwitglade/operators/gateway.py
+++ b/packages/operators/src/godwitglade/operators/gateway.py
@@ -27,6 +27,8 @@
 
     ``sequence`` is the last change in force there, as last heard;
     ``heard_ago_ms`` is the time since then, None when never heard from.
+    ``refused`` names pipelines of which it holds a version that is not in
+    force there.
     """
 
     name: str
@@ -35,6 +37,7 @@
     state: str
     sequence: int
     heard_ago_ms: int | None
+    refused: tuple[str, ...] = ()
 
 
 @attrs.frozen
@@ -101,8 +104,12 @@
     def document(self, pipeline: str) -> DocumentView | None:
         """Return the document in force of ``pipeline``."""
 
-    def status(self) -> StatusView:
-        """Return what is in force on each host."""
+    def status(self, at_least: int = 0) -> StatusView:
+        """Ask the hosts and return what is in force on each.
+
+        Hosts known to have change ``at_least`` in force are not asked; 0
+        asks every host.
+        """
 
     def audit(self, after: int, limit: int) -> tuple[audit.AuditRecord, ...]:
         """Return up to ``limit`` records after sequence ``after``."""
--- a/tests/command/test_documents.py
+++ b/tests/command/test_documents.py
@@ -102,8 +102,11 @@
     assert 'in force on 1 of 2 live hosts; not heard' in result.stderr
     assert 'behind: e2' in result.stderr
     fake.hosts = (gone,)
-    fake.refused = (gateway.RefusedView('checks', 2, 'unknown field'),)
+    fake.refused = (gateway.RefusedView('papers', 2, 'unknown field'),)
     assert apply(fake, OTHER, '--overwrite', '--wait').status == 'OK'
+    fake.refused = (gateway.RefusedView('checks', 2, 'unknown field'),)
+    refused = apply(fake, TEXT, '--overwrite', '--wait', '--wait-s', 2)
+    assert refused.status == 'NOT_IN_FORCE'
     shown = commands.run('status', fake=fake).stdout
     assert 'not heard from since' in shown and 'never' in shown
     assert 'not in force on e1: checks version 2: unknown field' in shown
