Read engines' states oldest first and right before an order

Cause: in a group of 40 engines the first ones were read again and again, so that the others were never known and no order was given. Change: reads go to the engine read longest ago, and an engine chosen for an order is read once more right before it.

--- a/packages/decisions/src/godwitglade/decisions/engines.py
+++ b/packages/decisions/src/godwitglade/decisions/engines.py
@@ -37,17 +37,25 @@
     retry_at_ms: int = 0
     failure_count: int = 0
 
-    def wants_read(self, now_ms: int, is_wrong: bool) -> bool:
+    def wants_read(self, now_ms: int) -> bool:
         """Tell whether the state has to be read now."""
-        if self.asked_ms is not None or now_ms < self.retry_at_ms:
+        if not self.may_read(now_ms):
             return False
         if self.read_ms is None:
             return True
         interval_ms = READ_INTERVAL_MS
-        if is_wrong or self.ordered is not None:
+        if self.ordered is not None:
             interval_ms = LOADING_READ_MS
         return now_ms - self.read_ms >= interval_ms
 
+    def may_read(self, now_ms: int) -> bool:
+        """Tell whether no read is under way and none failed just now."""
+        if now_ms < self.retry_at_ms:
+            return False
+        if self.asked_ms is None:
+            return True
+        return now_ms - self.asked_ms >= READ_INTERVAL_MS
+
     def is_fresh(self, now_ms: int) -> bool:
         """Tell whether an order may be based on the state."""
         if self.read_ms is None or now_ms < self.retry_at_ms:
@@ -135,13 +143,23 @@
         }
 
     def orderable(self, names: list[str], now_ms: int) -> list[str]:
-        """Return those of ``names`` whose state was read just now."""
+        """Return those of ``names`` that answer and have no order."""
         loading = self.loading(now_ms)
         return [
             name
             for name in names
-            if name not in loading and self.engines[name].is_fresh(now_ms)
+            if name not in loading
+            if now_ms >= self.engines[name].retry_at_ms
+        ]
+
+    def due(self, now_ms: int) -> list[Engine]:
+        """Return the engines whose state has to be read, oldest first."""
+        due = [
+            engine
+            for engine in self.engines.values()
+            if engine.wants_read(now_ms)
         ]
+        return sorted(due, key=lambda engine: engine.read_ms or 0)
 
     def update(self, listed: list[targets.Target]) -> None:
         """Take the targets of the host list."""
--- a/packages/decisions/src/godwitglade/decisions/orders.py
+++ b/packages/decisions/src/godwitglade/decisions/orders.py
@@ -55,7 +55,7 @@
     audit_timeout_ms: int = 2 * clock.SECOND_MS
     read_limit: int = 8
     probe_timeout_ms: int = clock.SECOND_MS
-    load_age_ms: int = 10 * clock.SECOND_MS
+    load_age_ms: int = 30 * clock.SECOND_MS
 
 
 class Orders:
@@ -233,7 +233,11 @@
             for name, model in assigned.items()
             if states[name].model != model
         ]
-        found = self._read_states(group, wrong, now_ms)
+        limit = self._settings.read_limit
+        found: Effects = [
+            self._read_state(group, engine, now_ms)
+            for engine in group.due(now_ms)[:limit]
+        ]
         if wrong and group.batch is None and group.is_known:
             found += self._begin_batch(group, wrong, states, assigned, now_ms)
         return found
@@ -244,19 +248,6 @@
             return True
         return now_ms - group.lease.acquired_ms >= self._settings.linger_ms
 
-    def _read_states(
-        self, group: engines.Group, wrong: list[str], now_ms: int
-    ) -> Effects:
-        due = [
-            engine
-            for name, engine in group.engines.items()
-            if engine.wants_read(now_ms, name in wrong)
-        ]
-        return [
-            self._read_state(group, engine, now_ms)
-            for engine in due[: self._settings.read_limit]
-        ]
-
     def _read_state(
         self, group: engines.Group, engine: engines.Engine, now_ms: int
     ) -> effects.OrderEngine:
@@ -287,6 +278,17 @@
         chosen = chosen[: self._settings.batch_limit]
         if not chosen:
             return found + self._probe_loads(group, loads)
+        stale = [
+            group.engines[name]
+            for name in chosen
+            if not group.engines[name].is_fresh(now_ms)
+        ]
+        if stale:
+            return found + [
+                self._read_state(group, engine, now_ms)
+                for engine in stale
+                if engine.may_read(now_ms)
+            ]
         orders = tuple(
             order_batches.AuditedOrder(
                 name, order_batches.make_order(assigned[name], states[name])
