Run the demo on the real programs

Change: checks and measures of the demo in a module of their own; refused requests are checked not to have run; engines answer as streams end.

--- a/bench/demo.py
+++ b/bench/demo.py
@@ -5,6 +5,7 @@
 was broken.
 """
 
+import collections
 import concurrent.futures
 import os
 import pathlib
@@ -15,8 +16,7 @@
 import time
 import typing
 
-import attrs
-
+from bench import demo_report
 from bench import deployment as deployments
 
 EXAMPLES = pathlib.Path(__file__).parent.parent / 'examples'
@@ -51,28 +51,10 @@
 PARALLEL = 12
 
 
-@attrs.define
-class Report:
-    """The answers and the promises checked."""
-
-    answers: list[tuple[str, deployments.Answer]] = attrs.Factory(list)
-    broken: list[str] = attrs.Factory(list)
-
-    def check(self, promise: str, is_kept: bool, detail: str = '') -> None:
-        """Print whether a promise was kept."""
-        print(f'  {"kept  " if is_kept else "BROKEN"}  {promise} {detail}')
-        if not is_kept:
-            self.broken.append(promise)
-
-    def note(self, pipeline: str, answer: deployments.Answer) -> None:
-        """Add a caller's answer."""
-        self.answers.append((pipeline, answer))
-
-
 def main() -> int:
     """Run the demo; return the exit status."""
     started_s = time.monotonic()
-    report = Report()
+    report = demo_report.Report()
     with tempfile.TemporaryDirectory() as directory:
         deployment = deployments.Deployment(pathlib.Path(directory))
         try:
@@ -85,7 +67,9 @@
     return 1 if report.broken else 0
 
 
-def run(deployment: deployments.Deployment, report: Report) -> None:
+def run(
+    deployment: deployments.Deployment, report: demo_report.Report
+) -> None:
     """Run every part of the demo."""
     start(deployment)
     apply_documents(deployment, report)
@@ -95,7 +79,8 @@
     repeat_squad_update(deployment, report)
     load_past_a_crash(deployment, report)
     show_state(deployment, report)
-    show_measures(report)
+    title('Attainment and cost by stage')
+    report.show_measures()
 
 
 def title(text: str) -> None:
@@ -147,7 +132,7 @@
 
 
 def apply_documents(
-    deployment: deployments.Deployment, report: Report
+    deployment: deployments.Deployment, report: demo_report.Report
 ) -> None:
     """Put both teams' documents into force."""
     title('Applying the documents of both teams')
@@ -168,7 +153,7 @@
 
 def ask(
     deployment: deployments.Deployment,
-    report: Report,
+    report: demo_report.Report,
     pipeline: str,
     number: int,
 ) -> deployments.Answer:
@@ -185,7 +170,9 @@
     return answer
 
 
-def send_one_each(deployment: deployments.Deployment, report: Report) -> None:
+def send_one_each(
+    deployment: deployments.Deployment, report: demo_report.Report
+) -> None:
     """Send one request to each pipeline."""
     title('One request to each pipeline')
     for number, pipeline in enumerate(PIPELINES):
@@ -199,7 +186,7 @@
 
 
 def stream_past_a_crash(
-    deployment: deployments.Deployment, report: Report
+    deployment: deployments.Deployment, report: demo_report.Report
 ) -> None:
     """Stream an explanation and kill the engine that sends it."""
     title('A streamed explanation; its engine is killed midway')
@@ -224,8 +211,8 @@
         length = piece['offset'] + len(piece['text'])
         if report_gap:
             report.check('no gap and no repeat in the stream', False)
-    text = (answer.fields.get('results') or {}).get('explanation')
-    is_whole = answer.outcome == 'answered' and text in (None, answer.text)
+    results = answer.fields.get('results') or {}
+    is_whole = results.get('explanation') == {'text': answer.text}
     report.check('the stream is whole', is_whole, f'({length} characters)')
 
 
@@ -258,43 +245,35 @@
 
 
 def repeat_activation(
-    deployment: deployments.Deployment, report: Report
+    deployment: deployments.Deployment, report: demo_report.Report
 ) -> None:
     """Activate an account four times with one key."""
     title('One activation sent four times, through every host')
     key = 'driver-42'
     answers = repeat(deployment, 'account-activation', 'rabat-desk', key)
     print('  outcomes: ' + ', '.join(answer.outcome for answer in answers))
-    runs = runs_of(deployment, 'onboarding-application', 'activation', key)
+    runs = demo_report.runs_of(
+        deployment, 'onboarding-application', 'activation', key
+    )
     report.check('the account was activated once', runs == 1, f'({runs})')
     last = answers[-1].outcome
     report.check('a resend gets the answer', last == 'answered', f'({last})')
 
 
 def repeat_squad_update(
-    deployment: deployments.Deployment, report: Report
+    deployment: deployments.Deployment, report: demo_report.Report
 ) -> None:
     """Update a squad sheet four times with one key."""
     title('One squad-sheet update sent four times, through every host')
     key = 'match-7-sheet'
     answers = repeat(deployment, 'squad-update', 'schools', key)
     print('  outcomes: ' + ', '.join(answer.outcome for answer in answers))
-    runs = runs_of(deployment, 'squad-records', 'update', key)
+    runs = demo_report.runs_of(deployment, 'squad-records', 'update', key)
     report.check('the sheet was updated once', runs == 1, f'({runs})')
 
 
-def runs_of(
-    deployment: deployments.Deployment, pool: str, stage: str, identity: str
-) -> int:
-    """Return how often a stage ran for an identity."""
-    return sum(
-        run['stage'] == stage and run['identity'] == identity
-        for run in deployment.runs(pool)
-    )
-
-
 def load_past_a_crash(
-    deployment: deployments.Deployment, report: Report
+    deployment: deployments.Deployment, report: demo_report.Report
 ) -> None:
     """Send requests to every pipeline while a target is killed."""
     title('Load on both deployments; one encoder is killed meanwhile')
@@ -313,21 +292,30 @@
     timer.join()
     answered = sum(answer.outcome == 'answered' for answer in answers)
     print(f'  {answered} of {len(answers)} answered, {victim.name} killed')
+    others = collections.Counter(
+        f'{answer.outcome} ({answer.fields.get("reason")})'
+        for answer in answers
+        if answer.outcome != 'answered'
+    )
+    for name, count in others.items():
+        print(f'  {count} {name}')
     own = [
-        is_own(answer, f'{pipeline}/{number}')
+        demo_report.is_own(answer, f'{pipeline}/{number}')
         for (pipeline, number), answer in zip(jobs, answers)
     ]
     report.check('every answer belongs to its request', all(own))
+    ran = {run['identity'] for pool in POOLS for run in deployment.runs(pool)}
+    refused = [
+        f'{pipeline}/{number}'
+        for (pipeline, number), answer in zip(jobs, answers)
+        if answer.outcome == 'refused_not_run'
+    ]
+    report.check('what was refused was not run', ran.isdisjoint(refused))
 
 
-def is_own(answer: deployments.Answer, identity: str) -> bool:
-    """Tell whether no result carries another request's identity."""
-    results = (answer.fields.get('results') or {}).values()
-    found = [r['identity'] for r in results if isinstance(r, dict)]
-    return all(each == identity for each in found)
-
-
-def show_state(deployment: deployments.Deployment, report: Report) -> None:
+def show_state(
+    deployment: deployments.Deployment, report: demo_report.Report
+) -> None:
     """Print versions in force per host and the audit trail."""
     title('Versions in force per host, as the monitor sees them')
     done = command(deployment, 'watch', 'status')
@@ -338,23 +326,5 @@
     report.check('the audit trail is unbroken', done.returncode == 0)
 
 
-def show_measures(report: Report) -> None:
-    """Print attainment and cost by stage."""
-    title('Attainment and cost by stage')
-    total = len(report.answers)
-    answered = sum(a.outcome == 'answered' for _, a in report.answers)
-    print(f'  attainment {answered / total:.1%} of {total} requests')
-    costs: dict[str, list[int]] = {}
-    for pipeline, answer in report.answers:
-        for stage in answer.fields.get('stages', []):
-            cost = costs.setdefault(f'{pipeline} {stage["stage"]}', [0, 0, 0])
-            cost[0] += 1
-            cost[1] += stage['attempts']
-            cost[2] += stage['elapsed_ms']
-    print(f'  {"stage":36}{"runs":>6}{"calls":>7}{"ms a run":>10}')
-    for name, (runs, calls, elapsed_ms) in costs.items():
-        print(f'  {name:36}{runs:6}{calls:7}{elapsed_ms / runs:10.1f}')
-
-
 if __name__ == '__main__':
     sys.exit(main())
--- a/bench/standins/engine.py
+++ b/bench/standins/engine.py
@@ -81,7 +81,9 @@
         with self.work.slot(plain):
             time.sleep(self._pieces * self._pace_ms / 1_000)
         text = self.text_of(plain)
-        return server.Reply({**self._last_fields(plain), 'output': text})
+        return server.Reply(
+            {**self._last_fields(plain), 'output': {'text': text}}
+        )
 
     def _events(
         self, plain: dict[str, typing.Any]
