Serve TLS on the listeners of the daemon

Cause: the TLS adapter, refused versions and IPv6 addresses were not wired into the daemon, and a wrong option ended in a traceback because typer no longer raises click's own errors. Change: assembly.py (listeners, peer client over https with peers_ca_path), views.py (StatusView.refused), core.py (usage errors and unusable certificates end with their exit status). Conclusion: hosts are called by IP number, so that names in certificates are not compared; the signature proves the sender.

--- a/packages/daemon/src/godwitglade/daemon/assembly.py
+++ b/packages/daemon/src/godwitglade/daemon/assembly.py
@@ -11,6 +11,7 @@
 
 from godwitglade.callers import app as callers_app
 from godwitglade.callers import exchanges
+from godwitglade.common import clock as clocks
 from godwitglade.common import events
 from godwitglade.coordination import hosts
 from godwitglade.daemon import context
@@ -23,6 +24,7 @@
 from godwitglade.daemon import servers
 from godwitglade.daemon import settings as settings_files
 from godwitglade.daemon import settings_types
+from godwitglade.daemon import tls
 from godwitglade.decisions import host as deciders
 from godwitglade.decisions import settings as request_settings
 from godwitglade.operators import app as operators_app
@@ -61,7 +63,7 @@
         env.stderr, settings.log_level.value, settings.host, settings.zone
     )
     self_id = hosts.HostId(settings.host, settings.zone, env.clock.wall_ms())
-    peers = _make_peers(self_id, settings, env)
+    peers = make_peers(self_id, settings, env)
     clients = _make_clients(settings, env, peers)
     waiting = exchanges.Exchanges(str(self_id))
     effector_ = effector.Effector(
@@ -81,7 +83,7 @@
 
 
 @attrs.frozen
-class _Peers:
+class Peers:
     """What the client and the listener for other hosts share."""
 
     client: peer_client.Client
@@ -91,23 +93,46 @@
     traffic: traffic.Traffic
 
 
-def _make_peers(
+def make_peers(
     self_id: hosts.HostId,
     settings: settings_types.Settings,
     env: context.Environment,
-) -> _Peers:
+) -> Peers:
+    """Return what talks to other hosts for ``self_id``.
+
+    Raises SettingsError and UnreadableFileError for the secret.
+    """
     secret = settings_files.read_secret(settings.secret, env.variables)
     codec = peer_codec.make_codec()
     signer = signing.Signer(secret, env.clock)
     counted = traffic.Traffic()
-    client = peer_client.Client(self_id, codec, signer, counted)
-    return _Peers(client, replies.Replies(), codec, signer, counted)
+    client = peer_client.Client(
+        self_id, codec, signer, counted, **_peer_transport(settings)
+    )
+    return Peers(client, replies.Replies(), codec, signer, counted)
+
+
+def _peer_transport(
+    settings: settings_types.Settings,
+) -> dict[str, typing.Any]:
+    """Return how the client for other hosts connects.
+
+    Hosts are called by IP number, which their certificates need not name:
+    the signature of each message proves its sender.
+    """
+    if not settings.peers.has_tls:
+        return {'scheme': 'http'}
+    return {
+        'scheme': 'https',
+        'ca_certs': settings.peers_ca_path,
+        'assert_hostname': False,
+    }
 
 
 def _make_clients(
     settings: settings_types.Settings,
     env: context.Environment,
-    peers: _Peers,
+    peers: Peers,
 ) -> effector.Clients:
     manager = urllib3.PoolManager(
         maxsize=PLATFORM_CONNECTIONS, retries=False, block=False
@@ -132,8 +157,8 @@
 ) -> statsd.StatsClient | None:
     if settings.statsd_address is None:
         return None
-    host, _, port = settings.statsd_address.rpartition(':')
-    return statsd.StatsClient(host, int(port), prefix='godwitglade')
+    host, port = settings_types.split_address(settings.statsd_address)
+    return statsd.StatsClient(host, port, prefix='godwitglade')
 
 
 def _make_loop(
@@ -172,10 +197,11 @@
     env: context.Environment,
     loop: loops.Loop,
     waiting: exchanges.Exchanges,
-    peers: _Peers,
+    peers: Peers,
     clients: effector.Clients,
     logger: typing.Any,
 ) -> tuple[servers.Listener, ...]:
+    log = functools.partial(logs.log_event, logger)
     callers = callers_app.make_app(
         callers_app.Gateway(
             loop.post,
@@ -190,7 +216,7 @@
             loop,
             waiting,
             clients.table,
-            functools.partial(logs.log_event, logger),
+            log,
         ),
         settings.tokens,
         env.clock,
@@ -205,18 +231,23 @@
         )
     )
     threads = settings.threads
+    listen = functools.partial(_listen, env.clock, log)
     return (
-        _listen(settings.callers, callers, threads.callers),
-        _listen(settings.operators, operators, threads.operators),
-        _listen(settings.peers, peers_, threads.peers),
+        listen(settings.callers, callers, threads.callers),
+        listen(settings.operators, operators, threads.operators),
+        listen(settings.peers, peers_, threads.peers),
     )
 
 
 def _listen(
-    listener: settings_types.Listener, app: typing.Any, threads: int
+    clock: clocks.Clock,
+    log: tls.Log,
+    listener: settings_types.Listener,
+    app: typing.Any,
+    threads: int,
 ) -> servers.Listener:
-    host, _, port = listener.address.rpartition(':')
-    return servers.Listener(host, int(port), app, threads)
+    adapter = tls.make_adapter(listener, clock, log)
+    return servers.Listener(*listener.host_and_port, app, threads, adapter)
 
 
 def _max_requests(settings: settings_types.Settings) -> int:
--- a/packages/daemon/src/godwitglade/daemon/core.py
+++ b/packages/daemon/src/godwitglade/daemon/core.py
@@ -1,10 +1,10 @@
 """The daemon's program: arguments in, exit status out."""
 
+import contextlib
 import pathlib
 import signal
 import typing
 
-import click
 import typer
 
 from godwitglade.common import errors
@@ -36,15 +36,15 @@
         """Serve pipelines on this entry host until told to stop."""
         raise typer.Exit(_run(path, is_check, env))
 
-    command = typer.main.get_command(app)
-    try:
-        result = command.main(
-            list(args), prog_name='godwitgladed', standalone_mode=False
-        )
-    except click.ClickException as error:
-        error.show(env.stderr)
-        return status.ExitStatus.USAGE
-    return status.ExitStatus(result or 0)
+    with (
+        contextlib.redirect_stdout(env.stdout),
+        contextlib.redirect_stderr(env.stderr),
+    ):
+        try:
+            app(list(args), prog_name='godwitgladed')
+        except SystemExit as end:
+            return status.ExitStatus(end.code or 0)
+    return status.ExitStatus.SUCCESS
 
 
 def _run(
@@ -52,18 +52,16 @@
 ) -> status.ExitStatus:
     try:
         found = settings.load_settings(path, env.variables)
+        daemon = None if is_check else assembly.assemble(found, env)
     except errors.CodedError as error:
         logger = logs.make_logger(env.stderr, 'info', '', '')
         fields = {'code': error.code, 'reason': str(error)}
         logs.log_event(logger, events.Event.SETTINGS_REFUSED, fields)
         return status.ExitStatus.SETTINGS
-    if is_check:
-        return status.ExitStatus.SUCCESS
-    return _serve(found, env)
+    return status.ExitStatus.SUCCESS if daemon is None else _serve(daemon)
 
 
-def _serve(found: typing.Any, env: context.Environment) -> status.ExitStatus:
-    daemon = assembly.assemble(found, env)
+def _serve(daemon: assembly.Daemon) -> status.ExitStatus:
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(
             number, lambda *_: daemon.loop.post(messages.StopAsked())
--- a/packages/daemon/src/godwitglade/daemon/settings.py
+++ b/packages/daemon/src/godwitglade/daemon/settings.py
@@ -96,6 +96,9 @@
     yield from _address_conflicts(settings)
     for name in ('callers', 'operators', 'peers'):
         yield from _tls_conflicts(name, getattr(settings, name))
+    if settings.peers.has_tls and settings.peers_ca_path is None:
+        reason = 'is required beside peers.certificate_path'
+        yield validation.Fault('peers_ca_path', reason)
     if (settings.secret.path is None) == (settings.secret.variable is None):
         yield validation.Fault('secret', 'must have either path or variable')
     yield from _token_conflicts(settings.tokens)
--- a/packages/daemon/src/godwitglade/daemon/settings_schema.py
+++ b/packages/daemon/src/godwitglade/daemon/settings_schema.py
@@ -152,6 +152,11 @@
         'secret': kinds.Field(
             SECRET, 'Secret that hosts authenticate one another with.'
         ),
+        'peers_ca_path': kinds.Field(
+            kinds.Optional(FILE_PATH),
+            'PEM file of the authorities that signed the certificates of the '
+            "hosts; required when the peers' listener has TLS.",
+        ),
         'tokens': kinds.Field(
             kinds.Items(TOKEN), 'Tokens of operators and the monitor.'
         ),
--- a/packages/daemon/src/godwitglade/daemon/settings_types.py
+++ b/packages/daemon/src/godwitglade/daemon/settings_types.py
@@ -83,6 +83,7 @@
     peers: Listener
     platform: Platform
     secret: Secret
+    peers_ca_path: str | None = None
     tokens: tuple[access.Token, ...] = ()
     statsd_address: str | None = None
     log_level: LogLevel = LogLevel.INFO
--- a/packages/daemon/src/godwitglade/daemon/views.py
+++ b/packages/daemon/src/godwitglade/daemon/views.py
@@ -42,6 +42,10 @@
             document.pipeline: document.version
             for document in documents_of(host, now_ms)
         },
+        refused=tuple(
+            gateway.RefusedView(found.pipeline, found.version, found.reason)
+            for found in host.refused_documents
+        ),
     )
 
 
--- /dev/null
+++ b/tests/daemon/test_daemon_tls.py
@@ -0,0 +1,116 @@
+"""A whole daemon with TLS on its listeners, and faults at its start."""
+
+import contextlib
+import io
+import socket
+import threading
+
+import pytest
+import urllib3
+
+from godwitglade.coordination import bodies
+from godwitglade.coordination import effects
+from godwitglade.coordination import hosts
+from godwitglade.daemon import assembly
+from godwitglade.daemon import context
+from godwitglade.daemon import core
+from godwitglade.daemon import settings
+from godwitglade.decisions import messages as decision_messages
+from godwitglade.operators import access
+from tests.daemon import certificates
+
+TEXT = """\
+host: entry-1
+zone: north-a
+callers: {{address: '127.0.0.1:{ports[0]}', {pair}}}
+operators: {{address: '127.0.0.1:{ports[1]}', {pair}}}
+peers: {{address: '127.0.0.1:{ports[2]}', {pair}}}
+peers_ca_path: {folder}/c.pem
+platform:
+  table_url: http://127.0.0.1:9
+  objects_url: http://127.0.0.1:9
+  host_list_url: http://127.0.0.1:9
+secret: {{variable: SECRET}}
+tokens: [{{name: watch, role: monitor, sha256: {hash}}}]
+"""
+
+
+def write_settings(folder):
+    with contextlib.ExitStack() as stack:
+        sockets = [
+            stack.enter_context(socket.create_server(('127.0.0.1', 0)))
+            for _ in range(3)
+        ]
+        ports = [found.getsockname()[1] for found in sockets]
+    pair = f'certificate_path: {folder}/c.pem, key_path: {folder}/k.pem'
+    digest = access.hash_token('watch-token')
+    text = TEXT.format(ports=ports, pair=pair, folder=folder, hash=digest)
+    path = folder / 'host.yaml'
+    path.write_text(text)
+    return path
+
+
+def make_environment():
+    return context.Environment(
+        stdout=io.StringIO(),
+        stderr=io.StringIO(),
+        variables={'SECRET': '0123456789abcdef'},
+    )
+
+
+@pytest.fixture
+def served(tmp_path):
+    certificates.write_pair(tmp_path, 'entry-1')
+    env = make_environment()
+    found = settings.load_settings(write_settings(tmp_path), env.variables)
+    daemon = assembly.assemble(found, env)
+    daemon.servers.start()
+    thread = threading.Thread(target=daemon.loop.run)
+    thread.start()
+    yield found, daemon
+    daemon.loop.post(decision_messages.StopAsked())
+    thread.join()
+    daemon.servers.stop()
+    daemon.effector.stop()
+
+
+def test_each_listener_speaks_tls(served):
+    found, daemon = served
+    pool = urllib3.PoolManager(
+        ca_certs=found.peers_ca_path, assert_hostname=False, retries=False
+    )
+    health = pool.request('GET', f'https://{found.callers.address}/healthz')
+    assert health.status == 200
+    status = pool.request(
+        'GET',
+        f'https://{found.operators.address}/v1/status',
+        headers={'Authorization': 'Bearer watch-token'},
+    )
+    assert status.json()['host'] == 'entry-1'
+    with pytest.raises(urllib3.exceptions.HTTPError):
+        pool.request('GET', f'http://{found.callers.address}/healthz')
+
+
+def test_hosts_talk_over_tls(served):
+    found, daemon = served
+    other = hosts.HostId('entry-2', 'north-b', 1)
+    client = assembly.make_peers(other, found, make_environment()).client
+    question = effects.SendPeer('t', found.peers.address, bodies.Ping(), 5_000)
+    assert client.send(question).body == bodies.Pong()
+
+
+@pytest.mark.parametrize(
+    'args, status, shown',
+    [
+        (['--nothing'], 'USAGE', 'No such option'),
+        ([], 'USAGE', 'Missing option'),
+        (['--settings', 'SETTINGS'], 'SETTINGS', 'certificate_unusable'),
+        (['--settings', '/nothing.yaml'], 'SETTINGS', 'file_unreadable'),
+    ],
+)
+def test_fault_at_the_start_has_its_exit_status(tmp_path, args, status, shown):
+    path = write_settings(tmp_path)
+    args = [str(path) if arg == 'SETTINGS' else arg for arg in args]
+    env = make_environment()
+    assert core.main(args, env).name == status
+    assert shown in env.stderr.getvalue()
--- a/tests/daemon/test_tls.py
+++ b/tests/daemon/test_tls.py
@@ -1,14 +1,10 @@
 """TLS listeners: certificates reloaded, slow handshakes kept apart."""
 
-import datetime
 import socket
 import ssl
 import threading
 
 from cheroot import wsgi
-from cryptography.hazmat.primitives.asymmetric import ec
-from cryptography.hazmat.primitives import hashes
-from cryptography.hazmat.primitives import serialization
 from cryptography import x509
 import pytest
 import urllib3
@@ -17,34 +13,7 @@
 from godwitglade.common import events
 from godwitglade.daemon import settings_types
 from godwitglade.daemon import tls
-
-DAY = datetime.timedelta(days=1)
-
-
-def write_pair(folder, name):
-    """Write a self-signed certificate for ``name`` and its key."""
-    key = ec.generate_private_key(ec.SECP256R1())
-    subject = x509.Name.from_rfc4514_string(f'CN={name}')
-    now = datetime.datetime.now(datetime.timezone.utc)
-    certificate = (
-        x509.CertificateBuilder()
-        .subject_name(subject)
-        .issuer_name(subject)
-        .public_key(key.public_key())
-        .serial_number(x509.random_serial_number())
-        .not_valid_before(now - DAY)
-        .not_valid_after(now + DAY)
-        .sign(key, hashes.SHA256())
-    )
-    pem = serialization.Encoding.PEM
-    (folder / 'c.pem').write_bytes(certificate.public_bytes(pem))
-    (folder / 'k.pem').write_bytes(
-        key.private_bytes(
-            pem,
-            serialization.PrivateFormat.PKCS8,
-            serialization.NoEncryption(),
-        )
-    )
+from tests.daemon import certificates
 
 
 class Served:
@@ -95,7 +64,7 @@
 
 @pytest.fixture
 def served(tmp_path):
-    write_pair(tmp_path, 'first')
+    certificates.write_pair(tmp_path, 'first')
     running = Served(tmp_path)
     yield running
     running.stop()
@@ -103,7 +72,7 @@
 
 def test_new_certificate_is_used_without_a_restart(served, tmp_path):
     assert served.name() == 'first'
-    write_pair(tmp_path, 'second')
+    certificates.write_pair(tmp_path, 'second')
     assert served.name() == 'first'
     served.clock.advance(tls.CHECK_INTERVAL_MS)
     assert served.name() == 'second'
--- a/tests/settings/test_settings.py
+++ b/tests/settings/test_settings.py
@@ -49,6 +49,11 @@
         ('10.20.0.4:8444', '10.20.0.4:8443', 'is also the address of callers'),
         ('callers.key', 'callers.key\n  keypath: x', 'did you mean'),
         ('  key_path: /etc/godwitglade/callers.key\n', '', 'callers.key_path'),
+        (
+            '8445\n  certificate_path: null\n  key_path: null',
+            '8445\n  certificate_path: c\n  key_path: k',
+            'peers_ca_path: is required beside peers.certificate_path',
+        ),
         ('table_url: https', 'table_url: ftp', 'platform.table_url'),
         ('path: /run/secrets/godwitglade', '', 'either path or variable'),
         ('name: tomas', 'name: amina', 'tokens[1].name: stands twice'),
