Tell leaving hosts from those not heard from; fuzz the interface

Cause: a host that stops as planned was shown as not heard from. Conclusion: only typed answers below 500 came out.

--- a/packages/command/src/godwitglade/command/fleet.py
+++ b/packages/command/src/godwitglade/command/fleet.py
@@ -11,6 +11,8 @@
 
 POLL_MS = 250
 LIVE = 'live'
+#: States of hosts that are heard from.
+HEARD = (LIVE, 'leaving')
 
 
 @attrs.frozen
@@ -41,7 +43,7 @@
     return Progress(
         tuple(h['name'] for h in live if h['sequence'] >= sequence),
         tuple(h['name'] for h in live if h['sequence'] < sequence),
-        tuple(h['name'] for h in hosts if h['state'] != LIVE),
+        tuple(h['name'] for h in hosts if h['state'] not in HEARD),
     )
 
 
@@ -97,7 +99,7 @@
 
 
 def _in_force(host: dict[str, typing.Any], newest: int) -> str:
-    if host['state'] != LIVE:
+    if host['state'] not in HEARD:
         return 'not heard from since'
     behind = newest - host['sequence']
     return 'current' if behind == 0 else f'{behind} changes behind'
--- a/tests/command/test_documents.py
+++ b/tests/command/test_documents.py
@@ -101,11 +101,13 @@
     assert result.status == 'NOT_IN_FORCE'
     assert 'in force on 1 of 2 live hosts; not heard' in result.stderr
     assert 'behind: e2' in result.stderr
-    fake.hosts = (gone,)
+    leaving = gateway.HostView('e4', 'b', 'x', 'leaving', 0, 5)
+    fake.hosts = (gone, leaving)
     fake.refused = (gateway.RefusedView('checks', 2, 'unknown field'),)
     assert apply(fake, OTHER, '--overwrite', '--wait').status == 'OK'
     shown = commands.run('status', fake=fake).stdout
     assert 'not heard from since' in shown and 'never' in shown
+    assert '2 changes behind' in shown
     assert 'not in force on e1: checks version 2: unknown field' in shown
 
 
--- a/tests/operators/test_app.py
+++ b/tests/operators/test_app.py
@@ -1,5 +1,9 @@
 """The operators' HTTP interface: access, answers and typed errors."""
 
+import json
+
+import hypothesis
+from hypothesis import strategies
 import pytest
 
 from godwitglade.common import events
@@ -152,3 +156,28 @@
     assert response.status == status
     assert response.headers['Content-Type'] == 'application/json'
     assert not response.body['error']['is_retryable']
+
+
+def to_bytes(plain):
+    return json.dumps(plain).encode()
+
+
+@hypothesis.given(
+    strategies.sampled_from(['GET', 'PUT', 'DELETE', 'POST', 'PATCH']),
+    strategies.sampled_from(
+        ['documents/', 'changes/', 'audit?after=', 'quarantine/', '', 'x']
+    ),
+    strategies.text(max_size=20),
+    strategies.binary(max_size=40)
+    | strategies.dictionaries(
+        strategies.sampled_from(['based_on', 'change_id', 'text', 'x']),
+        strategies.none() | strategies.integers() | strategies.text(),
+    ).map(to_bytes),
+)
+@hypothesis.settings(derandomize=True, max_examples=200, deadline=None)
+def test_any_request_gets_a_typed_answer(method, place, text, body):
+    client = gateways.connect(gateways.FakeGateway())
+    path = '/v1/' + place + text.encode().decode('latin-1')
+    response = client.call(method, path, body)
+    assert response.status < 500
+    assert isinstance(response.body, dict)
