--- a/packages/command/src/godwitglade/command/fleet.py
+++ b/packages/command/src/godwitglade/command/fleet.py
@@ -11,6 +11,8 @@
 
 POLL_MS = 250
 LIVE = 'live'
+#: States of hosts that are heard from.
+HEARD = (LIVE, 'leaving')
 
 
 @attrs.frozen
@@ -54,7 +56,7 @@
     return Progress(
         tuple(h['name'] for h in live if _holds(h, sequence, pipeline)),
         tuple(h['name'] for h in live if not _holds(h, sequence, pipeline)),
-        tuple(h['name'] for h in hosts if h['state'] != LIVE),
+        tuple(h['name'] for h in hosts if h['state'] not in HEARD),
     )
 
 
@@ -116,7 +118,7 @@
 
 
 def _in_force(host: dict[str, typing.Any], newest: int) -> str:
-    if host['state'] != LIVE:
+    if host['state'] not in HEARD:
         return 'not heard from since'
     if host.get('refused'):
         return f'refused: {", ".join(host["refused"])}'
