Eject failing and slow targets, hedge and adapt limits

Cause: calls kept going to dead and slow targets, and a slow call of a repeatable stage had no second chance. The fake gave a straggling request the same time at every target, which no policy can mend: stragglers are now drawn for each call.

--- a/bench/measure/deployments.py
+++ b/bench/measure/deployments.py
@@ -11,6 +11,9 @@
 
 Kind = documents.StageKind
 
+#: Mean slowdown by stragglers, by which the drawn times are reduced.
+MEAN_TAIL = 1.0 + fake_targets.TAIL_SHARE * (fake_targets.TAIL_FACTOR - 1)
+
 ENGINE = fake_targets.Shape(
     slots=16,
     max_queue=16,
@@ -121,10 +124,8 @@
             spread = rng.choice((0.5, 0.75, 1.0, 1.0, 1.25, 1.5))
             return fake_targets.Work(tokens=int(mix.mean_tokens * spread))
         mean_ms = self.service(stage.pool).mean_ms
-        # One call in a hundred is a straggler of its own making.
-        tail = 8.0 if rng.random() < 0.01 else 1.0
         drawn = rng.gammavariate(4.0, mean_ms / 4.0)
-        return fake_targets.Work(service_ms=tail * drawn / 1.07)
+        return fake_targets.Work(service_ms=drawn / MEAN_TAIL)
 
 
 def _stage(name, kind, pool, budget_ms, **changes) -> documents.Stage:
--- a/bench/measure/fake_targets.py
+++ b/bench/measure/fake_targets.py
@@ -14,6 +14,10 @@
 from godwitglade.decisions import messages
 from godwitglade.decisions import targets
 
+#: Share of the calls of a plain service that straggle, and how much.
+TAIL_SHARE = 0.01
+TAIL_FACTOR = 8.0
+
 #: An engine emits new text of its streams this often.
 PIECE_INTERVAL_MS = 250
 
@@ -168,7 +172,8 @@
         )
 
     def _size_of(self, call, work: Work) -> float:
-        return work.service_ms
+        is_straggler = self.rng.random() < TAIL_SHARE
+        return work.service_ms * (TAIL_FACTOR if is_straggler else 1.0)
 
     def _forget_cache(self) -> None:
         pass
--- a/packages/decisions/src/godwitglade/decisions/balance.py
+++ b/packages/decisions/src/godwitglade/decisions/balance.py
@@ -38,7 +38,7 @@
         now_ms: int,
     ) -> directory.TrackedTarget | None:
         """Return the less loaded of two candidates with room."""
-        with_room = [t for t in candidates if t.has_room]
+        with_room = [t for t in candidates if t.has_room(now_ms)]
         near = [t for t in with_room if t.target.zone == zone]
         choices = near or with_room
         if not choices:
--- a/packages/decisions/src/godwitglade/decisions/calling.py
+++ b/packages/decisions/src/godwitglade/decisions/calling.py
@@ -4,6 +4,7 @@
 from godwitglade.decisions import context as contexts
 from godwitglade.decisions import directory
 from godwitglade.decisions import effects
+from godwitglade.decisions import estimates
 from godwitglade.decisions import jobs
 from godwitglade.decisions import outcomes
 from godwitglade.decisions import payloads
@@ -35,13 +36,17 @@
     job.stage_attempts += 1
     if job.stage.name not in job.ran:
         job.ran.append(job.stage.name)
-    watch_ms = now_ms + timeout_ms + TIMEOUT_GRACE_MS
     return [
         _call(context, job, attempt),
-        *timer('watch', attempt.attempt_id, watch_ms),
+        *timer('watch', attempt.attempt_id, attempt.sent_ms),
     ]
 
 
+def ends_ms(attempt: jobs.Attempt) -> int:
+    """Return when an attempt ends although the transport has not said so."""
+    return attempt.sent_ms + attempt.timeout_ms + TIMEOUT_GRACE_MS
+
+
 def close(
     context: contexts.Context, job: jobs.Job, attempt: jobs.Attempt
 ) -> None:
@@ -87,6 +92,16 @@
     return [coordination_effects.StartTimer(token, due_ms)]
 
 
+def sketch_of(
+    context: contexts.Context, job: jobs.Job
+) -> estimates.DurationSketch:
+    """Return the measured times to the first byte of the job's stage."""
+    pipeline, name = job.document.pipeline, job.stage.name
+    if job.is_streamed:
+        return context.times.first_byte(pipeline, name)
+    return context.times.whole(pipeline, name)
+
+
 def first_byte_ms(
     context: contexts.Context, job: jobs.Job, timeout_ms: int
 ) -> int:
@@ -95,12 +110,8 @@
     The bound comes from the stage's own measured times; without enough of
     them it is the whole timeout.
     """
-    sketch = (
-        context.times.first_byte(job.document.pipeline, job.stage.name)
-        if job.is_streamed
-        else context.times.whole(job.document.pipeline, job.stage.name)
-    )
-    if sketch.count < MIN_SAMPLES:
+    sketch = sketch_of(context, job)
+    if sketch.count < MIN_SAMPLES or not job.stage.is_repeatable:
         return timeout_ms
     slowest_ms = FIRST_BYTE_FACTOR * sketch.quantile_ms(0.99)
     least_ms = context.settings.min_first_byte_ms
--- a/packages/decisions/src/godwitglade/decisions/directory.py
+++ b/packages/decisions/src/godwitglade/decisions/directory.py
@@ -2,8 +2,11 @@
 
 import attrs
 
+from godwitglade.common import clock
 from godwitglade.decisions import targets
 
+DAY_MS = clock.DAY_MS
+
 #: In-flight limit of a target before anything was measured.
 INITIAL_LIMIT = 8.0
 
@@ -12,8 +15,11 @@
 class TrackedTarget:
     """A target with what this host knows of it.
 
-    ``limit`` bounds this host's own calls in flight. ``silent`` counts
-    probes that failed one after another. Times are None when not so.
+    ``limit`` bounds this host's own calls in flight. ``failures`` counts
+    calls that failed one after another, ``overdue`` recent calls that took
+    far too long; ``slowness`` is the mean of ``samples`` times over what
+    their stage usually takes. While ejected, the target is probed from
+    ``probe_at_ms`` on.
     """
 
     target: targets.Target
@@ -24,20 +30,26 @@
     is_listed: bool = True
     is_listed_leaving: bool = False
     told_leaving_until_ms: int | None = None
-    ejected_until_ms: int | None = None
-    silent: int = 0
+    busy_until_ms: int = 0
+    is_ejected: bool = False
+    last_ejected_ms: int = -DAY_MS
+    out_ms: int = 0
+    probe_at_ms: int = 0
     probe_sent_ms: int | None = None
     failures: int = 0
+    overdue: float = 0.0
+    slowness: float = 1.0
+    samples: int = 0
 
     @property
     def name(self) -> str:
         """Return the target's name."""
         return self.target.name
 
-    @property
-    def has_room(self) -> bool:
+    def has_room(self, now_ms: int) -> bool:
         """Tell whether this host may have one more call in flight."""
-        return self.in_flight < max(1, int(self.limit))
+        is_paused = now_ms < self.busy_until_ms
+        return not is_paused and self.in_flight < int(self.limit)
 
     def is_leaving(self, now_ms: int) -> bool:
         """Tell whether any sign says that the target takes no new work."""
@@ -46,14 +58,9 @@
         until_ms = self.told_leaving_until_ms
         return until_ms is not None and now_ms < until_ms
 
-    def is_ejected(self, now_ms: int) -> bool:
-        """Tell whether the target is out as an outlier."""
-        until_ms = self.ejected_until_ms
-        return until_ms is not None and now_ms < until_ms
-
     def takes_work(self, now_ms: int) -> bool:
         """Tell whether new work may go to the target."""
-        return not self.is_leaving(now_ms) and not self.is_ejected(now_ms)
+        return not self.is_leaving(now_ms) and not self.is_ejected
 
 
 @attrs.define(eq=False)
--- /dev/null
+++ b/packages/decisions/src/godwitglade/decisions/health.py
@@ -0,0 +1,164 @@
+"""Ejection of targets that fail or are much slower than their pool.
+
+An ejected target comes back only after a probe on a new connection, with
+room for a single call; each further ejection soon after lasts twice as
+long, so that a target that fails on and off stays out.
+"""
+
+import statistics
+
+from godwitglade.coordination import effects as coordination_effects
+from godwitglade.decisions import context as contexts
+from godwitglade.decisions import directory
+from godwitglade.decisions import effects
+from godwitglade.decisions import messages
+
+FIRST_OUT_MS = 2_000
+LONGEST_OUT_MS = 30_000
+#: After this time without an ejection the next one is short again.
+FORGIVEN_MS = 60_000
+#: Failures one after another that eject a target.
+MAX_FAILURES = 3
+#: A target this many times slower than its pool is ejected.
+SLOW_FACTOR = 3.0
+#: Share of a pool that may be ejected.
+MAX_OUT_SHARE = 0.5
+#: Overdue calls that eject a target while the rest of its pool is on time.
+MAX_OVERDUE = 2
+
+_SMOOTHING = 0.3
+_MIN_SAMPLES = 3
+
+
+def succeeded(tracked: directory.TrackedTarget, ratio: float) -> None:
+    """Note a reply; ``ratio`` is its time over the stage's mean."""
+    tracked.failures = 0
+    tracked.samples += 1
+    gain = max(_SMOOTHING, 1.0 / tracked.samples)
+    tracked.slowness += gain * (ratio - tracked.slowness)
+
+
+def failed(
+    context: contexts.Context,
+    tracked: directory.TrackedTarget,
+    message: messages.StageFault,
+    now_ms: int,
+) -> contexts.Effects:
+    """Note a failed call and eject the target when it must be."""
+    kinds = messages.FaultKind
+    if message.kind in (kinds.BUSY, kinds.LEAVING, kinds.REJECTED):
+        return []
+    tracked.failures += 1
+    is_gone = message.kind is kinds.CONNECT or message.is_crash
+    if not is_gone and tracked.failures < MAX_FAILURES:
+        return []
+    return eject(context, tracked, now_ms)
+
+
+def overdue(
+    context: contexts.Context,
+    tracked: directory.TrackedTarget,
+    now_ms: int,
+) -> contexts.Effects:
+    """Note a call in flight far longer than its stage takes."""
+    tracked.overdue += 1
+    others = [
+        other.overdue
+        for other in context.directory.pool(tracked.target.pool)
+        if other is not tracked
+    ]
+    usual = statistics.fmean(others) if others else 0.0
+    if tracked.overdue < MAX_OVERDUE + 2 * usual:
+        return []
+    return eject(context, tracked, now_ms)
+
+
+def eject(
+    context: contexts.Context,
+    tracked: directory.TrackedTarget,
+    now_ms: int,
+) -> contexts.Effects:
+    """Take a target out, unless too much of its pool is out already."""
+    if tracked.is_ejected or not _may_eject(context, tracked):
+        return []
+    if now_ms - tracked.last_ejected_ms > FORGIVEN_MS:
+        tracked.out_ms = FIRST_OUT_MS
+    else:
+        tracked.out_ms = min(LONGEST_OUT_MS, 2 * tracked.out_ms)
+    tracked.is_ejected = True
+    tracked.last_ejected_ms = now_ms
+    tracked.probe_at_ms = now_ms + tracked.out_ms
+    fact = coordination_effects.PublishFact(
+        'ejected', tracked.name, True, tracked.out_ms
+    )
+    return [fact]
+
+
+def check(context: contexts.Context, now_ms: int) -> contexts.Effects:
+    """Eject slow targets and probe those whose time out is over."""
+    done: contexts.Effects = []
+    for pool in context.directory.pools().values():
+        for tracked in _slow(pool):
+            done += eject(context, tracked, now_ms)
+        for tracked in pool:
+            if tracked.is_ejected and now_ms >= tracked.probe_at_ms:
+                done += probe(context, tracked, now_ms)
+    return done
+
+
+def probe(
+    context: contexts.Context,
+    tracked: directory.TrackedTarget,
+    now_ms: int,
+) -> contexts.Effects:
+    """Probe a target on a new connection, one probe at a time."""
+    if tracked.probe_sent_ms is not None:
+        return []
+    tracked.probe_sent_ms = now_ms
+    timeout_ms = context.settings.probe_timeout_ms
+    return [effects.ProbeTarget(tracked.target, timeout_ms)]
+
+
+def probed(
+    tracked: directory.TrackedTarget, is_alive: bool, now_ms: int
+) -> contexts.Effects:
+    """Take a target back when it answered a probe.
+
+    Connections opened before may be dead although the target is alive.
+    """
+    tracked.probe_sent_ms = None
+    if not is_alive:
+        if tracked.is_ejected:
+            tracked.out_ms = min(LONGEST_OUT_MS, 2 * tracked.out_ms)
+            tracked.probe_at_ms = now_ms + tracked.out_ms
+        return []
+    if tracked.is_ejected and now_ms >= tracked.probe_at_ms:
+        tracked.is_ejected = False
+        tracked.failures = MAX_FAILURES - 1
+        tracked.overdue = 0.0
+        tracked.samples = 0
+        tracked.slowness = 1.0
+        tracked.limit = 1.0
+    return [effects.DropConnections(tracked.target)]
+
+
+def _may_eject(
+    context: contexts.Context, tracked: directory.TrackedTarget
+) -> bool:
+    pool = context.directory.pool(tracked.target.pool)
+    out = sum(other.is_ejected for other in pool)
+    return (out + 1) <= MAX_OUT_SHARE * len(pool)
+
+
+def _slow(
+    pool: list[directory.TrackedTarget],
+) -> list[directory.TrackedTarget]:
+    measured = [t for t in pool if t.samples >= _MIN_SAMPLES]
+    if len(measured) < 2:
+        return []
+    usual = statistics.median_low(t.slowness for t in measured)
+    return [
+        t
+        for t in measured
+        if not t.is_ejected and t.slowness > SLOW_FACTOR * usual
+    ]
--- /dev/null
+++ b/packages/decisions/src/godwitglade/decisions/hedging.py
@@ -0,0 +1,29 @@
+"""One more attempt for a repeatable stage that takes unusually long."""
+
+from godwitglade.decisions import calling
+from godwitglade.decisions import context as contexts
+from godwitglade.decisions import jobs
+
+
+def due_ms(
+    context: contexts.Context, job: jobs.Job, attempt: jobs.Attempt
+) -> int | None:
+    """Return when an attempt is to be hedged, None for never."""
+    if not context.settings.is_hedging_on or attempt.is_hedge:
+        return None
+    if not job.stage.is_hedged or not job.stage.is_repeatable:
+        return None
+    sketch = calling.sketch_of(context, job)
+    if sketch.count < calling.MIN_SAMPLES:
+        return None
+    after_ms = sketch.quantile_ms(context.settings.hedge_quantile)
+    return attempt.sent_ms + int(after_ms) + 1
+
+
+def may_hedge(
+    context: contexts.Context, job: jobs.Job, attempt: jobs.Attempt
+) -> bool:
+    """Tell whether a hedge is allowed; takes it from the budget if so."""
+    if job.is_answered or len(job.attempts) > 1 or attempt.has_begun:
+        return False
+    return context.hedge_budget(job.stage.pool).spend()
--- a/packages/decisions/src/godwitglade/decisions/jobs.py
+++ b/packages/decisions/src/godwitglade/decisions/jobs.py
@@ -42,6 +42,7 @@
     timeout_ms: int
     is_hedge: bool = False
     has_begun: bool = False
+    is_watched_late: bool = False
     feed: streams.StreamFeed | None = None
 
 
--- a/packages/decisions/src/godwitglade/decisions/replies.py
+++ b/packages/decisions/src/godwitglade/decisions/replies.py
@@ -8,6 +8,7 @@
 from godwitglade.decisions import context as contexts
 from godwitglade.decisions import effects
 from godwitglade.decisions import endings
+from godwitglade.decisions import health
 from godwitglade.decisions import jobs
 from godwitglade.decisions import messages
 from godwitglade.decisions import outcomes
@@ -114,7 +115,33 @@
     if message.kind is messages.FaultKind.REJECTED:
         reason = outcomes.Failure.TARGET_ERROR
         return endings.give_up(context, job, reason, now_ms)
-    return stages.retry(context, job, reason_of(message.kind), now_ms)
+    if message.kind is messages.FaultKind.BUSY:
+        return _bounced(context, job, attempt, now_ms)
+    return stages.retry(
+        context,
+        job,
+        reason_of(message.kind),
+        now_ms,
+        is_free=not message.was_sent,
+    )
+
+
+def _bounced(
+    context: contexts.Context,
+    job: jobs.Job,
+    attempt: jobs.Attempt,
+    now_ms: int,
+) -> contexts.Effects:
+    """Let a job wait again that a target did not run for want of room."""
+    if job.attempts:
+        return []
+    job.bounces += 1
+    job.stage_attempts -= 1
+    job.tried.discard(attempt.target.name)
+    if job.bounces <= MAX_BOUNCES:
+        return stages.place(context, job, now_ms)
+    reason = outcomes.Failure.OUT_OF_ATTEMPTS
+    return endings.give_up(context, job, reason, now_ms, retry_after_ms=500)
 
 
 def reason_of(kind: messages.FaultKind) -> str:
@@ -143,7 +170,11 @@
 ) -> contexts.Effects:
     pipeline = job.document.pipeline
     elapsed_ms = now_ms - attempt.sent_ms
-    context.times.whole(pipeline, attempt.stage).add(elapsed_ms)
+    sketch = context.times.whole(pipeline, attempt.stage)
+    sketch.add(elapsed_ms)
+    tracked = context.directory.by_name.get(attempt.target.name)
+    if tracked is not None:
+        health.succeeded(tracked, elapsed_ms / max(1.0, sketch.mean_ms))
     calling.close(context, job, attempt)
     return stages.complete(context, job, output, attempt.target.name, now_ms)
 
@@ -206,6 +237,9 @@
     return [effects.CancelCall(a.attempt_id, a.target) for a in others]
 
 
+#: Refusals as busy after which a job is given up.
+MAX_BOUNCES = 16
+
 _REASONS = {
     messages.FaultKind.TIMEOUT: outcomes.Failure.DEADLINE,
     messages.FaultKind.ERROR: outcomes.Failure.TARGET_ERROR,
--- a/packages/decisions/src/godwitglade/decisions/stages.py
+++ b/packages/decisions/src/godwitglade/decisions/stages.py
@@ -59,7 +59,7 @@
     done: contexts.Effects = []
     passed: list[jobs.Job] = []
     while len(queue) and len(passed) < _MAX_PASSED:
-        if not any(t.has_room for t in context.directory.pool(pool)):
+        if not any(t.has_room(now_ms) for t in context.directory.pool(pool)):
             break
         job = queue.pop()
         tracked = choose(context, job, now_ms)
@@ -85,16 +85,23 @@
 
 
 def retry(
-    context: contexts.Context, job: jobs.Job, reason: str, now_ms: int
+    context: contexts.Context,
+    job: jobs.Job,
+    reason: str,
+    now_ms: int,
+    is_free: bool = False,
 ) -> contexts.Effects:
-    """Try the stage on another target, or give the job up."""
+    """Try the stage on another target, or give the job up.
+
+    ``is_free`` leaves the budget alone: the last attempt cost no work.
+    """
     if job.attempts or job.is_answered:
         return []
     budget = context.retry_budget(job.stage.pool)
     may_retry = (
         job.stage_attempts < context.settings.max_attempts_per_stage
         and _has_target(context, job, now_ms)
-        and budget.spend()
+        and (is_free or budget.spend())
     )
     if may_retry:
         return place(context, job, now_ms)
--- a/packages/decisions/src/godwitglade/decisions/upkeep.py
+++ b/packages/decisions/src/godwitglade/decisions/upkeep.py
@@ -7,7 +7,10 @@
 from godwitglade.decisions import context as contexts
 from godwitglade.decisions import effects
 from godwitglade.decisions import endings
+from godwitglade.decisions import health
+from godwitglade.decisions import hedging
 from godwitglade.decisions import jobs
+from godwitglade.decisions import limits
 from godwitglade.decisions import messages
 from godwitglade.decisions import outcomes
 from godwitglade.decisions import replies
@@ -40,6 +43,9 @@
 ) -> contexts.Effects:
     """Take a target's word on its load and on leaving."""
     context.directory.tell_load(name, load, now_ms)
+    tracked = context.directory.by_name.get(name)
+    if tracked is not None:
+        limits.told(tracked, load, context.settings.max_per_target)
     return told_leaving(context, name, now_ms) if load.is_leaving else []
 
 
@@ -68,41 +74,27 @@
     now_ms: int,
 ) -> contexts.Effects:
     """Draw conclusions about a target from how an attempt went."""
-    if not isinstance(message, messages.StageFault):
+    tracked = context.directory.by_name.get(attempt.target.name)
+    if tracked is None or not isinstance(message, messages.StageFault):
         return []
-    name = attempt.target.name
+    signs = health.failed(context, tracked, message, now_ms)
     if message.kind is messages.FaultKind.LEAVING:
-        return told_leaving(context, name, now_ms)
+        signs += told_leaving(context, tracked.name, now_ms)
+    if message.kind is messages.FaultKind.BUSY:
+        limits.refused(tracked, now_ms)
     if message.kind is messages.FaultKind.SILENT:
-        return probe(context, name, now_ms)
-    return []
-
-
-def probe(
-    context: contexts.Context, name: str, now_ms: int
-) -> contexts.Effects:
-    """Probe a target on a new connection, one probe at a time."""
-    tracked = context.directory.by_name.get(name)
-    if tracked is None or tracked.probe_sent_ms is not None:
-        return []
-    tracked.probe_sent_ms = now_ms
-    timeout_ms = context.settings.probe_timeout_ms
-    return [effects.ProbeTarget(tracked.target, timeout_ms)]
+        signs += health.probe(context, tracked, now_ms)
+    return signs
 
 
 def probe_answered(
     context: contexts.Context, message: messages.ProbeAnswered, now_ms: int
 ) -> contexts.Effects:
-    """Drop old connections to a target that is alive on a new one."""
+    """Take in the end of a probe."""
     tracked = context.directory.by_name.get(message.target)
     if tracked is None:
         return []
-    tracked.probe_sent_ms = None
-    if message.is_alive:
-        tracked.silent = 0
-        return [effects.DropConnections(tracked.target)]
-    tracked.silent += 1
-    return []
+    return health.probed(tracked, message.is_alive, now_ms)
 
 
 def fact_learned(
@@ -134,8 +126,9 @@
 def _tick(
     context: contexts.Context, _name: str, now_ms: int
 ) -> contexts.Effects:
+    checked = health.check(context, now_ms)
     drained = drain_all(context, now_ms)
-    return [*drained, *next_tick(context, now_ms)]
+    return [*checked, *drained, *next_tick(context, now_ms)]
 
 
 def _deadline(
@@ -155,17 +148,59 @@
 def _watch(
     context: contexts.Context, name: str, now_ms: int
 ) -> contexts.Effects:
+    """Hedge, note as overdue or end an attempt, then watch on."""
     job = context.attempts.get(name)
     if job is None:
         return []
     attempt = job.attempts[name]
+    ends_ms = calling.ends_ms(attempt)
+    if now_ms >= ends_ms:
+        return _time_out(context, job, attempt, now_ms)
+    hedge_ms = hedging.due_ms(context, job, attempt)
+    if attempt.is_watched_late or hedge_ms is None:
+        return calling.timer('watch', name, ends_ms)
+    if now_ms < hedge_ms:
+        return calling.timer('watch', name, min(hedge_ms, ends_ms))
+    attempt.is_watched_late = True
+    done = _late(context, job, attempt, now_ms)
+    return [*done, *calling.timer('watch', name, ends_ms)]
+
+
+def _late(
+    context: contexts.Context,
+    job: jobs.Job,
+    attempt: jobs.Attempt,
+    now_ms: int,
+) -> contexts.Effects:
+    tracked = context.directory.by_name.get(attempt.target.name)
+    done: contexts.Effects = []
+    if tracked is not None and not attempt.has_begun:
+        done += health.overdue(context, tracked, now_ms)
+        done += health.probe(context, tracked, now_ms)
+    other = stages.choose(context, job, now_ms)
+    if other is not None and hedging.may_hedge(context, job, attempt):
+        done += calling.send(context, job, other, now_ms, is_hedge=True)
+    return done
+
+
+def _time_out(
+    context: contexts.Context,
+    job: jobs.Job,
+    attempt: jobs.Attempt,
+    now_ms: int,
+) -> contexts.Effects:
     fault = messages.StageFault(
-        job.request_id, attempt.stage, name, messages.FaultKind.TIMEOUT
+        job.request_id,
+        attempt.stage,
+        attempt.attempt_id,
+        messages.FaultKind.TIMEOUT,
     )
     pool = attempt.target.pool
-    cancelled = effects.CancelCall(name, attempt.target)
+    cancelled = effects.CancelCall(attempt.attempt_id, attempt.target)
+    signs = attempt_signs(context, attempt, fault, now_ms)
     ended = replies.on_fault(context, job, attempt, fault, now_ms)
-    return [cancelled, *ended, *stages.drain(context, pool, now_ms)]
+    drained = stages.drain(context, pool, now_ms)
+    return [cancelled, *signs, *ended, *drained]
 
 
 def _poll(
