Refuse at the door what cannot be done in time

Cause: every request was admitted, so that under 3x load most failed late after their first stages had been paid for. Change: admission compares the deadline with the work admitted before, in the order of fair sharing, and the stages' measured times; waits that cannot pay off end at once; limits follow the ratio of wanted to reported load, and targets in use are asked for their load twice a second.

--- a/packages/decisions/src/godwitglade/decisions/admitting.py
+++ b/packages/decisions/src/godwitglade/decisions/admitting.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from godwitglade.decisions import admission
 from godwitglade.decisions import context as contexts
 from godwitglade.decisions import documents
 from godwitglade.decisions import jobs
@@ -26,13 +27,22 @@
     if reason is not None:
         return Rejection(reason, _RETRY_AFTER_MS.get(reason, 0))
     priority = request.priority or document.default_priority
-    return jobs.Job(
+    job = jobs.Job(
         request=request,
         document=document,
         rank=document.priorities[priority],
         arrived_ms=now_ms,
         begun_ms=now_ms,
     )
+    if not context.settings.is_admission_on:
+        return job
+    late_ms = admission.late_by_ms(context, job, now_ms)
+    if late_ms <= 0:
+        return job
+    return Rejection(
+        outcomes.Refusal.CANNOT_MEET_DEADLINE,
+        max(admission.MIN_RETRY_AFTER_MS, int(late_ms)),
+    )
 
 
 def _reason(
@@ -55,6 +65,8 @@
         return refusal.KEY_REQUIRED
     if request.deadline_ms <= now_ms:
         return refusal.DEADLINE_PASSED
+    if not admission.has_targets(context, document, now_ms):
+        return refusal.NO_TARGET
     if len(context.jobs) >= context.settings.max_jobs:
         return refusal.OVERLOADED
     return None
@@ -63,4 +75,5 @@
 _RETRY_AFTER_MS = {
     outcomes.Refusal.STOPPING: 1,
     outcomes.Refusal.OVERLOADED: 1_000,
+    outcomes.Refusal.NO_TARGET: 1_000,
 }
--- a/packages/decisions/src/godwitglade/decisions/calling.py
+++ b/packages/decisions/src/godwitglade/decisions/calling.py
@@ -1,6 +1,7 @@
 """Sending attempts to targets and taking them back."""
 
 from godwitglade.coordination import effects as coordination_effects
+from godwitglade.decisions import admission
 from godwitglade.decisions import context as contexts
 from godwitglade.decisions import directory
 from godwitglade.decisions import effects
@@ -29,6 +30,7 @@
         is_hedge=is_hedge,
         feed=streams.StreamFeed(job.text) if job.is_streamed else None,
     )
+    admission.sent(context, job)
     job.attempts[attempt.attempt_id] = attempt
     context.attempts[attempt.attempt_id] = job
     tracked.in_flight += 1
@@ -111,7 +113,7 @@
     them it is the whole timeout.
     """
     sketch = sketch_of(context, job)
-    if sketch.count < MIN_SAMPLES or not job.stage.is_repeatable:
+    if sketch.count < estimates.MIN_SAMPLES or not job.stage.is_repeatable:
         return timeout_ms
     slowest_ms = FIRST_BYTE_FACTOR * sketch.quantile_ms(0.99)
     least_ms = context.settings.min_first_byte_ms
@@ -121,9 +123,6 @@
 #: A call that the transport has not ended by itself is ended after this.
 TIMEOUT_GRACE_MS = 50
 
-#: Samples before a measured time is used.
-MIN_SAMPLES = 20
-
 #: A first byte may take this many times the 99th percentile.
 FIRST_BYTE_FACTOR = 3.0
 
--- a/packages/decisions/src/godwitglade/decisions/context.py
+++ b/packages/decisions/src/godwitglade/decisions/context.py
@@ -6,6 +6,7 @@
 import attrs
 
 from godwitglade.coordination import hosts
+from godwitglade.decisions import backlogs as backlog_types
 from godwitglade.decisions import balance
 from godwitglade.decisions import directory as directories
 from godwitglade.decisions import documents as document_types
@@ -43,6 +44,7 @@
     queues: dict[str, queueing.FairQueue] = attrs.Factory(dict)
     retry_budgets: dict[str, retries.Budget] = attrs.Factory(dict)
     hedge_budgets: dict[str, retries.Budget] = attrs.Factory(dict)
+    backlogs: dict[str, backlog_types.Backlog] = attrs.Factory(dict)
     attempt_number: int = 0
     store_down_until_ms: int = -1
     queries: dict[str, typing.Any] = attrs.Factory(dict)
@@ -56,6 +58,12 @@
             self.queues[pool] = queueing.FairQueue(length)
         return self.queues[pool]
 
+    def backlog(self, pool: str) -> backlog_types.Backlog:
+        """Return the count of admitted jobs that still need ``pool``."""
+        if pool not in self.backlogs:
+            self.backlogs[pool] = backlog_types.Backlog()
+        return self.backlogs[pool]
+
     def retry_budget(self, pool: str) -> retries.Budget:
         """Return the retry budget of ``pool``."""
         if pool not in self.retry_budgets:
--- a/packages/decisions/src/godwitglade/decisions/directory.py
+++ b/packages/decisions/src/godwitglade/decisions/directory.py
@@ -8,7 +8,7 @@
 DAY_MS = clock.DAY_MS
 
 #: In-flight limit of a target before anything was measured.
-INITIAL_LIMIT = 8.0
+INITIAL_LIMIT = 2.0
 
 
 @attrs.define(eq=False, slots=True)
@@ -19,7 +19,8 @@
     calls that failed one after another, ``overdue`` recent calls that took
     far too long; ``slowness`` is the mean of ``samples`` times over what
     their stage usually takes. While ejected, the target is probed from
-    ``probe_at_ms`` on.
+    ``probe_at_ms`` on. ``is_suspect`` asks for its open connections to be
+    dropped once a probe on a new one succeeds.
     """
 
     target: targets.Target
@@ -36,6 +37,7 @@
     out_ms: int = 0
     probe_at_ms: int = 0
     probe_sent_ms: int | None = None
+    is_suspect: bool = False
     failures: int = 0
     overdue: float = 0.0
     slowness: float = 1.0
@@ -49,7 +51,7 @@
     def has_room(self, now_ms: int) -> bool:
         """Tell whether this host may have one more call in flight."""
         is_paused = now_ms < self.busy_until_ms
-        return not is_paused and self.in_flight < int(self.limit)
+        return not is_paused and self.in_flight < self.limit
 
     def is_leaving(self, now_ms: int) -> bool:
         """Tell whether any sign says that the target takes no new work."""
--- a/packages/decisions/src/godwitglade/decisions/endings.py
+++ b/packages/decisions/src/godwitglade/decisions/endings.py
@@ -2,6 +2,7 @@
 
 from godwitglade.common import events
 from godwitglade.coordination import effects as coordination_effects
+from godwitglade.decisions import admission
 from godwitglade.decisions import calling
 from godwitglade.decisions import context as contexts
 from godwitglade.decisions import effects
@@ -57,6 +58,7 @@
     if job.is_answered:
         return []
     job.is_answered = True
+    admission.ended(context, job)
     context.queue(job.stage.pool).remove(job)
     if job.reserved is not None:
         calling.release_slot(context, job.reserved.name)
--- a/packages/decisions/src/godwitglade/decisions/estimates.py
+++ b/packages/decisions/src/godwitglade/decisions/estimates.py
@@ -8,6 +8,12 @@
 _GROWTH = 1.15
 _BOUNDS_MS = tuple(_GROWTH**n for n in range(92))
 
+#: Weight of a new sample in the mean.
+_MEAN_GAIN = 0.1
+
+#: Samples before a measured time is used.
+MIN_SAMPLES = 20
+
 #: All weights are halved after this many samples.
 _WINDOW = 512
 
@@ -25,7 +31,7 @@
         index = bisect.bisect_left(_BOUNDS_MS, elapsed_ms)
         self._weights[min(index, len(_BOUNDS_MS) - 1)] += 1.0
         self._total += 1.0
-        gain = max(1.0 / self._total, 0.02)
+        gain = max(1.0 / self._total, _MEAN_GAIN)
         self.mean_ms += gain * (elapsed_ms - self.mean_ms)
         if self._total >= 2 * _WINDOW:
             self._weights = [weight / 2 for weight in self._weights]
--- a/packages/decisions/src/godwitglade/decisions/health.py
+++ b/packages/decisions/src/godwitglade/decisions/health.py
@@ -26,6 +26,11 @@
 #: Overdue calls that eject a target while the rest of its pool is on time.
 MAX_OVERDUE = 2
 
+#: A load report older than this is asked for again.
+STALE_MS = 500
+#: Load reports asked for in one tick.
+MAX_REFRESHED = 2
+
 _SMOOTHING = 0.3
 _MIN_SAMPLES = 3
 
@@ -106,12 +111,36 @@
     return done
 
 
+def refresh(context: contexts.Context, now_ms: int) -> contexts.Effects:
+    """Probe a few targets with calls in flight and no recent report."""
+    stale = [
+        tracked
+        for pool in context.directory.pools().values()
+        for tracked in pool
+        if tracked.in_flight
+        and tracked.probe_sent_ms is None
+        and now_ms - tracked.load_ms > STALE_MS
+    ]
+    stale.sort(key=lambda tracked: tracked.load_ms)
+    return [
+        effect
+        for tracked in stale[:MAX_REFRESHED]
+        for effect in probe(context, tracked, now_ms, is_suspect=False)
+    ]
+
+
 def probe(
     context: contexts.Context,
     tracked: directory.TrackedTarget,
     now_ms: int,
+    is_suspect: bool = True,
 ) -> contexts.Effects:
-    """Probe a target on a new connection, one probe at a time."""
+    """Probe a target on a new connection, one probe at a time.
+
+    The probe brings its load as well; ``is_suspect`` has the connections
+    opened before dropped when it succeeds.
+    """
+    tracked.is_suspect |= is_suspect
     if tracked.probe_sent_ms is not None:
         return []
     tracked.probe_sent_ms = now_ms
@@ -139,6 +168,9 @@
         tracked.samples = 0
         tracked.slowness = 1.0
         tracked.limit = 1.0
+    if not tracked.is_suspect:
+        return []
+    tracked.is_suspect = False
     return [effects.DropConnections(tracked.target)]
 
 
--- a/packages/decisions/src/godwitglade/decisions/hedging.py
+++ b/packages/decisions/src/godwitglade/decisions/hedging.py
@@ -2,6 +2,7 @@
 
 from godwitglade.decisions import calling
 from godwitglade.decisions import context as contexts
+from godwitglade.decisions import estimates
 from godwitglade.decisions import jobs
 
 
@@ -14,7 +15,7 @@
     if not job.stage.is_hedged or not job.stage.is_repeatable:
         return None
     sketch = calling.sketch_of(context, job)
-    if sketch.count < calling.MIN_SAMPLES:
+    if sketch.count < estimates.MIN_SAMPLES:
         return None
     after_ms = sketch.quantile_ms(context.settings.hedge_quantile)
     return attempt.sent_ms + int(after_ms) + 1
--- a/packages/decisions/src/godwitglade/decisions/jobs.py
+++ b/packages/decisions/src/godwitglade/decisions/jobs.py
@@ -52,7 +52,8 @@
 
     ``begun_ms`` is when the current stage began, ``tried`` the targets that
     it was sent to, ``ran`` the stages of which something was sent and
-    ``unsafe`` the non-repeatable ones among them.
+    ``unsafe`` the non-repeatable ones among them; ``owed`` are the pools
+    that it still has to be sent to.
     """
 
     request: messages.RequestArrived
@@ -69,6 +70,7 @@
     attempts: dict[str, Attempt] = attrs.Factory(dict)
     tried: set[str] = attrs.Factory(set)
     ran: list[str] = attrs.Factory(list)
+    owed: list[str] = attrs.Factory(list)
     unsafe: list[str] = attrs.Factory(list)
     text: str = ''
     claim: Claim | None = None
--- a/packages/decisions/src/godwitglade/decisions/limits.py
+++ b/packages/decisions/src/godwitglade/decisions/limits.py
@@ -1,18 +1,21 @@
 """A concurrency limit for each target, adapted to the load it reports.
 
-The limit is this host's own share of a target: every host raises it slowly
-while the target reports no queue and lowers it while one is reported, so
-that jobs wait in the hosts' fair queues rather than at the target.
+The limit is this host's own share of a target. Every host scales its own
+calls by the same ratio, of what the target should have in hand to what it
+reports, so that jobs wait in the hosts' fair queues and not at the target.
 """
 
 from godwitglade.decisions import directory
 from godwitglade.decisions import targets
 
 MIN_LIMIT = 1.0
-DECREASE = 0.9
 BUSY_DECREASE = 0.7
-#: A queue of this share of the capacity is no reason to lower the limit.
-ACCEPTED_QUEUE = 0.125
+#: Calls that a target should have in hand, in shares of its capacity.
+WANTED_SHARE = 1.06
+#: Weight of a new report in the limit.
+GAIN = 0.5
+#: Growth a report may cause, so that idle times do not lift the limit.
+MAX_GROWTH = 1.0
 #: A target that refused a call as busy is left alone for this long.
 BUSY_PAUSE_MS = 100
 
@@ -21,13 +24,12 @@
     tracked: directory.TrackedTarget, load: targets.Load, limit_max: int
 ) -> None:
     """Adapt the limit to a load that came with a reply."""
-    if load.queued > ACCEPTED_QUEUE * load.capacity:
-        tracked.limit = max(MIN_LIMIT, tracked.limit * DECREASE)
-        return
-    is_used = tracked.in_flight + 1 >= int(tracked.limit)
-    if is_used and load.queued == 0:
-        raised = tracked.limit + 1.0 / tracked.limit
-        tracked.limit = min(raised, limit_max, 2 * load.capacity)
+    total = max(1, load.running + load.queued)
+    ratio = WANTED_SHARE * load.capacity / total
+    fitting = max(1, tracked.in_flight) * ratio
+    step = GAIN * (fitting - tracked.limit)
+    limit = tracked.limit + min(step, MAX_GROWTH)
+    tracked.limit = max(MIN_LIMIT, min(limit, limit_max))
 
 
 def refused(tracked: directory.TrackedTarget, now_ms: int) -> None:
--- a/packages/decisions/src/godwitglade/decisions/requests.py
+++ b/packages/decisions/src/godwitglade/decisions/requests.py
@@ -11,6 +11,7 @@
 from godwitglade.coordination import claim_messages
 from godwitglade.coordination import hosts
 from godwitglade.coordination import messages as coordination_messages
+from godwitglade.decisions import admission
 from godwitglade.decisions import admitting
 from godwitglade.decisions import balance
 from godwitglade.decisions import claiming
@@ -66,6 +67,7 @@
                 message.request_id, job.reason, job.retry_after_ms
             )
         context.jobs[job.request_id] = job
+        admission.admit(context, job)
         timer = upkeep.deadline_timer(job)
         return [*timer, *stages.begin(context, job, now_ms)]
 
--- a/packages/decisions/src/godwitglade/decisions/stages.py
+++ b/packages/decisions/src/godwitglade/decisions/stages.py
@@ -3,6 +3,7 @@
 import functools
 import typing
 
+from godwitglade.decisions import admission
 from godwitglade.decisions import calling
 from godwitglade.decisions import claiming
 from godwitglade.decisions import context as contexts
@@ -62,6 +63,9 @@
         if not any(t.has_room(now_ms) for t in context.directory.pool(pool)):
             break
         job = queue.pop()
+        if _is_given_up(context, job, now_ms):
+            done += _hopeless(context, job, now_ms)
+            continue
         tracked = choose(context, job, now_ms)
         if tracked is None:
             passed.append(job)
@@ -72,6 +76,17 @@
     return done
 
 
+def cut_short(context: contexts.Context, now_ms: int) -> contexts.Effects:
+    """End the waits that cannot pay off."""
+    return [
+        effect
+        for queue in context.queues.values()
+        for job in queue.waiting()
+        if _is_given_up(context, job, now_ms)
+        for effect in _hopeless(context, job, now_ms)
+    ]
+
+
 def choose(
     context: contexts.Context, job: jobs.Job, now_ms: int
 ) -> directory.TrackedTarget | None:
@@ -253,6 +268,20 @@
     return calling.send(context, job, tracked, now_ms)
 
 
+def _is_given_up(
+    context: contexts.Context, job: jobs.Job, now_ms: int
+) -> bool:
+    is_on = context.settings.is_admission_on
+    return is_on and admission.is_hopeless(context, job, now_ms)
+
+
+def _hopeless(
+    context: contexts.Context, job: jobs.Job, now_ms: int
+) -> contexts.Effects:
+    reason = outcomes.Failure.DEADLINE
+    return endings.give_up(context, job, reason, now_ms, retry_after_ms=1_000)
+
+
 def _settle(
     context: contexts.Context, job: jobs.Job, now_ms: int
 ) -> contexts.Effects:
--- a/packages/decisions/src/godwitglade/decisions/upkeep.py
+++ b/packages/decisions/src/godwitglade/decisions/upkeep.py
@@ -127,8 +127,10 @@
     context: contexts.Context, _name: str, now_ms: int
 ) -> contexts.Effects:
     checked = health.check(context, now_ms)
+    checked += health.refresh(context, now_ms)
     drained = drain_all(context, now_ms)
-    return [*checked, *drained, *next_tick(context, now_ms)]
+    cut = stages.cut_short(context, now_ms)
+    return [*checked, *drained, *cut, *next_tick(context, now_ms)]
 
 
 def _deadline(
