Count unfinished calls in measured times

Cause: only finished calls were measured, so that under load the times of stages looked shorter than they were and calls were sent too late.

--- a/packages/decisions/src/godwitglade/decisions/admission.py
+++ b/packages/decisions/src/godwitglade/decisions/admission.py
@@ -15,7 +15,7 @@
 #: Share of a stage's calls whose time admission counts on.
 NEED_QUANTILE = 0.9
 #: A waiting job is given up when even this share would be too late.
-HOPE_QUANTILE = 0.5
+HOPE_QUANTILE = 0.8
 #: The shortest time told to come back after.
 MIN_RETRY_AFTER_MS = 250
 
--- a/packages/decisions/src/godwitglade/decisions/endings.py
+++ b/packages/decisions/src/godwitglade/decisions/endings.py
@@ -77,11 +77,25 @@
 ) -> contexts.Effects:
     """Drop an answered job, its attempts and its claim."""
     context.jobs.pop(job.request_id, None)
+    if not isinstance(outcome, outcomes.Answered):
+        _note_unfinished(context, job, now_ms)
     cancelled = calling.cancel_all(context, job)
     closed = _close_claim(context, job, outcome, now_ms)
     return [*cancelled, *closed, *exit_if_idle(context)]
 
 
+def _note_unfinished(
+    context: contexts.Context, job: jobs.Job, now_ms: int
+) -> None:
+    # Without the calls that took too long, measured times look too short.
+    times = context.times
+    for attempt in job.attempts.values():
+        sketch = times.whole(job.document.pipeline, attempt.stage)
+        elapsed_ms = now_ms - attempt.sent_ms
+        if elapsed_ms > sketch.mean_ms:
+            sketch.add(elapsed_ms)
+
+
 def exit_if_idle(context: contexts.Context) -> contexts.Effects:
     """End a planned stop once no request is in flight."""
     if context.is_stopping and not context.jobs and not context.has_exited:
