Call engines as streams and keep odd calls out of estimates

Cause: a stuck engine call was noticed only at the deadline, and its time made admission refuse a whole pipeline for good on that host. Change: generations are always streamed, so that the first piece bounds a stuck call; times of ejected, unusually slow and silent targets are not counted; without a wait admission uses the 75th percentile.

--- a/packages/decisions/src/godwitglade/decisions/admission.py
+++ b/packages/decisions/src/godwitglade/decisions/admission.py
@@ -15,7 +15,7 @@
 #: Share of a stage's calls whose time admission counts on.
 NEED_QUANTILE = 0.9
 #: A waiting job is given up when even this share would be too late.
-HOPE_QUANTILE = 0.8
+HOPE_QUANTILE = 0.75
 #: The shortest time told to come back after.
 MIN_RETRY_AFTER_MS = 250
 
@@ -43,11 +43,14 @@
 
 def late_by_ms(context: contexts.Context, job: jobs.Job, now_ms: int) -> float:
     """Return by how much a new job would miss its deadline, 0 if not."""
+    stages = job.document.stages
+    waits_ms = [_wait_ms(context, job, stage, now_ms) for stage in stages]
+    # Without a wait, long times come from single targets or requests.
+    share = NEED_QUANTILE if any(waits_ms) else HOPE_QUANTILE
     needed_ms = 0.0
-    for stage in job.document.stages:
-        begin_ms = _wait_ms(context, job, stage, now_ms)
+    for stage, begin_ms in zip(stages, waits_ms):
         needed_ms = max(needed_ms, begin_ms)
-        needed_ms += _time_ms(context, job, stage, NEED_QUANTILE)
+        needed_ms += _time_ms(context, job, stage, share)
     return max(0.0, needed_ms - job.time_left_ms(now_ms))
 
 
--- a/packages/decisions/src/godwitglade/decisions/endings.py
+++ b/packages/decisions/src/godwitglade/decisions/endings.py
@@ -6,6 +6,7 @@
 from godwitglade.decisions import calling
 from godwitglade.decisions import context as contexts
 from godwitglade.decisions import effects
+from godwitglade.decisions import health
 from godwitglade.decisions import jobs
 from godwitglade.decisions import outcomes
 from godwitglade.decisions import records
@@ -88,11 +89,16 @@
     context: contexts.Context, job: jobs.Job, now_ms: int
 ) -> None:
     # Without the calls that took too long, measured times look too short.
+    # A call without a first byte from a target that has nothing waiting
+    # tells of its connection, not of its stage.
     times = context.times
     for attempt in job.attempts.values():
         sketch = times.whole(job.document.pipeline, attempt.stage)
         elapsed_ms = now_ms - attempt.sent_ms
-        if elapsed_ms > sketch.mean_ms:
+        tracked = context.directory.by_name.get(attempt.target.name)
+        is_telling = attempt.has_begun or health.has_queue(tracked)
+        is_usual = health.is_usual(context, tracked)
+        if is_telling and is_usual and elapsed_ms > sketch.mean_ms:
             sketch.add(elapsed_ms)
 
 
--- a/packages/decisions/src/godwitglade/decisions/health.py
+++ b/packages/decisions/src/godwitglade/decisions/health.py
@@ -21,6 +21,8 @@
 MAX_FAILURES = 3
 #: A target this many times slower than its pool is ejected.
 SLOW_FACTOR = 3.0
+#: The times of a target this many times slower than its pool do not count.
+UNUSUAL_FACTOR = 2.0
 #: Share of a pool that may be ejected.
 MAX_OUT_SHARE = 0.5
 #: Overdue calls that eject a target while the rest of its pool is on time.
@@ -43,6 +45,33 @@
     tracked.slowness += gain * (ratio - tracked.slowness)
 
 
+def is_usual(
+    context: contexts.Context, tracked: directory.TrackedTarget | None
+) -> bool:
+    """Tell whether a target's times are like those of its pool."""
+    if tracked is None or tracked.is_ejected:
+        return False
+    pool = context.directory.pool(tracked.target.pool)
+    others = [
+        t.slowness
+        for t in pool
+        if t is not tracked and t.samples >= _MIN_SAMPLES
+    ]
+    if not others or tracked.samples < _MIN_SAMPLES:
+        return True
+    usual = statistics.median_low(others)
+    return tracked.slowness <= UNUSUAL_FACTOR * max(1.0, usual)
+
+
+def has_queue(tracked: directory.TrackedTarget | None) -> bool:
+    """Tell whether a target reported calls that wait."""
+    return (
+        tracked is not None
+        and tracked.load is not None
+        and tracked.load.queued > 0
+    )
+
+
 def failed(
     context: contexts.Context,
     tracked: directory.TrackedTarget,
--- a/packages/decisions/src/godwitglade/decisions/jobs.py
+++ b/packages/decisions/src/godwitglade/decisions/jobs.py
@@ -100,10 +100,18 @@
 
     @property
     def is_streamed(self) -> bool:
+        """Tell whether the current stage is called as a stream.
+
+        Engines always are, also when the caller wants the text in one
+        piece: the first piece tells early whether a call goes well, and a
+        lost call is resumed.
+        """
+        return self.stage.kind is documents.StageKind.GENERATE
+
+    @property
+    def is_passed_on(self) -> bool:
         """Tell whether the current stage's text goes to the caller."""
-        if not self.request.is_stream:
-            return False
-        if self.stage.kind is not documents.StageKind.GENERATE:
+        if not self.request.is_stream or not self.is_streamed:
             return False
         later = self.document.stages[self.stage_index + 1 :]
         return all(s.kind is not documents.StageKind.GENERATE for s in later)
--- a/packages/decisions/src/godwitglade/decisions/replies.py
+++ b/packages/decisions/src/godwitglade/decisions/replies.py
@@ -171,10 +171,11 @@
     pipeline = job.document.pipeline
     elapsed_ms = now_ms - attempt.sent_ms
     sketch = context.times.whole(pipeline, attempt.stage)
-    sketch.add(elapsed_ms)
     tracked = context.directory.by_name.get(attempt.target.name)
     if tracked is not None:
         health.succeeded(tracked, elapsed_ms / max(1.0, sketch.mean_ms))
+    if health.is_usual(context, tracked):
+        sketch.add(elapsed_ms)
     calling.close(context, job, attempt)
     return stages.complete(context, job, output, attempt.target.name, now_ms)
 
@@ -194,6 +195,8 @@
     if len(text) <= offset:
         return []
     job.text = text
+    if not job.is_passed_on:
+        return []
     return [effects.SendPiece(job.request_id, offset, text[offset:])]
 
 
@@ -221,10 +224,12 @@
     calling.close(context, job, attempt)
     cancelled = effects.CancelCall(attempt.attempt_id, attempt.target)
     reason = outcomes.Failure.BROKEN_STREAM
-    if not job.stage.is_repeatable or job.text:
+    is_seen = bool(job.text) and job.is_passed_on
+    if not job.stage.is_repeatable or is_seen:
         # Text that the caller has seen cannot be taken back.
         ended = endings.give_up(context, job, reason, now_ms)
         return [cancelled, *ended]
+    job.text = ''
     return [cancelled, *stages.retry(context, job, reason, now_ms)]
 
 
