Move streams away from slow targets and stalled connections

Cause: streams that had begun before their target slowed down, or before their connection went silent, ran into the deadline; a host learned of a slow target only by its own losses. Change: a stream that makes no text for a second, or far less than usual, is resumed elsewhere within the retry budget; hosts tell each other of ejections and act on two words; an ejected target comes back for one call on trial.

--- a/packages/decisions/src/godwitglade/decisions/context.py
+++ b/packages/decisions/src/godwitglade/decisions/context.py
@@ -74,8 +74,10 @@
     def hedge_budget(self, pool: str) -> retries.Budget:
         """Return the hedge budget of ``pool``."""
         if pool not in self.hedge_budgets:
-            ratio = self.settings.hedge_ratio
-            self.hedge_budgets[pool] = retries.Budget(ratio)
+            settings = self.settings
+            self.hedge_budgets[pool] = retries.Budget(
+                settings.hedge_ratio, settings.hedge_burst
+            )
         return self.hedge_budgets[pool]
 
     def next_attempt_id(self) -> str:
--- a/packages/decisions/src/godwitglade/decisions/directory.py
+++ b/packages/decisions/src/godwitglade/decisions/directory.py
@@ -15,12 +15,14 @@
 class TrackedTarget:
     """A target with what this host knows of it.
 
-    ``limit`` bounds this host's own calls in flight. ``failures`` counts
-    calls that failed one after another, ``overdue`` recent calls that took
-    far too long; ``slowness`` is the mean of ``samples`` times over what
-    their stage usually takes. While ejected, the target is probed from
-    ``probe_at_ms`` on. ``is_suspect`` asks for its open connections to be
-    dropped once a probe on a new one succeeds.
+    ``limit`` bounds this host's own calls in flight. ``told_out`` is when
+    other hosts said that they ejected it. ``failures`` counts calls that
+    failed one after another, ``overdue`` recent calls that took far too
+    long; ``slowness`` is the mean of ``samples`` times over what their
+    stage usually takes. While ejected, the target is probed from
+    ``probe_at_ms`` on, and then takes one call at a time on trial.
+    ``is_suspect`` asks for its open connections to be dropped once a probe
+    on a new one succeeds.
     """
 
     target: targets.Target
@@ -33,6 +35,7 @@
     told_leaving_until_ms: int | None = None
     busy_until_ms: int = 0
     is_ejected: bool = False
+    is_on_trial: bool = False
     last_ejected_ms: int = -DAY_MS
     out_ms: int = 0
     probe_at_ms: int = 0
@@ -40,6 +43,7 @@
     is_suspect: bool = False
     failures: int = 0
     overdue: float = 0.0
+    told_out: dict[str, int] = attrs.Factory(dict)
     slowness: float = 1.0
     samples: int = 0
 
@@ -51,7 +55,8 @@
     def has_room(self, now_ms: int) -> bool:
         """Tell whether this host may have one more call in flight."""
         is_paused = now_ms < self.busy_until_ms
-        return not is_paused and self.in_flight < self.limit
+        limit = 1.0 if self.is_on_trial else self.limit
+        return not is_paused and self.in_flight < limit
 
     def is_leaving(self, now_ms: int) -> bool:
         """Tell whether any sign says that the target takes no new work."""
--- a/packages/decisions/src/godwitglade/decisions/estimates.py
+++ b/packages/decisions/src/godwitglade/decisions/estimates.py
@@ -12,7 +12,7 @@
 _MEAN_GAIN = 0.1
 
 #: Samples before a measured time is used.
-MIN_SAMPLES = 20
+MIN_SAMPLES = 10
 
 #: All weights are halved after this many samples.
 _WINDOW = 512
@@ -59,6 +59,12 @@
 
     _whole: dict[tuple[str, str], DurationSketch] = attrs.Factory(dict)
     _first: dict[tuple[str, str], DurationSketch] = attrs.Factory(dict)
+    _pace: dict[tuple[str, str], DurationSketch] = attrs.Factory(dict)
+
+    def pace(self, pipeline: str, stage: str) -> DurationSketch:
+        """Return the sketch of milliseconds a character of a stage."""
+        key = (pipeline, stage)
+        return self._pace.setdefault(key, DurationSketch())
 
     def whole(self, pipeline: str, stage: str) -> DurationSketch:
         """Return the sketch of whole calls of a stage."""
--- a/packages/decisions/src/godwitglade/decisions/health.py
+++ b/packages/decisions/src/godwitglade/decisions/health.py
@@ -13,7 +13,7 @@
 from godwitglade.decisions import effects
 from godwitglade.decisions import messages
 
-FIRST_OUT_MS = 2_000
+FIRST_OUT_MS = 3_000
 LONGEST_OUT_MS = 30_000
 #: After this time without an ejection the next one is short again.
 FORGIVEN_MS = 60_000
@@ -21,18 +21,21 @@
 MAX_FAILURES = 3
 #: A target this many times slower than its pool is ejected.
 SLOW_FACTOR = 3.0
-#: The times of a target this many times slower than its pool do not count.
+#: Times of a target this many times slower than its pool do not count.
 UNUSUAL_FACTOR = 2.0
 #: Share of a pool that may be ejected.
 MAX_OUT_SHARE = 0.5
-#: Overdue calls that eject a target while the rest of its pool is on time.
-MAX_OVERDUE = 2
+#: Recent overdue calls that eject a target while its pool is on time.
+MAX_OVERDUE = 1.5
 
 #: A load report older than this is asked for again.
 STALE_MS = 500
 #: Load reports asked for in one tick.
 MAX_REFRESHED = 2
 
+#: Share of the overdue count that is left after a tick.
+OVERDUE_DECAY = 0.98
+
 _SMOOTHING = 0.3
 _MIN_SAMPLES = 3
 
@@ -40,6 +43,7 @@
 def succeeded(tracked: directory.TrackedTarget, ratio: float) -> None:
     """Note a reply; ``ratio`` is its time over the stage's mean."""
     tracked.failures = 0
+    tracked.is_on_trial = tracked.is_on_trial and ratio > SLOW_FACTOR
     tracked.samples += 1
     gain = max(_SMOOTHING, 1.0 / tracked.samples)
     tracked.slowness += gain * (ratio - tracked.slowness)
@@ -95,14 +99,14 @@
     now_ms: int,
 ) -> contexts.Effects:
     """Note a call in flight far longer than its stage takes."""
+    pool = context.directory.pool(tracked.target.pool)
+    others = [other for other in pool if other is not tracked]
+    if sum(map(has_queue, others)) > len(others) / 2:
+        return []
     tracked.overdue += 1
-    others = [
-        other.overdue
-        for other in context.directory.pool(tracked.target.pool)
-        if other is not tracked
-    ]
-    usual = statistics.fmean(others) if others else 0.0
-    if tracked.overdue < MAX_OVERDUE + 2 * usual:
+    usual = statistics.fmean(t.overdue for t in others) if others else 0.0
+    is_first = tracked.is_on_trial or tracked.overdue >= MAX_OVERDUE
+    if not is_first or tracked.overdue < 2 * usual:
         return []
     return eject(context, tracked, now_ms)
 
@@ -123,11 +127,32 @@
     tracked.last_ejected_ms = now_ms
     tracked.probe_at_ms = now_ms + tracked.out_ms
     fact = coordination_effects.PublishFact(
-        'ejected', tracked.name, True, tracked.out_ms
+        'ejected', tracked.name, True, tracked.out_ms, is_urgent=True
     )
     return [fact]
 
 
+def heard(
+    context: contexts.Context,
+    tracked: directory.TrackedTarget,
+    origin: str,
+    now_ms: int,
+) -> contexts.Effects:
+    """Eject on the word of two hosts, or of one and an overdue call.
+
+    One host alone may have lost its own way to the target.
+    """
+    tracked.told_out[origin] = now_ms
+    recent = [
+        at_ms
+        for at_ms in tracked.told_out.values()
+        if now_ms - at_ms < FIRST_OUT_MS
+    ]
+    if len(recent) + bool(tracked.overdue >= MAX_OVERDUE / 3) < 2:
+        return []
+    return eject(context, tracked, now_ms)
+
+
 def check(context: contexts.Context, now_ms: int) -> contexts.Effects:
     """Eject slow targets and probe those whose time out is over."""
     done: contexts.Effects = []
@@ -135,6 +160,7 @@
         for tracked in _slow(pool):
             done += eject(context, tracked, now_ms)
         for tracked in pool:
+            tracked.overdue *= OVERDUE_DECAY
             if tracked.is_ejected and now_ms >= tracked.probe_at_ms:
                 done += probe(context, tracked, now_ms)
     return done
@@ -197,6 +223,7 @@
         tracked.samples = 0
         tracked.slowness = 1.0
         tracked.limit = 1.0
+        tracked.is_on_trial = True
     if not tracked.is_suspect:
         return []
     tracked.is_suspect = False
--- a/packages/decisions/src/godwitglade/decisions/hedging.py
+++ b/packages/decisions/src/godwitglade/decisions/hedging.py
@@ -5,6 +5,9 @@
 from godwitglade.decisions import estimates
 from godwitglade.decisions import jobs
 
+#: Without measured times a hedge is due after this part of the budget.
+UNMEASURED_DIVISOR = 2
+
 
 def due_ms(
     context: contexts.Context, job: jobs.Job, attempt: jobs.Attempt
@@ -16,7 +19,7 @@
         return None
     sketch = calling.sketch_of(context, job)
     if sketch.count < estimates.MIN_SAMPLES:
-        return None
+        return attempt.sent_ms + job.stage.budget_ms // UNMEASURED_DIVISOR
     after_ms = sketch.quantile_ms(context.settings.hedge_quantile)
     return attempt.sent_ms + int(after_ms) + 1
 
--- a/packages/decisions/src/godwitglade/decisions/jobs.py
+++ b/packages/decisions/src/godwitglade/decisions/jobs.py
@@ -41,10 +41,34 @@
     sent_ms: int
     timeout_ms: int
     is_hedge: bool = False
-    has_begun: bool = False
+    begun_ms: int | None = None
+    is_slow: bool = False
+    is_stalled: bool = False
     is_watched_late: bool = False
+    begun_length: int = 0
+    marked_ms: int = 0
+    marked_length: int = 0
     feed: streams.StreamFeed | None = None
 
+    @property
+    def has_begun(self) -> bool:
+        """Tell whether a first piece arrived."""
+        return self.begun_ms is not None
+
+    def recent_pace_ms(self, now_ms: int) -> float:
+        """Return the milliseconds a character since the last call of this."""
+        made = len(self.feed.text) - self.marked_length
+        elapsed_ms = now_ms - self.marked_ms
+        self.is_stalled = not made
+        self.marked_ms = now_ms
+        self.marked_length = len(self.feed.text)
+        return elapsed_ms / max(1, made)
+
+    def pace_ms(self, now_ms: int) -> float:
+        """Return the milliseconds a character, over the pieces so far."""
+        made = len(self.feed.text) - self.begun_length
+        return (now_ms - self.begun_ms) / max(1, made)
+
 
 @attrs.define(eq=False, slots=True)
 class Job:
--- a/packages/decisions/src/godwitglade/decisions/replies.py
+++ b/packages/decisions/src/godwitglade/decisions/replies.py
@@ -71,10 +71,14 @@
     if feed is None:
         return _broken(context, job, attempt, now_ms)
     if not attempt.has_begun:
-        attempt.has_begun = True
         _first_byte(context, job, attempt, now_ms)
     others = _cancel_others(context, job, attempt)
     feed.add(message.offset, message.text)
+    if not attempt.has_begun:
+        attempt.begun_ms = now_ms
+        attempt.begun_length = len(feed.text)
+        attempt.marked_ms = now_ms
+        attempt.marked_length = len(feed.text)
     sent = [] if job.is_answered else _pass_on(job, feed.text)
     return [*others, *sent, *_check(context, job, attempt, now_ms)]
 
@@ -176,6 +180,7 @@
         health.succeeded(tracked, elapsed_ms / max(1.0, sketch.mean_ms))
     if health.is_usual(context, tracked):
         sketch.add(elapsed_ms)
+        _note_pace(context, job, attempt, now_ms)
     calling.close(context, job, attempt)
     return stages.complete(context, job, output, attempt.target.name, now_ms)
 
@@ -186,8 +191,22 @@
     attempt: jobs.Attempt,
     now_ms: int,
 ) -> None:
-    sketch = context.times.first_byte(job.document.pipeline, attempt.stage)
-    sketch.add(now_ms - attempt.sent_ms)
+    tracked = context.directory.by_name.get(attempt.target.name)
+    if health.is_usual(context, tracked) and not tracked.is_on_trial:
+        name = job.document.pipeline
+        sketch = context.times.first_byte(name, attempt.stage)
+        sketch.add(now_ms - attempt.sent_ms)
+
+
+def _note_pace(
+    context: contexts.Context,
+    job: jobs.Job,
+    attempt: jobs.Attempt,
+    now_ms: int,
+) -> None:
+    if attempt.has_begun:
+        pace = context.times.pace(job.document.pipeline, attempt.stage)
+        pace.add(attempt.pace_ms(now_ms))
 
 
 def _pass_on(job: jobs.Job, text: str) -> contexts.Effects:
--- /dev/null
+++ b/packages/decisions/src/godwitglade/decisions/rescue.py
@@ -0,0 +1,75 @@
+"""Moving streams away from targets that became slow.
+
+A stream is resumed on another target from its last character, so that a
+move costs one more reading of the prompt and no text already made.
+"""
+
+from godwitglade.decisions import calling
+from godwitglade.decisions import context as contexts
+from godwitglade.decisions import effects
+from godwitglade.decisions import estimates
+from godwitglade.decisions import health
+from godwitglade.decisions import jobs
+from godwitglade.decisions import stages
+
+#: A stream is judged by its pace over this time.
+JUDGED_EVERY_MS = 1_000
+
+
+def check(context: contexts.Context, now_ms: int) -> contexts.Effects:
+    """Note slow streams, then move those of ejected targets."""
+    done: contexts.Effects = []
+    for job in list(context.jobs.values()):
+        for attempt in list(job.attempts.values()):
+            if _is_slow(context, job, attempt, now_ms):
+                attempt.is_slow = True
+                tracked = context.directory.by_name.get(attempt.target.name)
+                if attempt.is_stalled:
+                    done += health.probe(context, tracked, now_ms)
+                else:
+                    done += health.overdue(context, tracked, now_ms)
+    for job in list(context.jobs.values()):
+        done += _move(context, job, now_ms)
+    return done
+
+
+def _is_slow(
+    context: contexts.Context,
+    job: jobs.Job,
+    attempt: jobs.Attempt,
+    now_ms: int,
+) -> bool:
+    if attempt.is_slow or not attempt.has_begun:
+        return False
+    if now_ms - attempt.marked_ms < JUDGED_EVERY_MS:
+        return False
+    if attempt.target.name not in context.directory.by_name:
+        return False
+    usual = context.times.pace(job.document.pipeline, attempt.stage)
+    if usual.count < estimates.MIN_SAMPLES:
+        return False
+    usual_ms = usual.quantile_ms(0.9)
+    return attempt.recent_pace_ms(now_ms) > health.SLOW_FACTOR * usual_ms
+
+
+def _move(
+    context: contexts.Context, job: jobs.Job, now_ms: int
+) -> contexts.Effects:
+    if job.is_answered or not job.stage.is_repeatable:
+        return []
+    if len(job.attempts) != 1:
+        return []
+    attempt = next(iter(job.attempts.values()))
+    tracked = context.directory.by_name.get(attempt.target.name)
+    is_out = tracked is not None and tracked.is_ejected
+    if not (is_out or attempt.is_stalled):
+        return []
+    if attempt.has_begun and not attempt.is_slow:
+        return []
+    if stages.choose(context, job, now_ms) is None:
+        return []
+    if not context.retry_budget(job.stage.pool).spend():
+        return []
+    calling.close(context, job, attempt)
+    cancelled = effects.CancelCall(attempt.attempt_id, attempt.target)
+    return [cancelled, *stages.place(context, job, now_ms)]
--- a/packages/decisions/src/godwitglade/decisions/settings.py
+++ b/packages/decisions/src/godwitglade/decisions/settings.py
@@ -23,6 +23,7 @@
     subset_size: int = 32
     retry_ratio: float = 0.02
     hedge_ratio: float = 0.02
+    hedge_burst: float = 2.0
     hedge_quantile: float = 0.98
     quarantine_ms: int = 600_000
     leaving_ms: int = 60_000
--- a/packages/decisions/src/godwitglade/decisions/upkeep.py
+++ b/packages/decisions/src/godwitglade/decisions/upkeep.py
@@ -14,6 +14,7 @@
 from godwitglade.decisions import messages
 from godwitglade.decisions import outcomes
 from godwitglade.decisions import replies
+from godwitglade.decisions import rescue
 from godwitglade.decisions import stages
 from godwitglade.decisions import targets
 
@@ -103,12 +104,16 @@
     now_ms: int,
 ) -> contexts.Effects:
     """Take in what any host made known."""
+    tracked = context.directory.by_name.get(message.key)
+    if tracked is None:
+        return []
     if message.kind == 'leaving':
-        tracked = context.directory.by_name.get(message.key)
-        if tracked is not None:
-            is_over = message.value is None
-            until_ms = now_ms + context.settings.leaving_ms
-            tracked.told_leaving_until_ms = None if is_over else until_ms
+        is_over = message.value is None
+        until_ms = now_ms + context.settings.leaving_ms
+        tracked.told_leaving_until_ms = None if is_over else until_ms
+    is_own = message.origin in (context.host_id.name, str(context.host_id))
+    if message.kind == 'ejected' and message.value is not None and not is_own:
+        return health.heard(context, tracked, message.origin, now_ms)
     return []
 
 
@@ -128,6 +133,7 @@
 ) -> contexts.Effects:
     checked = health.check(context, now_ms)
     checked += health.refresh(context, now_ms)
+    checked += rescue.check(context, now_ms)
     drained = drain_all(context, now_ms)
     cut = stages.cut_short(context, now_ms)
     return [*checked, *drained, *cut, *next_tick(context, now_ms)]
