Judge targets only by measured times and own observations

Cause: the first reply of a stage was compared with a mean of zero, so that a target looked hundreds of times slower and was ejected; each host passed a word of ejection on as its own; time-outs in a busy pool counted as faults. Change: times are judged once ten are measured; only own observations are told; a busy pool ejects, hedges and bounds the first byte no more; the sketches forget after about sixty samples.

--- a/packages/decisions/src/godwitglade/decisions/admission.py
+++ b/packages/decisions/src/godwitglade/decisions/admission.py
@@ -9,7 +9,6 @@
 from godwitglade.decisions import context as contexts
 from godwitglade.decisions import directory
 from godwitglade.decisions import documents
-from godwitglade.decisions import estimates
 from godwitglade.decisions import jobs
 
 #: Share of a stage's calls whose time admission counts on.
@@ -70,7 +69,7 @@
     share: float,
 ) -> float:
     sketch = context.times.whole(job.document.pipeline, stage.name)
-    if sketch.count < estimates.MIN_SAMPLES:
+    if not sketch.is_ready:
         return 0.0
     return sketch.quantile_ms(share)
 
--- a/packages/decisions/src/godwitglade/decisions/calling.py
+++ b/packages/decisions/src/godwitglade/decisions/calling.py
@@ -6,6 +6,7 @@
 from godwitglade.decisions import directory
 from godwitglade.decisions import effects
 from godwitglade.decisions import estimates
+from godwitglade.decisions import health
 from godwitglade.decisions import jobs
 from godwitglade.decisions import outcomes
 from godwitglade.decisions import payloads
@@ -110,10 +111,12 @@
     """Return how long the first byte of a reply may take.
 
     The bound comes from the stage's own measured times; without enough of
-    them it is the whole timeout.
+    them, or in a busy pool, it is the whole timeout.
     """
     sketch = sketch_of(context, job)
-    if sketch.count < estimates.MIN_SAMPLES or not job.stage.is_repeatable:
+    if not sketch.is_ready or not job.stage.is_repeatable:
+        return timeout_ms
+    if health.is_busy(context.directory.pool(job.stage.pool)):
         return timeout_ms
     slowest_ms = FIRST_BYTE_FACTOR * sketch.quantile_ms(0.99)
     least_ms = context.settings.min_first_byte_ms
@@ -124,7 +127,7 @@
 TIMEOUT_GRACE_MS = 50
 
 #: A first byte may take this many times the 99th percentile.
-FIRST_BYTE_FACTOR = 3.0
+FIRST_BYTE_FACTOR = 5.0
 
 
 def _call(
--- a/packages/decisions/src/godwitglade/decisions/estimates.py
+++ b/packages/decisions/src/godwitglade/decisions/estimates.py
@@ -15,7 +15,7 @@
 MIN_SAMPLES = 10
 
 #: All weights are halved after this many samples.
-_WINDOW = 512
+_WINDOW = 32
 
 
 @attrs.define(eq=False)
@@ -42,6 +42,11 @@
         """Return how many recent samples there are."""
         return self._total
 
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether there are enough samples to go by."""
+        return self._total >= MIN_SAMPLES
+
     def quantile_ms(self, share: float) -> float:
         """Return the duration that ``share`` of samples do not exceed."""
         wanted = share * self._total
--- a/packages/decisions/src/godwitglade/decisions/health.py
+++ b/packages/decisions/src/godwitglade/decisions/health.py
@@ -37,7 +37,7 @@
 OVERDUE_DECAY = 0.98
 
 _SMOOTHING = 0.3
-_MIN_SAMPLES = 3
+_MIN_SAMPLES = 4
 
 
 def succeeded(tracked: directory.TrackedTarget, ratio: float) -> None:
@@ -76,6 +76,11 @@
     )
 
 
+def is_busy(pool: list[directory.TrackedTarget]) -> bool:
+    """Tell whether most targets of a pool reported calls that wait."""
+    return sum(map(has_queue, pool)) > len(pool) / 2
+
+
 def failed(
     context: contexts.Context,
     tracked: directory.TrackedTarget,
@@ -86,6 +91,9 @@
     kinds = messages.FaultKind
     if message.kind in (kinds.BUSY, kinds.LEAVING, kinds.REJECTED):
         return []
+    pool = context.directory.pool(tracked.target.pool)
+    if message.kind in (kinds.TIMEOUT, kinds.SILENT) and is_busy(pool):
+        return []
     tracked.failures += 1
     is_gone = message.kind is kinds.CONNECT or message.is_crash
     if not is_gone and tracked.failures < MAX_FAILURES:
@@ -100,9 +108,9 @@
 ) -> contexts.Effects:
     """Note a call in flight far longer than its stage takes."""
     pool = context.directory.pool(tracked.target.pool)
-    others = [other for other in pool if other is not tracked]
-    if sum(map(has_queue, others)) > len(others) / 2:
+    if is_busy(pool):
         return []
+    others = [other for other in pool if other is not tracked]
     tracked.overdue += 1
     usual = statistics.fmean(t.overdue for t in others) if others else 0.0
     is_first = tracked.is_on_trial or tracked.overdue >= MAX_OVERDUE
@@ -115,8 +123,13 @@
     context: contexts.Context,
     tracked: directory.TrackedTarget,
     now_ms: int,
+    is_own_word: bool = True,
 ) -> contexts.Effects:
-    """Take a target out, unless too much of its pool is out already."""
+    """Take a target out, unless too much of its pool is out already.
+
+    Only what this host saw itself is told to others, so that a word does
+    not grow by being passed on.
+    """
     if tracked.is_ejected or not _may_eject(context, tracked):
         return []
     if now_ms - tracked.last_ejected_ms > FORGIVEN_MS:
@@ -126,6 +139,8 @@
     tracked.is_ejected = True
     tracked.last_ejected_ms = now_ms
     tracked.probe_at_ms = now_ms + tracked.out_ms
+    if not is_own_word:
+        return []
     fact = coordination_effects.PublishFact(
         'ejected', tracked.name, True, tracked.out_ms, is_urgent=True
     )
@@ -148,9 +163,11 @@
         for at_ms in tracked.told_out.values()
         if now_ms - at_ms < FIRST_OUT_MS
     ]
+    if is_busy(context.directory.pool(tracked.target.pool)):
+        return []
     if len(recent) + bool(tracked.overdue >= MAX_OVERDUE / 3) < 2:
         return []
-    return eject(context, tracked, now_ms)
+    return eject(context, tracked, now_ms, is_own_word=False)
 
 
 def check(context: contexts.Context, now_ms: int) -> contexts.Effects:
--- a/packages/decisions/src/godwitglade/decisions/hedging.py
+++ b/packages/decisions/src/godwitglade/decisions/hedging.py
@@ -2,7 +2,7 @@
 
 from godwitglade.decisions import calling
 from godwitglade.decisions import context as contexts
-from godwitglade.decisions import estimates
+from godwitglade.decisions import health
 from godwitglade.decisions import jobs
 
 #: Without measured times a hedge is due after this part of the budget.
@@ -18,7 +18,7 @@
     if not job.stage.is_hedged or not job.stage.is_repeatable:
         return None
     sketch = calling.sketch_of(context, job)
-    if sketch.count < estimates.MIN_SAMPLES:
+    if not sketch.is_ready:
         return attempt.sent_ms + job.stage.budget_ms // UNMEASURED_DIVISOR
     after_ms = sketch.quantile_ms(context.settings.hedge_quantile)
     return attempt.sent_ms + int(after_ms) + 1
@@ -27,7 +27,12 @@
 def may_hedge(
     context: contexts.Context, job: jobs.Job, attempt: jobs.Attempt
 ) -> bool:
-    """Tell whether a hedge is allowed; takes it from the budget if so."""
+    """Tell whether a hedge is allowed; takes it from the budget if so.
+
+    In a busy pool long waits are usual and a hedge would add to them.
+    """
     if job.is_answered or len(job.attempts) > 1 or attempt.has_begun:
         return False
+    if health.is_busy(context.directory.pool(job.stage.pool)):
+        return False
     return context.hedge_budget(job.stage.pool).spend()
--- a/packages/decisions/src/godwitglade/decisions/replies.py
+++ b/packages/decisions/src/godwitglade/decisions/replies.py
@@ -177,7 +177,8 @@
     sketch = context.times.whole(pipeline, attempt.stage)
     tracked = context.directory.by_name.get(attempt.target.name)
     if tracked is not None:
-        health.succeeded(tracked, elapsed_ms / max(1.0, sketch.mean_ms))
+        ratio = elapsed_ms / sketch.mean_ms if sketch.is_ready else 1.0
+        health.succeeded(tracked, ratio)
     if health.is_usual(context, tracked):
         sketch.add(elapsed_ms)
         _note_pace(context, job, attempt, now_ms)
--- a/packages/decisions/src/godwitglade/decisions/rescue.py
+++ b/packages/decisions/src/godwitglade/decisions/rescue.py
@@ -7,7 +7,6 @@
 from godwitglade.decisions import calling
 from godwitglade.decisions import context as contexts
 from godwitglade.decisions import effects
-from godwitglade.decisions import estimates
 from godwitglade.decisions import health
 from godwitglade.decisions import jobs
 from godwitglade.decisions import stages
@@ -46,7 +45,7 @@
     if attempt.target.name not in context.directory.by_name:
         return False
     usual = context.times.pace(job.document.pipeline, attempt.stage)
-    if usual.count < estimates.MIN_SAMPLES:
+    if not usual.is_ready:
         return False
     usual_ms = usual.quantile_ms(0.9)
     return attempt.recent_pace_ms(now_ms) > health.SLOW_FACTOR * usual_ms
--- a/packages/decisions/src/godwitglade/decisions/settings.py
+++ b/packages/decisions/src/godwitglade/decisions/settings.py
@@ -16,7 +16,7 @@
     max_queued_per_pool: int = 512
     max_per_target: int = 32
     max_attempts_per_stage: int = 4
-    min_first_byte_ms: int = 200
+    min_first_byte_ms: int = 500
     probe_timeout_ms: int = 500
     claim_poll_ms: int = 250
     store_backoff_ms: int = 1_000
