--- a/packages/coordination/src/godwitglade/coordination/claim_holds.py
+++ b/packages/coordination/src/godwitglade/coordination/claim_holds.py
@@ -35,7 +35,8 @@
 
     ``row_version`` is the version that the next write is conditional on.
     ``is_uncertain`` means that an earlier write may have landed or may yet.
-    ``is_answered`` means that a verdict was delivered. ``holder`` is the
+    ``is_answered`` means that a verdict was delivered, ``is_writing`` that
+    a write is in flight. ``holder`` is the
     verdict should the owner of a foreign row not answer in time.
     """
 
@@ -51,6 +52,7 @@
     outcome: dict[str, typing.Any] | None = None
     reason: str = ''
     retries: int = 0
+    is_writing: bool = False
     holder: claim_messages.HeldElsewhere | None = None
 
     @property
--- a/packages/coordination/src/godwitglade/coordination/claim_progress.py
+++ b/packages/coordination/src/godwitglade/coordination/claim_progress.py
@@ -85,6 +85,7 @@
 
     def write(self, hold: _Hold, now_ms: int) -> list:
         """Write the hold's row in the state that its step asks for."""
+        hold.is_writing = True
         key = claim_rows.row_key(hold.claim_key)
         wall_ms = now_ms + self._wall_offset_ms
         content = hold.content(self._owner, self._address, wall_ms)
@@ -98,6 +99,7 @@
     def _on_written(
         self, hold: _Hold, result: rows.TransactionResult, now_ms: int
     ) -> list:
+        hold.is_writing = False
         if isinstance(result, rows.Committed):
             return self._on_committed(hold, result.versions[0], now_ms)
         if isinstance(result, rows.Conflict):
@@ -255,8 +257,12 @@
             due_ms = min(due_ms, max(now_ms, hold.refuse_at_ms))
         return [self.timer(hold, self._on_retry, due_ms)]
 
+    def retry(self, hold: _Hold, now_ms: int) -> list:
+        """Write again now, unless a write is in flight."""
+        return self._on_retry(hold, None, now_ms)
+
     def _on_retry(self, hold: _Hold, _result: None, now_ms: int) -> list:
-        if hold.nonce not in self.holds:
+        if hold.nonce not in self.holds or hold.is_writing:
             return []
         is_late = hold.is_answered or now_ms >= hold.refuse_at_ms
         if hold.step is _Step.INSERT and is_late:
--- a/packages/coordination/src/godwitglade/coordination/claims.py
+++ b/packages/coordination/src/godwitglade/coordination/claims.py
@@ -228,7 +228,9 @@
             return ClaimAnswer('released'), self._disown(question, now_ms)
         if hold.step is _Step.SETTLE:
             return ClaimAnswer('settled', hold.outcome), []
-        return ClaimAnswer('running' if hold.may_yet_send else 'released'), []
+        if hold.may_yet_send:
+            return ClaimAnswer('running'), []
+        return ClaimAnswer('released'), self._progress.retry(hold, now_ms)
 
     def _disown(self, question: ClaimQuestion, now_ms: int) -> list:
         """Free a key whose write landed after its claim was given up.
--- a/proof/claim_spec.py
+++ b/proof/claim_spec.py
@@ -268,6 +268,8 @@
         is_taking = owner.step in ('insert', 'insert_wait')
         if owner.step == 'granted' or is_taking and not owner.verdict:
             return _with(state, index, step='end', verdict='held')
+        if owner.step in WAITING:
+            state = self._retried(state, row.owner)
         if owner.step == 'end':
             base = row.version
             state = _with(state, row.owner, step='release', base=base)
--- /dev/null
+++ b/proof/fake_targets.py
@@ -0,0 +1,254 @@
+"""Targets in memory: their work, their faults and a record of their runs."""
+
+import typing
+
+import attrs
+
+from godwitglade.decisions import effects
+from godwitglade.decisions import messages
+from godwitglade.decisions import streams
+from godwitglade.decisions import targets
+
+WORK_MS = (15, 60)
+PIECES = 4
+PIECE_GAP_MS = 10
+CONNECT_REFUSED_MS = 1
+POISON = 'poison'
+
+_Kind = messages.FaultKind
+
+
+@attrs.frozen
+class Run:
+    """One call that a target took in or refused.
+
+    ``is_apart`` means that its host was cut off.
+    """
+
+    request_id: str
+    stage: str
+    target: str
+    at_ms: int
+    is_apart: bool = False
+
+
+@attrs.define(eq=False)
+class FakeTarget:
+    """One back end.
+
+    ``silent_to`` names hosts whose open connections have gone silent;
+    ``leaving_since_ms`` is when it began to refuse new work and
+    ``first_sign_ms`` when any host could first know.
+    """
+
+    world: typing.Any
+    target: targets.Target
+    is_up: bool = True
+    is_silent: bool = False
+    slow_factor: int = 1
+    answers_to_lose: int = 0
+    leaving_since_ms: int | None = None
+    first_sign_ms: int | None = None
+    silent_to: set[str] = attrs.Factory(set)
+    runs: list[Run] = attrs.Factory(list)
+    offered: list[Run] = attrs.Factory(list)
+    active: dict[str, typing.Any] = attrs.Factory(dict)
+    crashes: int = 0
+
+    @property
+    def name(self) -> str:
+        """Return the target's name."""
+        return self.target.name
+
+    def listed(self) -> targets.Target:
+        """Return the target as the host list describes it now."""
+        if self.leaving_since_ms is None:
+            return self.target
+        return attrs.evolve(self.target, state=targets.TargetState.LEAVING)
+
+    def load(self) -> targets.Load:
+        """Return what the target says of itself."""
+        is_leaving = self.leaving_since_ms is not None
+        if is_leaving:
+            self.show_leaving()
+        return targets.Load(len(self.active), 0, 32, is_leaving)
+
+    def call(self, host: typing.Any, effect: effects.CallTarget) -> None:
+        """Take in a call, or fail it the way the fault in force does."""
+        reply = self.world.replier(host)
+        run = Run(
+            effect.request_id,
+            effect.stage,
+            self.name,
+            self.world.now_ms,
+            bool(self.world.cut_zones),
+        )
+        self.offered.append(run)
+        if not self.is_up:
+            reply(CONNECT_REFUSED_MS, _fault(effect, _Kind.CONNECT, False))
+            return
+        is_old = not effect.needs_fresh_connection
+        is_cut = self.world.is_cut(host.zone, self.target.zone)
+        if is_cut and not is_old:
+            fault = _fault(effect, _Kind.CONNECT, False)
+            reply(effect.first_byte_ms, fault)
+            return
+        if is_cut or host.name in self.silent_to and is_old:
+            reply(effect.first_byte_ms, _fault(effect, _Kind.SILENT))
+            return
+        latency_ms = self.world.latency_ms(host.zone, self.target.zone)
+        if self.leaving_since_ms is not None:
+            fault = _fault(effect, _Kind.LEAVING, False, load=self.load())
+            reply(2 * latency_ms, fault)
+            self.show_leaving()
+            return
+        self.world.after(
+            latency_ms, lambda: self._take(run, host, effect, reply)
+        )
+
+    def cancel(self, attempt_id: str) -> None:
+        """Stop the work on an attempt."""
+        self.active.pop(attempt_id, None)
+
+    def crash(self) -> None:
+        """End the process with all its work."""
+        self.is_up = False
+        self.crashes += 1
+        lost, self.active = self.active, {}
+        for reply, effect in lost.values():
+            reply(1, _fault(effect, _Kind.LOST, is_crash=True))
+
+    def restart(self) -> None:
+        """Start a new process that takes work."""
+        self.is_up = True
+        self.is_silent = False
+        self.slow_factor = 1
+        self.leaving_since_ms = None
+        self.first_sign_ms = None
+        self.silent_to.clear()
+
+    def leave(self) -> None:
+        """Refuse new work from now on."""
+        self.leaving_since_ms = self.world.now_ms
+
+    def show_leaving(self) -> None:
+        """Note that a host may know from now on that it leaves."""
+        if self.first_sign_ms is None:
+            self.first_sign_ms = self.world.now_ms
+
+    def probe(self, host: typing.Any, effect: effects.ProbeTarget) -> None:
+        """Answer a probe on a new connection."""
+        is_cut = self.world.is_cut(host.zone, self.target.zone)
+        is_alive = self.is_up and not is_cut and not self.is_silent
+        delay_ms = 2 if is_alive else effect.timeout_ms
+        answer = messages.ProbeAnswered(self.name, is_alive)
+        self.world.replier(host)(delay_ms, answer)
+
+    def _take(
+        self,
+        run: Run,
+        host: typing.Any,
+        effect: effects.CallTarget,
+        reply: typing.Callable,
+    ) -> None:
+        if not self.is_up:
+            reply(1, _fault(effect, _Kind.LOST, is_crash=True))
+            return
+        self.runs.append(attrs.evolve(run, at_ms=self.world.now_ms))
+        self.active[effect.attempt_id] = (reply, effect)
+        if _is_poison(effect):
+            self.world.after(5, self.crash)
+            return
+        if self.is_silent:
+            reply(effect.first_byte_ms, _fault(effect, _Kind.SILENT))
+            return
+        work_ms = self.world.random.randint(*WORK_MS) * self.slow_factor
+        if self.answers_to_lose:
+            self.answers_to_lose -= 1
+            reply(work_ms, _fault(effect, _Kind.LOST))
+            return
+        timeout_ms = effect.timeout_ms
+        if work_ms >= timeout_ms:
+            reply(timeout_ms, _fault(effect, _Kind.TIMEOUT))
+            return
+        if work_ms >= effect.first_byte_ms:
+            reply(effect.first_byte_ms, _fault(effect, _Kind.SILENT))
+        answer = self._stream if effect.is_stream else self._answer
+        self.world.after(work_ms, lambda: answer(host, effect, reply))
+
+    def _answer(
+        self,
+        host: typing.Any,
+        effect: effects.CallTarget,
+        reply: typing.Callable,
+    ) -> None:
+        if self.active.pop(effect.attempt_id, None) is None:
+            return
+        if self.world.is_cut(host.zone, self.target.zone):
+            reply(effect.timeout_ms, _fault(effect, _Kind.SILENT))
+            return
+        output = output_of(effect.request_id, effect.stage)
+        reply(1, messages.StageReplied(*_ids(effect), output, 10, self.load()))
+
+    def _stream(
+        self,
+        host: typing.Any,
+        effect: effects.CallTarget,
+        reply: typing.Callable,
+    ) -> None:
+        text = output_of(effect.request_id, effect.stage)
+        size = -(-len(text) // PIECES)
+        offsets = range(effect.resume_offset, len(text), size)
+        for index, offset in enumerate(offsets):
+            self.world.after(
+                index * PIECE_GAP_MS,
+                lambda at=offset: self._piece(effect, reply, at, size),
+            )
+        end_ms = len(offsets) * PIECE_GAP_MS
+        self.world.after(end_ms, lambda: self._end(effect, reply))
+
+    def _piece(
+        self,
+        effect: effects.CallTarget,
+        reply: typing.Callable,
+        offset: int,
+        size: int,
+    ) -> None:
+        if effect.attempt_id in self.active:
+            text = output_of(effect.request_id, effect.stage)
+            piece = text[offset : offset + size]
+            reply(1, messages.StreamPiece(*_ids(effect), offset, piece))
+
+    def _end(self, effect: effects.CallTarget, reply: typing.Callable) -> None:
+        if self.active.pop(effect.attempt_id, None) is None:
+            return
+        text = output_of(effect.request_id, effect.stage)
+        digest = streams.digest_of(text)
+        ended = messages.StreamEnded(
+            *_ids(effect), len(text), digest, 10, self.load()
+        )
+        reply(1, ended)
+
+
+def output_of(request_id: str, stage: str) -> str:
+    """Return the output that belongs to one stage of one request."""
+    return f'output of {stage} for {request_id}'
+
+
+def _ids(effect: effects.CallTarget) -> tuple[str, str, str]:
+    return (effect.request_id, effect.stage, effect.attempt_id)
+
+
+def _fault(
+    effect: effects.CallTarget,
+    kind: messages.FaultKind,
+    was_sent: bool = True,
+    **options: typing.Any,
+) -> messages.StageFault:
+    return messages.StageFault(*_ids(effect), kind, was_sent, **options)
+
+
+def _is_poison(effect: effects.CallTarget) -> bool:
+    payload = effect.payload
+    request = payload.get('request') or payload['input']['request']
+    return request == POISON
--- a/tests/claims/test_claims.py
+++ b/tests/claims/test_claims.py
@@ -161,6 +161,18 @@
     assert verdict_of_resend(world) == claims.Granted()
 
 
+def test_question_hastens_a_release_that_waits_for_its_next_try():
+    world = granted_world()
+    world.hosts[0].sent.clear()
+    world.release(0)
+    for _ in range(10):
+        world.refuse_write(0)
+        world.advance(60_000)
+    world.refuse_write(0)
+    assert not world.hosts[0].writes
+    assert verdict_of_resend(world) == claims.Granted()
+
+
 def test_store_outage_is_refused_as_not_run():
     world = claim_world.ClaimWorld()
     world.claim(0)
