--- a/packages/common/src/godwitglade/common/events.py
+++ b/packages/common/src/godwitglade/common/events.py
@@ -69,6 +69,11 @@
     OPERATOR_REFUSED = Description(
         5005, logging.WARNING, 'An operator asked for what it may not do.'
     )
+    DOCUMENT_REFUSED = Description(
+        5006,
+        logging.ERROR,
+        'A stored document has faults; the version before stays in force.',
+    )
     CLAIM_ROW_LOST = Description(
         7001, logging.ERROR, 'A held claim row was changed by another writer.'
     )
--- a/proof/invariants.py
+++ b/proof/invariants.py
@@ -124,7 +124,10 @@
             if host.decider is None or host.is_paused:
                 continue
             in_force = host.decider.parts.requests.context.documents
+            refused = {r.pipeline for r in host.decider.refused_documents}
             for held in host.decider.parts.documents.held():
+                if held.pipeline in refused:
+                    continue
                 shown = held.text and parsing.parse_document(held.text)
                 if in_force.get(held.pipeline) != shown:
                     self._fail(f'{host.name} shows another {held.pipeline}')
