--- a/packages/decisions/src/godwitglade/decisions/host.py
+++ b/packages/decisions/src/godwitglade/decisions/host.py
@@ -14,17 +14,22 @@
 
 from godwitglade.common import errors
 from godwitglade.common import events
+from godwitglade.coordination import bodies
 from godwitglade.coordination import change_results
 from godwitglade.coordination import changes
 from godwitglade.coordination import claims
 from godwitglade.coordination import effects as shared_effects
+from godwitglade.coordination import facts
 from godwitglade.coordination import hosts
+from godwitglade.coordination import leases
 from godwitglade.coordination import membership
 from godwitglade.coordination import messages as shared_messages
 from godwitglade.coordination import spread
+from godwitglade.coordination import survey
 from godwitglade.decisions import documents
 from godwitglade.decisions import effects
 from godwitglade.decisions import messages
+from godwitglade.decisions import orders
 from godwitglade.decisions import outcomes
 from godwitglade.decisions import requests
 from godwitglade.decisions import settings as request_settings
@@ -42,11 +47,22 @@
 
     members: membership.Membership
     documents: spread.Documents
+    facts: facts.Facts
     claims: claims.Claims
     changes: changes.Changes
+    leases: leases.Leases
+    orders: orders.Orders
     requests: requests.Requests
 
 
+@attrs.frozen
+class InForce:
+    """The version of a document that requests are served by."""
+
+    version: int
+    team: str
+
+
 @attrs.frozen
 class RefusedDocument:
     """A version that this host could not parse and has not in force."""
@@ -65,18 +81,25 @@
 ) -> Parts:
     """Return the parts of a host, each with a random source of its own."""
     seeds = (random.Random(rng.getrandbits(64)) for _ in iter(int, 1))
-    spread_part = spread.Documents(self_id, next(seeds))
-    claims_part = claims.Claims(self_id, next(seeds), address, wall_offset_ms)
+    documents_ = spread.Documents(self_id, next(seeds))
+    facts_ = facts.Facts(self_id, next(seeds))
+    claims_ = claims.Claims(self_id, next(seeds), address, wall_offset_ms)
+    leases_ = leases.Leases(self_id, next(seeds))
+    members = membership.Membership(
+        self_id, address, next(seeds), (documents_, facts_)
+    )
+    orders_ = orders.Orders(
+        self_id, next(seeds), leases_, members.live, wall_offset_ms
+    )
     return Parts(
-        members=membership.Membership(
-            self_id, address, next(seeds), (spread_part,)
-        ),
-        documents=spread_part,
-        claims=claims_part,
+        members=members,
+        documents=documents_,
+        facts=facts_,
+        claims=claims_,
         changes=changes.Changes(next(seeds)),
-        requests=requests.Requests(
-            self_id, next(seeds), claims_part, settings
-        ),
+        leases=leases_,
+        orders=orders_,
+        requests=requests.Requests(self_id, next(seeds), claims_, settings),
     )
 
 
@@ -95,15 +118,20 @@
     ) -> None:
         self.self_id = self_id
         self.parts = parts
-        self._teams: dict[str, str] = {}
+        self._in_force: dict[str, InForce] = {}
         self._parse_document = parse_document
         self._refused: dict[str, RefusedDocument] = {}
+        self._survey = survey.Survey(parts.members, self._report)
         self._by_prefix = {
             'members': parts.members,
             'documents': parts.documents,
+            'facts': parts.facts,
             'claims': parts.claims,
             'changes': parts.changes,
+            'leases': parts.leases,
+            'orders': parts.orders,
             'requests': parts.requests,
+            'survey': self._survey,
             'host': self,
         }
 
@@ -120,14 +148,25 @@
 
     def team_of(self, pipeline: str) -> str:
         """Return the team of a pipeline in force, else an empty text."""
-        return self._teams.get(pipeline, '')
+        found = self._in_force.get(pipeline)
+        return '' if found is None else found.team
+
+    def versions_in_force(self) -> dict[str, int]:
+        """Return the version that requests are served by, by pipeline."""
+        return {
+            pipeline: found.version
+            for pipeline, found in sorted(self._in_force.items())
+        }
 
     def start(self, now_ms: int) -> Effects:
         """Begin every part; return their first effects."""
         parts = (
             self.parts.members,
             self.parts.documents,
+            self.parts.facts,
             self.parts.claims,
+            self.parts.leases,
+            self.parts.orders,
             self.parts.requests,
         )
         found = [effect for part in parts for effect in part.start(now_ms)]
@@ -146,17 +185,11 @@
             if isinstance(effect, shared_effects.Deliver):
                 pending.extend(self._decide(effect.message, now_ms))
             elif isinstance(effect, shared_effects.PublishFact):
-                pending.append(self._learn(effect))
+                pending.extend(self.parts.facts.publish(effect, now_ms))
             else:
                 outside.append(effect)
         return outside
 
-    def _learn(self, fact: shared_effects.PublishFact) -> Effects:
-        learned = shared_messages.FactLearned(
-            fact.kind, fact.key, fact.value, self.self_id.name
-        )
-        return shared_effects.Deliver(learned)
-
     @functools.singledispatchmethod
     def _decide(self, message: typing.Any, now_ms: int) -> Effects:
         return self.parts.requests.handle(message, now_ms)
@@ -189,7 +222,9 @@
         parts = (
             self.parts.members,
             self.parts.documents,
+            self.parts.facts,
             self.parts.claims,
+            self._survey,
         )
         return [
             effect for part in parts for effect in part.handle(message, now_ms)
@@ -206,7 +241,7 @@
                 document = self._parse_document(message.text)
             except errors.CodedError as error:
                 return self._refuse_document(message, error)
-        self._teams[message.pipeline] = document.team if document else ''
+        self._note_in_force(message, document)
         in_force = messages.DocumentsInForce({message.pipeline: document})
         fields = {
             'pipeline': message.pipeline,
@@ -249,13 +284,48 @@
             message.query_id, message.change_id, now_ms
         )
 
+    @_decide.register(messages.DocumentsInForce)
+    @_decide.register(messages.TargetsListed)
+    @_decide.register(messages.LoadReported)
+    @_decide.register(shared_messages.FactLearned)
+    def _(self, message: typing.Any, now_ms: int) -> Effects:
+        return [
+            *self.parts.requests.handle(message, now_ms),
+            *self.parts.orders.handle(message, now_ms),
+        ]
+
+    @_decide.register(messages.OrderAnswered)
+    @_decide.register(leases.LeaseAcquired)
+    @_decide.register(leases.LeaseLost)
+    def _(self, message: typing.Any, now_ms: int) -> Effects:
+        return self.parts.orders.handle(message, now_ms)
+
+    @_decide.register
+    def _(self, message: messages.StatusAsked, now_ms: int) -> Effects:
+        return self._survey.ask(message.query_id, message.at_least, now_ms)
+
+    @_decide.register
+    def _(self, message: survey.SurveyEnded, now_ms: int) -> Effects:
+        return [effects.AnswerOperator(message.query_id, message)]
+
     @_decide.register
     def _(self, message: messages.StopAsked, now_ms: int) -> Effects:
         return [
             *self.parts.members.leave(now_ms),
+            *self.parts.orders.handle(message, now_ms),
             *self.parts.requests.handle(message, now_ms),
         ]
 
+    def _note_in_force(
+        self,
+        message: shared_messages.DocumentChanged,
+        document: documents.Document | None,
+    ) -> None:
+        self._in_force.pop(message.pipeline, None)
+        if document is not None:
+            found = InForce(message.version, document.team)
+            self._in_force[message.pipeline] = found
+
     def _refuse_document(
         self,
         message: shared_messages.DocumentChanged,
@@ -270,6 +340,14 @@
         event = events.Event.DOCUMENT_REFUSED
         return [shared_effects.LogEvent(event, fields)]
 
+    def _report(self) -> bodies.StatusGiven:
+        return bodies.StatusGiven(
+            self.self_id,
+            self.parts.documents.sequence,
+            self.is_ready,
+            tuple(sorted(self._refused)),
+        )
+
     def _read_host_list(self, now_ms: int) -> Effects:
         due_ms = now_ms + HOST_LIST_INTERVAL_MS
         return [
