Measure the spread of changes and the cost of control

Cause: the targets for spread and control were not measured. Change: bench.measure.spread and bench.measure.control, on daemons over loopback and on the parts in virtual time; the stand-in deployment can start another daemon module.

--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -194,6 +194,8 @@
 class Deployment:
     """Starts everything; `close` ends what it started."""
 
+    daemon_module = 'godwitglade.daemon'
+
     def __init__(self, directory: pathlib.Path) -> None:
         self._directory = directory
         self.table = processes.StandInProcess('table')
@@ -223,7 +225,7 @@
         # JSON is YAML.
         path.write_text(json.dumps({**plain, **settings}, indent=2))
         process = processes.Process(
-            'godwitglade.daemon',
+            self.daemon_module,
             '--settings',
             str(path),
             environment={**os.environ, 'GODWITGLADE_SECRET': SECRET},
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -174,6 +174,25 @@
             for node in self.up()
         )
 
+    def await_in_force(self, sequence: int, limit_ms: int) -> int:
+        """Step until all running hosts hold ``sequence``; return the time."""
+        self._lagging = self.up()
+
+        def is_everywhere() -> bool:
+            while self._lagging:
+                documents = self._lagging[-1].documents
+                if documents.sequence < sequence:
+                    return False
+                self._lagging.pop()
+            return True
+
+        return self.run(limit_ms, is_everywhere)
+
+    def change_text(self, pipeline: str, old: str, new: str) -> int:
+        """Accept a change that travels as a patch, as `changes` makes it."""
+        patch = patches.make(old, new) if old else None
+        return self.store.change(pipeline, new, patch)
+
     def carry_out(self, node: Node, found: list) -> None:
         """Carry out the effects that a part of ``node`` asked for."""
         for effect in found:
--- /dev/null
+++ b/bench/measure/control.py
@@ -0,0 +1,330 @@
+"""Measures what control costs a daemon: bytes, processor time and memory.
+
+Run as ``python -m bench.measure.control real`` for daemons on loopback at
+rest and under changes, ``... stepped`` for messages and bytes of the parts
+at larger sizes, ``... slopes`` for processor time and memory of the parts.
+"""
+
+import gc
+import itertools
+import json
+import pathlib
+import random
+import tempfile
+import time
+import tracemalloc
+import typing
+
+import attrs
+import psutil
+import typer
+
+from bench import deployment as deployments
+from bench import fleet
+from bench.measure import spread
+from godwitglade.coordination import bodies
+from godwitglade.coordination import effects
+from godwitglade.coordination import hosts as identities
+from godwitglade.daemon import peer_codec
+from godwitglade.peers import codec as codecs
+
+#: 32,000 changes a day as a rate.
+CHANGES_PER_S = 32_000 / 86_400
+SETTLE_S = 8
+WARM_MS = 60_000
+
+#: Headers of a request and a reply between hosts, and of TCP and IP for
+#: one exchange on a connection of its own: 10 segments.
+REQUEST_HEADER_BYTES = 230
+REPLY_HEADER_BYTES = 263
+TCP_BYTES = 10 * 52
+
+app = typer.Typer(add_completion=False)
+Number = typing.Annotated[int, typer.Option(min=0)]
+
+
+@attrs.frozen
+class Usage:
+    """Processor time and memory of one daemon."""
+
+    cpu_s: float
+    at_s: float
+    rss_bytes: int
+
+    @classmethod
+    def read(cls, pid: int) -> 'Usage':
+        """Return what process ``pid`` has used so far."""
+        process = psutil.Process(pid)
+        times = process.cpu_times()
+        return cls(
+            times.user + times.system,
+            time.monotonic(),
+            process.memory_info().rss,
+        )
+
+
+class CountedDeployment(deployments.Deployment):
+    """A deployment whose daemons print their traffic when they stop."""
+
+    daemon_module = 'bench.measure.control_daemon'
+
+
+@app.command()
+def real(
+    hosts: Number = 9,
+    zones: Number = 3,
+    seconds: Number = 30,
+    times_rate: float = 0.0,
+    workspaces: Number = 5,
+) -> None:
+    """Measure daemons at ``times_rate`` times 32,000 changes a day."""
+    with tempfile.TemporaryDirectory() as name:
+        directory = pathlib.Path(name)
+        deployment = CountedDeployment(directory)
+        try:
+            _measure_real(
+                deployment, hosts, zones, seconds, times_rate, workspaces
+            )
+        finally:
+            deployment.close()
+        _print_traffic(directory, times_rate)
+
+
+def _measure_real(
+    deployment: deployments.Deployment,
+    hosts: int,
+    zones: int,
+    seconds: int,
+    times_rate: float,
+    workspaces: int,
+) -> None:
+    for number in range(hosts):
+        deployment.add_entry(f'entry-{number}', f'zone-{number % zones}')
+    deployment.publish()
+    deployment.await_ready()
+    entries = list(deployment.entries.values())
+    spread.apply_change(entries[0], 0, workspaces)
+    time.sleep(SETTLE_S)
+    before = [Usage.read(entry.process.pid) for entry in entries]
+    change_count = round(seconds * CHANGES_PER_S * times_rate)
+    started_s = time.monotonic()
+    for number in range(1, change_count + 1):
+        due_s = started_s + number * seconds / (change_count + 1)
+        time.sleep(max(0.0, due_s - time.monotonic()))
+        entry = random.Random(number).choice(entries)
+        spread.apply_change(entry, number, workspaces)
+    time.sleep(max(0.0, started_s + seconds - time.monotonic()))
+    after = [Usage.read(entry.process.pid) for entry in entries]
+    shares = [
+        (late.cpu_s - early.cpu_s) / (late.at_s - early.at_s)
+        for early, late in zip(before, after)
+    ]
+    memory = [usage.rss_bytes / 2**20 for usage in after]
+    print(f'real, {hosts} daemons, {change_count} changes in {seconds} s')
+    print(f'  of a core: {_range(shares, 100)} %')
+    print(f'  memory: {_range(memory, 1)} MiB')
+
+
+def _print_traffic(directory: pathlib.Path, times_rate: float) -> None:
+    sent, received, count, alive_s = [], [], [], []
+    for path in sorted(directory.glob('*.log')):
+        lines = path.read_text().splitlines()
+        fields = json.loads(lines[-1])
+        seconds = fields['alive_s']
+        sent.append(fields['sent_bytes'] / seconds)
+        received.append(fields['received_bytes'] / seconds)
+        count.append(fields['message_count'] / seconds)
+        alive_s.append(seconds)
+    print(f'  peers, over {min(alive_s):.0f} s of life, HTTP headers included')
+    print(f'  sent: {_range(sent, 1)} bytes a second')
+    print(f'  received: {_range(received, 1)} bytes a second')
+    print(f'  messages answered or sent: {_range(count, 1)} a second')
+
+
+@app.command()
+def stepped(
+    hosts: Number = 48,
+    zones: Number = 4,
+    seconds: Number = 60,
+    times_rate: float = 0.0,
+    restarts: Number = 0,
+    usage: Number = 0,
+    workspaces: Number = 5,
+    whole: bool = False,
+    seed: Number = 1,
+) -> None:
+    """Count messages and bytes of the parts in virtual time."""
+    made = fleet.Fleet(hosts, zones, 0.01, seed)
+    made.store.change(spread.PIPELINE, spread.make_text(0, workspaces))
+    made.run(WARM_MS)
+    meter = Meter()
+    made.on_message = meter.take
+    change_count = round(seconds * CHANGES_PER_S * times_rate)
+    steps = max(1, change_count)
+    texts = [spread.make_text(n, workspaces) for n in range(steps + 1)]
+    for number in range(steps):
+        if change_count:
+            old = '' if whole else texts[number]
+            made.change_text(spread.PIPELINE, old, texts[number + 1])
+        first = restarts * number // steps
+        _restart(made, range(first, restarts * (number + 1) // steps))
+        if usage:
+            _publish_usage(made, usage)
+        made.run(seconds * 1_000 // steps)
+    scale = 1 / (hosts * seconds)
+    print(
+        f'stepped, {hosts} hosts in {zones} zones, {change_count} changes'
+        f' and {restarts} restarts in {seconds} s'
+    )
+    print(f'  requests: {meter.request_count * scale:.2f} a second a host')
+    # Each byte is sent by one host and received by another.
+    print(
+        f'  bodies: {2 * meter.body_bytes * scale:.0f} bytes a second a host'
+    )
+    print(f'  with headers: {2 * meter.all_bytes * scale:.0f}')
+    print(f'  with TCP and IP: {2 * meter.wire_bytes * scale:.0f}')
+
+
+def _restart(made: fleet.Fleet, numbers: range) -> None:
+    for number in numbers:
+        made.stop(f'h{number}')
+        made.start(f'h{number}')
+
+
+def _publish_usage(made: fleet.Fleet, count: int) -> None:
+    for node in made.up():
+        for number in range(count):
+            fact = effects.PublishFact('usage', f'workspace-{number}', 3, 0)
+            node.facts.publish(fact, made.now_ms)
+
+
+class Meter:
+    """Encodes every message of a fleet and adds up the bytes."""
+
+    def __init__(self) -> None:
+        self._codec = peer_codec.make_codec()
+        self._sender = identities.HostId(
+            'entry-770', 'region-5-zone-16', 1 << 40
+        )
+        self.request_count = 0
+        self.body_bytes = 0
+        self.all_bytes = 0
+        self.wire_bytes = 0
+
+    def take(self, way: str, body: typing.Any) -> None:
+        """Count one request or reply."""
+        is_request = way == 'request'
+        sender = self._sender if is_request else None
+        size = len(self._codec.encode(codecs.Envelope(body, sender)))
+        header = REQUEST_HEADER_BYTES if is_request else REPLY_HEADER_BYTES
+        self.request_count += is_request
+        self.body_bytes += size
+        self.all_bytes += size + header
+        self.wire_bytes += size + header + is_request * TCP_BYTES
+
+
+@app.command()
+def slopes() -> None:
+    """Measure processor time an exchange and memory an entry."""
+    for host_count in (9, 48, 192, 770):
+        node, exchange = _lone_host(host_count)
+        spent_us = _time_exchange(node, exchange)
+        print(f'exchange with {host_count} hosts known: {spent_us:.0f} us')
+    print(f'memory a host: {_host_bytes():.0f} bytes')
+    print(f'memory a fact: {_fact_bytes():.0f} bytes')
+    print(f'memory a workspace in use: {_usage_bytes():.0f} bytes')
+    print(f'codec an exchange, both ways: {_codec_us():.0f} us')
+
+
+def _lone_host(host_count: int) -> tuple[fleet.Node, bodies.Exchange]:
+    made = fleet.Fleet(1, 1)
+    node = made.nodes['h0']
+    made.store.change(spread.PIPELINE, spread.make_text(0))
+    made.run(3_000)
+    for record in _records(host_count - 1):
+        node.members.table.merge(record, 0, is_news=False)
+    peer = next(iter(_records(1)))
+    digest = node.members.table.records.digest
+    exchange = bodies.Exchange(peer, 1, host_count, digest)
+    return node, exchange
+
+
+def _records(count: int) -> typing.Iterator[bodies.MemberRecord]:
+    for number in range(count):
+        host = identities.HostId(f'entry-{number}', f'zone-{number % 16}', 1)
+        yield bodies.MemberRecord(host, f'10.0.{number % 250}.1:8080')
+
+
+def _time_exchange(node: fleet.Node, exchange: bodies.Exchange) -> float:
+    rounds = 2_000
+    started_s = time.perf_counter()
+    for _ in range(rounds):
+        node.members._receive(exchange, 0)
+        node.members._compose(exchange, 0)
+    return 1e6 * (time.perf_counter() - started_s) / rounds
+
+
+def _codec_us() -> float:
+    _, exchange = _lone_host(9)
+    codec = peer_codec.make_codec()
+    envelope = codecs.Envelope(exchange, exchange.sender.host)
+    rounds = 2_000
+    started_s = time.perf_counter()
+    for _ in range(rounds):
+        codec.decode(codec.encode(envelope))
+    return 1e6 * (time.perf_counter() - started_s) / rounds
+
+
+def _host_bytes() -> float:
+    node, _ = _lone_host(1)
+
+    def fill(count: int) -> None:
+        for record in itertools.islice(_records(count), count):
+            node.members.table.merge(record, 0, is_news=False)
+            node.members.table.hear(record.host.name, 1, 0)
+
+    return _bytes_each(fill)
+
+
+def _fact_bytes() -> float:
+    node, _ = _lone_host(1)
+
+    def fill(count: int) -> None:
+        for number in range(count):
+            fact = effects.PublishFact('ejected', f't-{number}', True, 60_000)
+            node.facts.publish(fact, 0)
+
+    return _bytes_each(fill)
+
+
+def _usage_bytes() -> float:
+    node, _ = _lone_host(1)
+
+    def fill(count: int) -> None:
+        for number in range(count):
+            fact = effects.PublishFact('usage', f'workspace-{number}', 3, 0)
+            node.facts.publish(fact, 0)
+
+    return _bytes_each(fill)
+
+
+def _bytes_each(
+    fill: typing.Callable[[int], None], count: int = 4_000
+) -> float:
+    gc.collect()
+    tracemalloc.start()
+    fill(count)
+    gc.collect()
+    used, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return used / count
+
+
+def _range(values: list[float], factor: float) -> str:
+    ordered = sorted(value * factor for value in values)
+    middle = ordered[len(ordered) // 2]
+    return f'{middle:.2f} (median), {ordered[-1]:.2f} (most)'
+
+
+if __name__ == '__main__':
+    app()
