Read the host list by zone and only where it changed

Change: conditional readings by zone and role at their own rates; a digest stands in where the service knows no ETag; readings are joined by name.

--- a/bench/standins/host_list.py
+++ b/bench/standins/host_list.py
@@ -5,6 +5,9 @@
 
 import typing
 
+import attrs
+import xxhash
+
 from bench.standins import server
 
 
@@ -21,7 +24,15 @@
             return server.Reply({}, 404)
         if request.method == 'PUT':
             self.entries = request.plain['hosts']
-        return server.Reply({'hosts': self.entries})
+        found = [
+            entry
+            for entry in self.entries
+            if all(entry.get(k) == v for k, v in request.query.items())
+        ]
+        reply = server.Reply({'hosts': found})
+        etag = f'"{xxhash.xxh3_64_hexdigest(reply.encode())}"'
+        is_same = etag == request.etag
+        return attrs.evolve(reply, etag=etag, status=304 if is_same else 200)
 
 
 if __name__ == '__main__':
--- a/bench/standins/server.py
+++ b/bench/standins/server.py
@@ -28,6 +28,7 @@
     path: str
     query: dict[str, str]
     content: bytes
+    etag: str = ''
 
     @property
     def plain(self) -> dict[str, typing.Any]:
@@ -42,6 +43,7 @@
     plain: typing.Any = attrs.Factory(dict)
     status: int = 200
     content: bytes | None = None
+    etag: str = ''
 
     def encode(self) -> bytes:
         """Return the body."""
@@ -246,6 +248,7 @@
             path=parts.path,
             query=dict(urllib.parse.parse_qsl(parts.query)),
             content=self.rfile.read(length),
+            etag=self.headers.get('If-None-Match', ''),
         )
 
     def _serve_faults(self, request: Request) -> Reply:
@@ -262,11 +265,12 @@
             self.connection.close()
 
     def _send_reply(self, reply: Reply) -> None:
-        body = reply.encode()
+        body = b'' if reply.status == 304 else reply.encode()
+        etag = f'ETag: {reply.etag}\r\n' if reply.etag else ''
         head = (
             f'HTTP/1.1 {reply.status} Status\r\n'
             'Content-Type: application/json\r\n'
-            f'Content-Length: {len(body)}\r\n\r\n'
+            f'{etag}Content-Length: {len(body)}\r\n\r\n'
         )
         self.wfile.write(head.encode() + body)
 
--- a/packages/daemon/src/godwitglade/daemon/assembly.py
+++ b/packages/daemon/src/godwitglade/daemon/assembly.py
@@ -177,6 +177,7 @@
             max_queued_per_pool=settings.bounds.max_queued,
         ),
         env.clock.wall_ms() - env.clock.monotonic_ms(),
+        settings.platform.spill_zones,
     )
     host = deciders.Host(self_id, parts, parsing.parse_document)
     report = _fault_reporter(logger)
--- a/packages/daemon/src/godwitglade/daemon/effector.py
+++ b/packages/daemon/src/godwitglade/daemon/effector.py
@@ -82,16 +82,15 @@
     ) -> None:
         self.post(function(effect))
 
-    def _read_host_list(self) -> None:
-        found = self._clients.host_list.read()
+    def _read_host_list(self, query: effects.ReadHostList) -> None:
+        found = self._clients.host_list.read(query)
         if not isinstance(found, host_list.HostList):
             return
         entries = tuple(
             members.HostEntry(entry.name, entry.zone, entry.address)
             for entry in found.entry_hosts
         )
-        self.post(messages.EntryHostsListed(entries))
-        self.post(found.listed)
+        self.post(messages.HostListRead(query, found.targets, entries))
 
     @carry_out.register
     def _(self, effect: effects.CallTarget) -> None:
@@ -133,7 +132,7 @@
 
     @carry_out.register
     def _(self, effect: effects.ReadHostList) -> None:
-        self._store.submit(self._read_host_list)
+        self._store.submit(self._read_host_list, effect)
 
     @carry_out.register
     def _(self, effect: effects.Exit) -> None:
--- a/packages/daemon/src/godwitglade/daemon/settings_schema.py
+++ b/packages/daemon/src/godwitglade/daemon/settings_schema.py
@@ -80,6 +80,11 @@
         'table_url': kinds.Field(URL, 'Base URL of the table service.'),
         'objects_url': kinds.Field(URL, 'Base URL of the object store.'),
         'host_list_url': kinds.Field(URL, 'Base URL of the host list.'),
+        'spill_zones': kinds.Field(
+            kinds.Items(kinds.NAME),
+            'Other data centres whose targets may be used; the host list is '
+            'read whole when none is named.',
+        ),
     },
 )
 
--- a/packages/daemon/src/godwitglade/daemon/settings_types.py
+++ b/packages/daemon/src/godwitglade/daemon/settings_types.py
@@ -42,6 +42,7 @@
     table_url: str
     objects_url: str
     host_list_url: str
+    spill_zones: tuple[str, ...] = ()
 
 
 @attrs.frozen
--- a/packages/decisions/src/godwitglade/decisions/effects.py
+++ b/packages/decisions/src/godwitglade/decisions/effects.py
@@ -112,7 +112,14 @@
 
 @attrs.frozen
 class ReadHostList:
-    """Read the platform's list of hosts."""
+    """Read the platform's list of hosts, where it has changed.
+
+    ``zone`` and ``role`` (``entry`` or ``target``) narrow the reading; an
+    empty text does not.
+    """
+
+    zone: str = ''
+    role: str = ''
 
 
 @attrs.frozen
--- a/packages/decisions/src/godwitglade/decisions/host.py
+++ b/packages/decisions/src/godwitglade/decisions/host.py
@@ -28,14 +28,14 @@
 from godwitglade.coordination import survey
 from godwitglade.decisions import documents
 from godwitglade.decisions import effects
+from godwitglade.decisions import listing
 from godwitglade.decisions import messages
 from godwitglade.decisions import orders
 from godwitglade.decisions import outcomes
 from godwitglade.decisions import requests
 from godwitglade.decisions import settings as request_settings
 
-HOST_LIST_INTERVAL_MS = 2_000
-HOST_LIST_TOKEN = 'host:list'
+NOT_READY_RETRY_MS = 2_000
 
 Effects = list[typing.Any]
 ParseDocument = typing.Callable[[str], documents.Document]
@@ -53,6 +53,7 @@
     leases: leases.Leases
     orders: orders.Orders
     requests: requests.Requests
+    listing: listing.Listing
 
 
 @attrs.frozen
@@ -78,6 +79,7 @@
     rng: random.Random,
     settings: request_settings.RequestSettings,
     wall_offset_ms: int = 0,
+    spill_zones: tuple[str, ...] = (),
 ) -> Parts:
     """Return the parts of a host, each with a random source of its own."""
     seeds = (random.Random(rng.getrandbits(64)) for _ in iter(int, 1))
@@ -100,6 +102,7 @@
         leases=leases_,
         orders=orders_,
         requests=requests.Requests(self_id, next(seeds), claims_, settings),
+        listing=listing.Listing(self_id.zone, spill_zones, next(seeds)),
     )
 
 
@@ -132,7 +135,7 @@
             'orders': parts.orders,
             'requests': parts.requests,
             'survey': self._survey,
-            'host': self,
+            'listing': parts.listing,
         }
 
     @property
@@ -168,9 +171,10 @@
             self.parts.leases,
             self.parts.orders,
             self.parts.requests,
+            self.parts.listing,
         )
         found = [effect for part in parts for effect in part.start(now_ms)]
-        return self._settle([*found, *self._read_host_list(now_ms)], now_ms)
+        return self._settle(found, now_ms)
 
     def handle(self, message: typing.Any, now_ms: int) -> Effects:
         """Decide on one message at monotonic time ``now_ms``."""
@@ -199,7 +203,7 @@
         if self.parts.documents.is_ready:
             return self.parts.requests.handle(message, now_ms)
         refusal = outcomes.RefusedNotRun(
-            outcomes.Refusal.NOT_READY, HOST_LIST_INTERVAL_MS
+            outcomes.Refusal.NOT_READY, NOT_READY_RETRY_MS
         )
         return [effects.AnswerCaller(message.request_id, refusal)]
 
@@ -211,8 +215,6 @@
     def _(self, message: typing.Any, now_ms: int) -> Effects:
         prefix = message.token.partition(':')[0]
         part = self._by_prefix.get(prefix)
-        if part is self:
-            return self._read_host_list(now_ms)
         if part is None:
             return []
         return part.handle(message, now_ms)
@@ -253,6 +255,10 @@
             shared_effects.LogEvent(events.Event.DOCUMENT_IN_FORCE, fields),
         ]
 
+    @_decide.register
+    def _(self, message: messages.HostListRead, now_ms: int) -> Effects:
+        return self.parts.listing.handle(message, now_ms)
+
     @_decide.register
     def _(self, message: messages.EntryHostsListed, now_ms: int) -> Effects:
         return self.parts.members.listed(message.entries, now_ms)
@@ -347,10 +353,3 @@
             self.is_ready,
             tuple(sorted(self._refused)),
         )
-
-    def _read_host_list(self, now_ms: int) -> Effects:
-        due_ms = now_ms + HOST_LIST_INTERVAL_MS
-        return [
-            effects.ReadHostList(),
-            shared_effects.StartTimer(HOST_LIST_TOKEN, due_ms),
-        ]
--- a/packages/decisions/src/godwitglade/decisions/messages.py
+++ b/packages/decisions/src/godwitglade/decisions/messages.py
@@ -12,6 +12,7 @@
 from godwitglade.coordination import change_rows
 from godwitglade.coordination import members
 from godwitglade.decisions import documents
+from godwitglade.decisions import effects
 from godwitglade.decisions import targets
 
 
@@ -215,6 +216,15 @@
     fingerprint: str
 
 
+@attrs.frozen
+class HostListRead:
+    """What a reading of the host list gave, in place of the one before."""
+
+    query: effects.ReadHostList
+    targets: tuple[targets.Target, ...]
+    entries: tuple[members.HostEntry, ...]
+
+
 @attrs.frozen
 class EntryHostsListed:
     """Hosts of this system in the host list, with peers' addresses."""
--- a/packages/platform/src/godwitglade/platform/host_list.py
+++ b/packages/platform/src/godwitglade/platform/host_list.py
@@ -1,13 +1,15 @@
 """Client of the platform's list of live and leaving hosts."""
 
 import typing
+import urllib.parse
 
 import attrs
+import xxhash
 
 from godwitglade.common import codec
 from godwitglade.common import errors
 from godwitglade.coordination import rows
-from godwitglade.decisions import messages
+from godwitglade.decisions import effects
 from godwitglade.decisions import targets
 from godwitglade.platform import service
 
@@ -34,32 +36,74 @@
     ``skipped`` counts entries that could not be understood.
     """
 
-    listed: messages.TargetsListed
+    targets: tuple[targets.Target, ...]
     entry_hosts: tuple[EntryHost, ...]
     skipped: int = 0
 
 
+@attrs.frozen
+class Unchanged:
+    """The list is what the last reading with the same query gave."""
+
+
+@attrs.frozen
+class _Seen:
+    etag: str
+    digest: int
+
+
 class HostListClient:
-    """Reads the list; blocks."""
+    """Reads the list; blocks.
+
+    Each query is conditional on what it gave last. A service that knows no
+    ETag is compared by a digest, which saves the parsing.
+    """
 
     def __init__(self, list_service: service.Service) -> None:
         self._service = list_service
+        self._seen: dict[effects.ReadHostList, _Seen] = {}
 
-    def read(self) -> HostList | rows.Unavailable:
+    def read(
+        self, query: effects.ReadHostList
+    ) -> HostList | Unchanged | rows.Unavailable:
         """Return the list, or Unavailable for anything but a whole one."""
+        seen = self._seen.get(query, _Seen('', 0))
         exchange = self._service.exchange(
-            'GET', '/v1/hosts', HOST_LIST_TIMEOUT_MS
+            'GET', _path_of(query), HOST_LIST_TIMEOUT_MS, etag=seen.etag
         )
         if isinstance(exchange, service.NotSent):
             return rows.Unavailable(exchange.retry_after_ms)
         if not isinstance(exchange, service.Answer):
             return rows.Unavailable()
+        if exchange.status == 304 and seen.etag:
+            return Unchanged()
         if exchange.status != 200:
             return rows.Unavailable()
+        return self._take(query, seen, exchange)
+
+    def _take(
+        self,
+        query: effects.ReadHostList,
+        seen: _Seen,
+        answer: service.Answer,
+    ) -> HostList | Unchanged | rows.Unavailable:
+        digest = xxhash.xxh3_64_intdigest(answer.content)
+        if digest == seen.digest:
+            return Unchanged()
         try:
-            return parse_host_list(exchange.content)
+            found = parse_host_list(answer.content)
         except errors.MalformedError:
             return rows.Unavailable()
+        self._seen[query] = _Seen(answer.etag, digest)
+        return found
+
+
+def _path_of(query: effects.ReadHostList) -> str:
+    fields = {'zone': query.zone, 'role': query.role}
+    given = {name: value for name, value in fields.items() if value}
+    if not given:
+        return '/v1/hosts'
+    return f'/v1/hosts?{urllib.parse.urlencode(given)}'
 
 
 def parse_host_list(content: bytes) -> HostList:
@@ -73,7 +117,7 @@
     parsed = [_parse_entry(entry) for entry in entries]
     found = tuple(p for p in parsed if isinstance(p, targets.Target))
     return HostList(
-        listed=messages.TargetsListed(found),
+        targets=found,
         entry_hosts=tuple(p for p in parsed if isinstance(p, EntryHost)),
         skipped=sum(p is None for p in parsed),
     )
--- a/packages/platform/src/godwitglade/platform/service.py
+++ b/packages/platform/src/godwitglade/platform/service.py
@@ -27,10 +27,11 @@
 
 @attrs.frozen
 class Answer:
-    """The service answered whole."""
+    """The service answered whole; ``etag`` names this state of it."""
 
     status: int
     content: bytes
+    etag: str = ''
 
 
 @attrs.frozen
@@ -81,11 +82,13 @@
         path: str,
         timeout_ms: int,
         body: bytes | None = None,
+        etag: str = '',
     ) -> Exchange:
         """Send one request and await its whole answer; never raises.
 
         ``timeout_ms`` bounds the wait for a connection, for each part of
-        the answer and for the answer as a whole.
+        the answer and for the answer as a whole. With ``etag`` the service
+        may answer 304 when that state is still the current one.
         """
         try:
             self.breaker.admit()
@@ -93,7 +96,7 @@
             return NotSent(error.retry_after_ms)
         result = NoAnswer()
         try:
-            result = self._send(method, path, timeout_ms, body)
+            result = self._send(method, path, timeout_ms, body, etag)
         except NOT_SENT_ERRORS:
             result = NotSent(self.breaker.retry_after_ms())
         except (urllib3.exceptions.HTTPError, OSError):
@@ -108,6 +111,7 @@
         path: str,
         timeout_ms: int,
         body: bytes | None,
+        etag: str,
     ) -> Exchange:
         timeout_s = timeout_ms / clock_module.SECOND_MS
         until_ms = self._clock.monotonic_ms() + timeout_ms
@@ -115,7 +119,7 @@
             method,
             self._base_url + path,
             body=body,
-            headers=_headers_of(body),
+            headers=_headers_of(body, etag),
             timeout=urllib3.Timeout(total=timeout_s),
             pool_timeout=timeout_s,
             retries=False,
@@ -125,7 +129,8 @@
         content = self._read(response, until_ms)
         if content is None:
             return NoAnswer()
-        return Answer(response.status, content)
+        etag = response.headers.get('ETag', '')
+        return Answer(response.status, content, etag)
 
     def _read(
         self, response: urllib3.BaseHTTPResponse, until_ms: int
@@ -153,7 +158,6 @@
             self.breaker.fail()
 
 
-def _headers_of(body: bytes | None) -> dict[str, str]:
-    if body is None:
-        return {}
-    return {'Content-Type': 'application/json'}
+def _headers_of(body: bytes | None, etag: str) -> dict[str, str]:
+    headers = {} if body is None else {'Content-Type': 'application/json'}
+    return headers | ({'If-None-Match': etag} if etag else {})
--- a/tests/platform/test_platform_clients.py
+++ b/tests/platform/test_platform_clients.py
@@ -7,10 +7,12 @@
 
 from bench.standins import host_list as standin_host_list
 from bench.standins import objects as standin_objects
+from bench.standins import server
 from bench.standins import table as standin_table
 from godwitglade.common import clock as clocks
 from godwitglade.coordination import effects
 from godwitglade.coordination import rows
+from godwitglade.decisions import effects as decision_effects
 from godwitglade.platform import breaker
 from godwitglade.platform import host_list
 from godwitglade.platform import objects
@@ -19,6 +21,7 @@
 
 TIMEOUT_MS = 300
 KEY = rows.RowKey('claims', 'k')
+WHOLE_LIST = decision_effects.ReadHostList()
 
 
 @pytest.fixture
@@ -237,12 +240,30 @@
     stand_in = standin_host_list.Hosts().start()
     stand_in.entries = ENTRIES
     client = host_list.HostListClient(make_service(stand_in.url))
-    found = client.read()
-    assert [t.name for t in found.listed.targets] == ['pool-1']
-    assert found.listed.targets[0].state.value == 'leaving'
+    found = client.read(WHOLE_LIST)
+    assert [t.name for t in found.targets] == ['pool-1']
+    assert found.targets[0].state.value == 'leaving'
     assert [h.address for h in found.entry_hosts] == ['127.0.0.1:8']
     assert found.skipped == 3
     for faults in ({'garbage': True}, {'down': True}, {'error_status': 404}):
         stand_in.set_faults(**faults)
-        assert isinstance(client.read(), rows.Unavailable)
+        assert isinstance(client.read(WHOLE_LIST), rows.Unavailable)
+    stand_in.stop()
+
+
+@pytest.mark.parametrize('zone, role', [('', ''), ('north-2', 'entry')])
+@pytest.mark.parametrize('has_etag', [True, False])
+def test_host_list_is_parsed_only_when_it_changed(zone, role, has_etag):
+    stand_in = standin_host_list.Hosts().start()
+    if not has_etag:
+        stand_in.handle = lambda _: server.Reply({'hosts': stand_in.entries})
+    stand_in.entries = ENTRIES[:2]
+    client = host_list.HostListClient(make_service(stand_in.url))
+    query = decision_effects.ReadHostList(zone, role)
+    assert len(client.read(query).entry_hosts) == 1
+    assert client.read(query) == host_list.Unchanged()
+    stand_in.entries = [*ENTRIES[:2], {**ENTRIES[1], 'name': 'entry-9'}]
+    found = client.read(query)
+    assert [h.name for h in found.entry_hosts][-1] == 'entry-9'
+    assert client.read(query) == host_list.Unchanged()
     stand_in.stop()
