--- /dev/null
+++ b/packages/decisions/src/godwitglade/decisions/health.py
@@ -0,0 +1,269 @@
+"""Ejection of targets that fail or are much slower than their pool.
+
+An ejected target comes back only after a probe on a new connection, with
+room for a single call; each further ejection soon after lasts twice as
+long, so that a target that fails on and off stays out.
+"""
+
+import statistics
+
+from godwitglade.coordination import effects as coordination_effects
+from godwitglade.decisions import context as contexts
+from godwitglade.decisions import directory
+from godwitglade.decisions import effects
+from godwitglade.decisions import messages
+
+FIRST_OUT_MS = 3_000
+LONGEST_OUT_MS = 30_000
+#: After this time without an ejection the next one is short again.
+FORGIVEN_MS = 60_000
+#: Failures one after another that eject a target.
+MAX_FAILURES = 3
+#: A target this many times slower than its pool is ejected.
+SLOW_FACTOR = 3.0
+#: Times of a target this many times slower than its pool do not count.
+UNUSUAL_FACTOR = 2.0
+#: Share of a pool that may be ejected.
+MAX_OUT_SHARE = 0.5
+#: Recent overdue calls that eject a target while its pool is on time.
+MAX_OVERDUE = 1.5
+
+#: A load report older than this is asked for again.
+STALE_MS = 500
+#: Load reports asked for in one tick.
+MAX_REFRESHED = 2
+
+#: Share of the overdue count that is left after a tick.
+OVERDUE_DECAY = 0.98
+
+_SMOOTHING = 0.3
+_MIN_SAMPLES = 4
+
+
+def succeeded(tracked: directory.TrackedTarget, ratio: float) -> None:
+    """Note a reply; ``ratio`` is its time over the stage's mean."""
+    tracked.failures = 0
+    tracked.is_on_trial = tracked.is_on_trial and ratio > SLOW_FACTOR
+    tracked.samples += 1
+    gain = max(_SMOOTHING, 1.0 / tracked.samples)
+    tracked.slowness += gain * (ratio - tracked.slowness)
+
+
+def is_usual(
+    context: contexts.Context, tracked: directory.TrackedTarget | None
+) -> bool:
+    """Tell whether a target's times are like those of its pool."""
+    if tracked is None or tracked.is_ejected:
+        return False
+    pool = context.directory.pool(tracked.target.pool)
+    others = [
+        t.slowness
+        for t in pool
+        if t is not tracked and t.samples >= _MIN_SAMPLES
+    ]
+    if not others or tracked.samples < _MIN_SAMPLES:
+        return True
+    usual = statistics.median_low(others)
+    return tracked.slowness <= UNUSUAL_FACTOR * max(1.0, usual)
+
+
+def has_queue(tracked: directory.TrackedTarget | None) -> bool:
+    """Tell whether a target reported calls that wait."""
+    return (
+        tracked is not None
+        and tracked.load is not None
+        and tracked.load.queued > 0
+    )
+
+
+def is_busy(pool: list[directory.TrackedTarget]) -> bool:
+    """Tell whether most targets of a pool reported calls that wait."""
+    return sum(map(has_queue, pool)) > len(pool) / 2
+
+
+def failed(
+    context: contexts.Context,
+    tracked: directory.TrackedTarget,
+    message: messages.StageFault,
+    now_ms: int,
+) -> contexts.Effects:
+    """Note a failed call and eject the target when it must be."""
+    kinds = messages.FaultKind
+    if message.kind in (kinds.BUSY, kinds.LEAVING, kinds.REJECTED):
+        return []
+    pool = context.directory.pool(tracked.target.pool)
+    if message.kind in (kinds.TIMEOUT, kinds.SILENT) and is_busy(pool):
+        return []
+    tracked.failures += 1
+    is_gone = message.kind is kinds.CONNECT or message.is_crash
+    if not is_gone and tracked.failures < MAX_FAILURES:
+        return []
+    return eject(context, tracked, now_ms)
+
+
+def overdue(
+    context: contexts.Context,
+    tracked: directory.TrackedTarget,
+    now_ms: int,
+) -> contexts.Effects:
+    """Note a call in flight far longer than its stage takes."""
+    pool = context.directory.pool(tracked.target.pool)
+    if is_busy(pool):
+        return []
+    others = [other for other in pool if other is not tracked]
+    tracked.overdue += 1
+    usual = statistics.fmean(t.overdue for t in others) if others else 0.0
+    is_first = tracked.is_on_trial or tracked.overdue >= MAX_OVERDUE
+    if not is_first or tracked.overdue < 2 * usual:
+        return []
+    return eject(context, tracked, now_ms)
+
+
+def eject(
+    context: contexts.Context,
+    tracked: directory.TrackedTarget,
+    now_ms: int,
+    is_own_word: bool = True,
+) -> contexts.Effects:
+    """Take a target out, unless too much of its pool is out already.
+
+    Only what this host saw itself is told to others, so that a word does
+    not grow by being passed on.
+    """
+    if tracked.is_ejected or not _may_eject(context, tracked):
+        return []
+    if now_ms - tracked.last_ejected_ms > FORGIVEN_MS:
+        tracked.out_ms = FIRST_OUT_MS
+    else:
+        tracked.out_ms = min(LONGEST_OUT_MS, 2 * tracked.out_ms)
+    tracked.is_ejected = True
+    tracked.last_ejected_ms = now_ms
+    tracked.probe_at_ms = now_ms + tracked.out_ms
+    if not is_own_word:
+        return []
+    fact = coordination_effects.PublishFact(
+        'ejected', tracked.name, True, tracked.out_ms, is_urgent=True
+    )
+    return [fact]
+
+
+def heard(
+    context: contexts.Context,
+    tracked: directory.TrackedTarget,
+    origin: str,
+    now_ms: int,
+) -> contexts.Effects:
+    """Eject on the word of two hosts, or of one and an overdue call.
+
+    One host alone may have lost its own way to the target.
+    """
+    tracked.told_out[origin] = now_ms
+    recent = [
+        at_ms
+        for at_ms in tracked.told_out.values()
+        if now_ms - at_ms < FIRST_OUT_MS
+    ]
+    if is_busy(context.directory.pool(tracked.target.pool)):
+        return []
+    if len(recent) + bool(tracked.overdue >= MAX_OVERDUE / 3) < 2:
+        return []
+    return eject(context, tracked, now_ms, is_own_word=False)
+
+
+def check(context: contexts.Context, now_ms: int) -> contexts.Effects:
+    """Eject slow targets and probe those whose time out is over."""
+    done: contexts.Effects = []
+    for pool in context.directory.pools().values():
+        for tracked in _slow(pool):
+            done += eject(context, tracked, now_ms)
+        for tracked in pool:
+            tracked.overdue *= OVERDUE_DECAY
+            if tracked.is_ejected and now_ms >= tracked.probe_at_ms:
+                done += probe(context, tracked, now_ms)
+    return done
+
+
+def refresh(context: contexts.Context, now_ms: int) -> contexts.Effects:
+    """Probe a few targets with calls in flight and no recent report."""
+    stale = [
+        tracked
+        for pool in context.directory.pools().values()
+        for tracked in pool
+        if tracked.in_flight
+        and tracked.probe_sent_ms is None
+        and now_ms - tracked.load_ms > STALE_MS
+    ]
+    stale.sort(key=lambda tracked: tracked.load_ms)
+    return [
+        effect
+        for tracked in stale[:MAX_REFRESHED]
+        for effect in probe(context, tracked, now_ms, is_suspect=False)
+    ]
+
+
+def probe(
+    context: contexts.Context,
+    tracked: directory.TrackedTarget,
+    now_ms: int,
+    is_suspect: bool = True,
+) -> contexts.Effects:
+    """Probe a target on a new connection, one probe at a time.
+
+    The probe brings its load as well; ``is_suspect`` has the connections
+    opened before dropped when it succeeds.
+    """
+    tracked.is_suspect |= is_suspect
+    if tracked.probe_sent_ms is not None:
+        return []
+    tracked.probe_sent_ms = now_ms
+    timeout_ms = context.settings.probe_timeout_ms
+    return [effects.ProbeTarget(tracked.target, timeout_ms)]
+
+
+def probed(
+    tracked: directory.TrackedTarget, is_alive: bool, now_ms: int
+) -> contexts.Effects:
+    """Take a target back when it answered a probe.
+
+    Connections opened before may be dead although the target is alive.
+    """
+    tracked.probe_sent_ms = None
+    if not is_alive:
+        if tracked.is_ejected:
+            tracked.out_ms = min(LONGEST_OUT_MS, 2 * tracked.out_ms)
+            tracked.probe_at_ms = now_ms + tracked.out_ms
+        return []
+    if tracked.is_ejected and now_ms >= tracked.probe_at_ms:
+        tracked.is_ejected = False
+        tracked.failures = MAX_FAILURES - 1
+        tracked.overdue = 0.0
+        tracked.samples = 0
+        tracked.slowness = 1.0
+        tracked.limit = 1.0
+        tracked.is_on_trial = True
+    if not tracked.is_suspect:
+        return []
+    tracked.is_suspect = False
+    return [effects.DropConnections(tracked.target)]
+
+
+def _may_eject(
+    context: contexts.Context, tracked: directory.TrackedTarget
+) -> bool:
+    pool = context.directory.pool(tracked.target.pool)
+    out = sum(other.is_ejected for other in pool)
+    return (out + 1) <= MAX_OUT_SHARE * len(pool)
+
+
+def _slow(
+    pool: list[directory.TrackedTarget],
+) -> list[directory.TrackedTarget]:
+    measured = [t for t in pool if t.samples >= _MIN_SAMPLES]
+    if len(measured) < 2:
+        return []
+    usual = statistics.median_low(t.slowness for t in measured)
+    return [
+        t
+        for t in measured
+        if not t.is_ejected and t.slowness > SLOW_FACTOR * usual
+    ]
