Type the answers that the command reads; no line for each request

Cause: the command passed bare maps around, an answer of another shape ended it in a traceback, and CherryPy wrote a line to the screen for each request. Conclusion: an answer of another shape counts as lost.

--- a/packages/command/src/godwitglade/command/applying.py
+++ b/packages/command/src/godwitglade/command/applying.py
@@ -1,14 +1,14 @@
 """Processing of apply and remove: one change, its retries and its end."""
 
-import typing
-
 import attrs
 
+from godwitglade.command import changing
 from godwitglade.command import documents
 from godwitglade.command import errors
 from godwitglade.command import fleet
 from godwitglade.command import operators
 from godwitglade.command import output
+from godwitglade.command import retries
 from godwitglade.command import status
 
 #: New change ids tried after the server gave one up for good.
@@ -71,20 +71,20 @@
 ) -> status.ExitStatus:
     """Send a change, print how it ended and wait until it is in force."""
     try:
-        body = Sender(printer, server, change).run()
+        accepted = Sender(printer, server, change).run()
     except errors.UnsettledError as error:
         return _show_unknown(printer, change, error.change_id)
     printer.show(
-        body,
+        accepted,
         lambda: printer.line(
-            f'{change.pipeline}: version {body["version"]} accepted as '
-            f'change {body["sequence"]}'
+            f'{change.pipeline}: version {accepted.version} accepted as '
+            f'change {accepted.sequence}'
         ),
     )
     if wait_ms is None:
         return status.ExitStatus.OK
-    change = fleet.Change(body['sequence'], body['pipeline'])
-    return fleet.wait(printer, server, change, wait_ms)
+    made = fleet.Change(accepted.sequence, change.pipeline)
+    return fleet.wait(printer, server, made, wait_ms)
 
 
 class Sender:
@@ -106,8 +106,8 @@
         self._change_id = ''
         self._is_in_doubt = False
 
-    def run(self) -> dict[str, typing.Any]:
-        """Return the body of the accepted change.
+    def run(self) -> operators.ChangeState:
+        """Return the state of the accepted change.
 
         Raises UnsettledError when it may have been applied, else the
         server's error.
@@ -116,14 +116,14 @@
             try:
                 return self._send_under_new_id()
             except errors.ServerError as error:
-                if error.remote_code != 'change_not_applied':
+                if not changing.is_never_applied(error):
                     raise
         return self._send_under_new_id()
 
-    def _send_under_new_id(self) -> dict[str, typing.Any]:
+    def _send_under_new_id(self) -> operators.ChangeState:
         self._change_id = self._printer.env.make_id()
         self._is_in_doubt = False
-        retry = operators.retrying(self._printer.env, self._should_retry)
+        retry = retries.retrying(self._printer.env, self._should_retry)
         try:
             return retry(self._send_once)
         except errors.CommandError as error:
@@ -131,28 +131,23 @@
                 raise errors.UnsettledError(self._change_id) from error
             raise
 
-    def _send_once(self) -> dict[str, typing.Any]:
-        body = {'change_id': self._change_id, **self._fields()}
-        path = ('documents', self._change.pipeline)
+    def _send_once(self) -> operators.ChangeState:
+        change = self._change
         try:
-            answer = self._server.call('PUT', *path, body=body)
+            answer = self._server.apply(
+                change.pipeline, change.based_on, self._change_id, change.text
+            )
         except errors.AnswerLostError:
             self._is_in_doubt = True
             raise
-        if answer.body.get('state') != 'applied':
+        if not answer.is_applied:
             self._is_in_doubt = True
             reason = 'the state of the change is not known'
-            raise errors.AnswerLostError(self._change.pipeline, reason)
-        return answer.body
-
-    def _fields(self) -> dict[str, typing.Any]:
-        return {
-            'based_on': self._change.based_on,
-            'text': self._change.text,
-        }
+            raise errors.AnswerLostError(change.pipeline, reason)
+        return answer
 
     def _should_retry(self, error: BaseException) -> bool:
-        return operators.is_retryable(error) and not self._is_final(error)
+        return retries.is_retryable(error) and not self._is_final(error)
 
     def _is_final(self, error: BaseException) -> bool:
         """Tell whether the change will never be applied under its id."""
@@ -161,7 +156,7 @@
         if error.remote_code == 'change_conflict':
             # The versions only grow, so that this one never comes back.
             return error.fields.get('version', 0) > self._change.based_on
-        return error.remote_code == 'change_not_applied'
+        return changing.is_never_applied(error)
 
 
 def _make_change(
@@ -181,13 +176,9 @@
 def _show_unknown(
     printer: output.Printer, change: Change, change_id: str
 ) -> status.ExitStatus:
-    body = {
-        'state': 'unknown',
-        'change_id': change_id,
-        'pipeline': change.pipeline,
-    }
+    state = operators.ChangeState('unknown', change_id, change.pipeline)
     printer.show(
-        body,
+        state,
         lambda: printer.line(
             f'{change.pipeline}: unknown whether the change was applied; '
             f'ask with: godwitglade change {change_id}'
--- a/packages/command/src/godwitglade/command/auditing.py
+++ b/packages/command/src/godwitglade/command/auditing.py
@@ -4,16 +4,25 @@
 import itertools
 import typing
 
+import attrs
+
 from godwitglade.command import operators
 from godwitglade.command import output
 from godwitglade.command import status
 from godwitglade.common import clock as clocks
-from godwitglade.common import codec
 from godwitglade.coordination import audit
 
 PAGE_RECORDS = 500
 
 
+@attrs.frozen
+class Verdict:
+    """How many records were checked and the first fault, if any."""
+
+    records: int
+    fault: audit.AuditFault | None
+
+
 def show(
     printer: output.Printer,
     server: operators.Operators,
@@ -22,7 +31,7 @@
 ) -> status.ExitStatus:
     """Print up to ``limit`` records after sequence ``after``."""
     records = list(itertools.islice(_read(server, after), limit))
-    body = {'records': [codec.to_plain(record) for record in records]}
+    found = operators.Records(tuple(records))
     columns = ('change', 'time', 'author', 'team', 'action', 'document')
     rows = [
         (
@@ -35,7 +44,7 @@
         )
         for record in records
     ]
-    printer.show(body, lambda: printer.table(columns, rows))
+    printer.show(found, lambda: printer.table(columns, rows))
     return status.ExitStatus.OK
 
 
@@ -47,12 +56,12 @@
     records = (record for record, _ in zip(_read(server, 0), counter))
     fault = audit.verify(records)
     checked = next(counter)
-    body = {'records': checked, 'fault': codec.to_plain(fault)}
+    verdict = Verdict(checked, fault)
     if fault is None:
         text = f'{checked} records verified'
     else:
         text = f'record {fault.sequence}: {fault.reason}'
-    printer.show(body, lambda: printer.line(text))
+    printer.show(verdict, lambda: printer.line(text))
     is_whole = fault is None
     return status.ExitStatus.OK if is_whole else status.ExitStatus.AUDIT_BROKEN
 
@@ -61,8 +70,7 @@
     server: operators.Operators, after: int
 ) -> typing.Iterator[audit.AuditRecord]:
     while True:
-        body = server.read('audit', after=after, limit=PAGE_RECORDS)
-        page = codec.from_plain(body['records'], list[audit.AuditRecord])
+        page = server.audit(after, PAGE_RECORDS).records
         yield from page
         if len(page) < PAGE_RECORDS:
             return
--- a/packages/command/src/godwitglade/command/changing.py
+++ b/packages/command/src/godwitglade/command/changing.py
@@ -3,20 +3,23 @@
 from godwitglade.command import errors
 from godwitglade.command import operators
 from godwitglade.command import output
+from godwitglade.command import retries
 from godwitglade.command import status
 
+NOT_APPLIED = 'not_applied'
+
 _STATUSES = {
     'applied': status.ExitStatus.OK,
     'absent': status.ExitStatus.NOT_FOUND,
     'unknown': status.ExitStatus.UNKNOWN,
-    'not_applied': status.ExitStatus.NOT_FOUND,
+    NOT_APPLIED: status.ExitStatus.NOT_FOUND,
 }
 
 _MEANINGS = {
-    'applied': 'applied as version {version} of {pipeline}',
+    'applied': 'applied as version {0.version} of {0.pipeline}',
     'absent': 'not found; it may still be applied (--settle makes it final)',
     'unknown': 'unknown; ask again later',
-    'not_applied': 'not applied and never will be',
+    NOT_APPLIED: 'not applied and never will be',
 }
 
 
@@ -27,30 +30,31 @@
     is_settle: bool,
 ) -> status.ExitStatus:
     """Print the state of a change id; ``is_settle`` makes it final."""
-    method = 'DELETE' if is_settle else 'GET'
-    body = _ask(printer, server, method, change_id)
-    text = _MEANINGS[body['state']].format(**body)
-    printer.show(body, lambda: printer.line(f'{change_id}: {text}'))
-    return _STATUSES[body['state']]
+    found = _ask(printer, server, change_id, is_settle)
+    meaning = _MEANINGS.get(found.state, found.state).format(found)
+    printer.show(found, lambda: printer.line(f'{change_id}: {meaning}'))
+    return _STATUSES.get(found.state, status.ExitStatus.ERROR)
 
 
 def _ask(
     printer: output.Printer,
     server: operators.Operators,
-    method: str,
     change_id: str,
-) -> dict:
-    def ask() -> dict:
-        return server.call(method, 'changes', change_id).body
-
+    is_settle: bool,
+) -> operators.ChangeState:
+    ask = server.settle if is_settle else server.change
     try:
-        return operators.retrying(printer.env, _should_retry)(ask)
+        return retries.retrying(printer.env, _should_retry)(ask, change_id)
     except errors.ServerError as error:
-        if error.remote_code != 'change_not_applied':
+        if not is_never_applied(error):
             raise
-        return {'state': 'not_applied', 'change_id': change_id}
+        return operators.ChangeState(NOT_APPLIED, change_id)
+
+
+def is_never_applied(error: BaseException) -> bool:
+    """Tell whether the server said that the change is settled so."""
+    return getattr(error, 'remote_code', '') == 'change_not_applied'
 
 
 def _should_retry(error: BaseException) -> bool:
-    is_settled = getattr(error, 'remote_code', '') == 'change_not_applied'
-    return operators.is_retryable(error) and not is_settled
+    return retries.is_retryable(error) and not is_never_applied(error)
--- a/packages/command/src/godwitglade/command/core.py
+++ b/packages/command/src/godwitglade/command/core.py
@@ -4,9 +4,10 @@
 
 from godwitglade.command import definitions
 from godwitglade.command import environment
-from godwitglade.command import errors
+from godwitglade.command import errors as command_errors
 from godwitglade.command import output
 from godwitglade.command import status
+from godwitglade.common import errors
 
 JSON_OPTION = '--json'
 
@@ -21,9 +22,15 @@
             definitions.app(args, obj=env, prog_name='godwitglade')
         except SystemExit as end:
             return status.ExitStatus(end.code or 0)
-        except errors.CommandError as error:
+        except errors.CodedError as error:
             output.Printer(env, JSON_OPTION in args).error(error)
-            return error.exit_status
+            return _status_of(error)
         except KeyboardInterrupt:
             return status.ExitStatus.INTERRUPTED
     return status.ExitStatus.OK
+
+
+def _status_of(error: errors.CodedError) -> status.ExitStatus:
+    if isinstance(error, command_errors.CommandError):
+        return error.exit_status
+    return status.ExitStatus.ERROR
--- a/packages/command/src/godwitglade/command/documents.py
+++ b/packages/command/src/godwitglade/command/documents.py
@@ -12,6 +12,7 @@
 from godwitglade.command import operators
 from godwitglade.command import output
 from godwitglade.command import status
+from godwitglade.common import validation
 from godwitglade.decisions import documents
 from godwitglade.operators import errors as operator_errors
 from godwitglade.operators import parsing
@@ -47,6 +48,31 @@
             ) from error
 
 
+@attrs.frozen
+class Check:
+    """What checking one file found; ``pipeline`` None with faults."""
+
+    path: str
+    pipeline: str | None
+    faults: tuple[validation.Fault, ...]
+
+
+@attrs.frozen
+class Checks:
+    """What checking files found."""
+
+    documents: list[Check]
+
+
+@attrs.frozen
+class Difference:
+    """Lines of a unified diff from the version in force to a file."""
+
+    pipeline: str
+    version: int
+    diff: list[str]
+
+
 def read_file(env: environment.Environment, path: str) -> DocumentFile:
     """Return the document at ``path``, ``-`` for the standard input."""
     text = read_text(env, path)
@@ -73,32 +99,30 @@
 
 def check(printer: output.Printer, paths: list[str]) -> status.ExitStatus:
     """Check each document by itself, without a server."""
-    results = [_check_one(printer.env, path) for path in paths]
+    found = Checks([_check_one(printer.env, path) for path in paths])
     printer.show(
-        {'documents': results},
-        lambda: [printer.line(line) for line in _check_lines(results)],
+        found,
+        lambda: [printer.line(line) for line in _check_lines(found)],
     )
-    has_faults = any(result['faults'] for result in results)
+    has_faults = any(check.faults for check in found.documents)
     return status.ExitStatus.INVALID if has_faults else status.ExitStatus.OK
 
 
-def _check_one(
-    env: environment.Environment, path: str
-) -> dict[str, typing.Any]:
+def _check_one(env: environment.Environment, path: str) -> Check:
     file = read_file(env, path)
     try:
-        document = file.parse()
-    except errors.ServerError as error:
-        return {'path': path, 'pipeline': None, **error.fields}
-    return {'path': path, 'pipeline': document.pipeline, 'faults': []}
+        document = parsing.parse_document(file.text)
+    except operator_errors.DocumentError as error:
+        return Check(path, None, error.faults)
+    return Check(path, document.pipeline, ())
 
 
-def _check_lines(results: list[dict]) -> typing.Iterator[str]:
-    for result in results:
-        if not result['faults']:
-            yield f'{result["path"]}: valid'
-        for fault in result['faults']:
-            yield f'{result["path"]}: {fault["path"]}: {fault["reason"]}'
+def _check_lines(found: Checks) -> typing.Iterator[str]:
+    for check_ in found.documents:
+        if not check_.faults:
+            yield f'{check_.path}: valid'
+        for fault in check_.faults:
+            yield f'{check_.path}: {fault}'
 
 
 def show(
@@ -108,17 +132,17 @@
 ) -> status.ExitStatus:
     """Print a document ready for editing, or the list of documents."""
     if pipeline is not None:
-        view = server.read('documents', pipeline)
-        text = mark_text(view['version'], view['text'])
+        view = server.document(pipeline)
+        text = mark_text(view.version, view.text)
         printer.show(view, lambda: printer.env.stdout.write(text))
         return status.ExitStatus.OK
-    body = server.read('documents')
+    found = server.documents()
     columns = ('pipeline', 'team', 'version', 'change')
     rows = [
-        (view['pipeline'], view['team'], view['version'], view['sequence'])
-        for view in body['documents']
+        (view.pipeline, view.team, view.version, view.sequence)
+        for view in found.documents
     ]
-    printer.show(body, lambda: printer.table(columns, rows))
+    printer.show(found, lambda: printer.table(columns, rows))
     return status.ExitStatus.OK
 
 
@@ -138,17 +162,17 @@
             lineterm='',
         )
     )
-    body = {'pipeline': pipeline, 'version': version, 'diff': lines}
-    printer.show(body, lambda: [printer.line(line) for line in lines])
+    found = Difference(pipeline, version, lines)
+    printer.show(found, lambda: [printer.line(line) for line in lines])
     return status.ExitStatus.OK
 
 
 def current(server: operators.Operators, pipeline: str) -> tuple[int, str]:
     """Return version and text in force, 0 and nothing when there is none."""
     try:
-        view = server.read('documents', pipeline)
+        view = server.document(pipeline)
     except errors.ServerError as error:
         if error.exit_status is not status.ExitStatus.NOT_FOUND:
             raise
         return 0, ''
-    return view['version'], view['text']
+    return view.version, view.text
--- a/packages/command/src/godwitglade/command/fleet.py
+++ b/packages/command/src/godwitglade/command/fleet.py
@@ -1,13 +1,12 @@
 """Processing of status, and waiting until a change is in force."""
 
-import typing
-
 import attrs
 
 from godwitglade.command import errors
 from godwitglade.command import operators
 from godwitglade.command import output
 from godwitglade.command import status
+from godwitglade.operators import gateway
 
 POLL_MS = 250
 LIVE = 'live'
@@ -44,72 +43,63 @@
         return text
 
 
-def measure(
-    body: dict[str, typing.Any], sequence: int, pipeline: str
-) -> Progress:
-    """Return where change ``sequence`` of ``pipeline`` is in force.
-
-    ``body`` is a status body.
-    """
-    hosts = all_hosts(body)
-    live = [host for host in hosts if host['state'] == LIVE]
+def measure(found: gateway.StatusView, change: Change) -> Progress:
+    """Return where ``change`` is in force."""
+    hosts = all_hosts(found)
+    live = [host for host in hosts if host.state == LIVE]
     return Progress(
-        tuple(h['name'] for h in live if _holds(h, sequence, pipeline)),
-        tuple(h['name'] for h in live if not _holds(h, sequence, pipeline)),
-        tuple(h['name'] for h in hosts if h['state'] not in HEARD),
+        tuple(host.name for host in live if _holds(host, change)),
+        tuple(host.name for host in live if not _holds(host, change)),
+        tuple(host.name for host in hosts if host.state not in HEARD),
     )
 
 
-def _holds(host: dict[str, typing.Any], sequence: int, pipeline: str) -> bool:
-    is_refused = pipeline in host.get('refused', ())
-    return host['sequence'] >= sequence and not is_refused
+def _holds(host: gateway.HostView, change: Change) -> bool:
+    is_refused = change.pipeline in host.refused
+    return host.sequence >= change.sequence and not is_refused
 
 
-def all_hosts(body: dict[str, typing.Any]) -> list[dict[str, typing.Any]]:
+def all_hosts(found: gateway.StatusView) -> list[gateway.HostView]:
     """Return the host that answered and those that it knows of."""
-    answering = {
-        'name': body['host'],
-        'zone': body['zone'],
-        'state': LIVE,
-        'sequence': body['sequence'],
-        'heard_ago_ms': 0,
-        'refused': [e['pipeline'] for e in body.get('refused') or ()],
-    }
-    others = (h for h in body['hosts'] if h['name'] != body['host'])
-    return sorted([answering, *others], key=lambda host: host['name'])
+    refused = tuple(entry.pipeline for entry in found.refused)
+    answering = gateway.HostView(
+        found.host, found.zone, '', LIVE, found.sequence, 0, refused
+    )
+    others = (host for host in found.hosts if host.name != found.host)
+    return sorted([answering, *others], key=lambda host: host.name)
 
 
 def show(
     printer: output.Printer, server: operators.Operators
 ) -> status.ExitStatus:
     """Print the change in force per host and the documents' versions."""
-    body = server.read('status')
-    printer.show(body, lambda: _render(printer, body))
+    found = server.status()
+    printer.show(found, lambda: _render(printer, found))
     return status.ExitStatus.OK
 
 
-def _render(printer: output.Printer, body: dict[str, typing.Any]) -> None:
+def _render(printer: output.Printer, found: gateway.StatusView) -> None:
     columns = ('host', 'zone', 'state', 'change', 'heard', 'in force')
-    hosts = all_hosts(body)
-    newest = max(host['sequence'] for host in hosts)
+    hosts = all_hosts(found)
+    newest = max(host.sequence for host in hosts)
     rows = [
         (
-            host['name'],
-            host['zone'],
-            host['state'],
-            host['sequence'],
-            _heard(host['heard_ago_ms']),
+            host.name,
+            host.zone,
+            host.state,
+            host.sequence,
+            _heard(host.heard_ago_ms),
             _in_force(host, newest),
         )
         for host in hosts
     ]
     printer.table(columns, rows)
     printer.line('')
-    printer.table(('pipeline', 'version'), sorted(body['documents'].items()))
-    for entry in body.get('refused') or ():
+    printer.table(('pipeline', 'version'), sorted(found.documents.items()))
+    for entry in found.refused:
         printer.line(
-            f'not in force on {body["host"]}: {entry["pipeline"]} version '
-            f'{entry["version"]}: {entry["reason"]}'
+            f'not in force on {found.host}: {entry.pipeline} version '
+            f'{entry.version}: {entry.reason}'
         )
 
 
@@ -117,12 +107,12 @@
     return 'never' if ago_ms is None else f'{ago_ms} ms ago'
 
 
-def _in_force(host: dict[str, typing.Any], newest: int) -> str:
-    if host['state'] not in HEARD:
+def _in_force(host: gateway.HostView, newest: int) -> str:
+    if host.state not in HEARD:
         return 'not heard from since'
-    if host.get('refused'):
-        return f'refused: {", ".join(host["refused"])}'
-    behind = newest - host['sequence']
+    if host.refused:
+        return f'refused: {", ".join(host.refused)}'
+    behind = newest - host.sequence
     return 'current' if behind == 0 else f'{behind} changes behind'
 
 
@@ -150,8 +140,7 @@
 
 def _poll(server: operators.Operators, change: Change) -> Progress | None:
     try:
-        answer = server.call('GET', 'status', at_least=change.sequence)
-        return measure(answer.body, change.sequence, change.pipeline)
+        return measure(server.poll_status(change.sequence), change)
     except errors.CommandError as error:
         if not error.is_retryable:
             raise
--- a/packages/command/src/godwitglade/command/operators.py
+++ b/packages/command/src/godwitglade/command/operators.py
@@ -1,52 +1,76 @@
-"""Calls of the operators' HTTP interface, with retries."""
+"""Calls of the operators' HTTP interface, typed, with retries."""
 
 import typing
 import urllib.parse
 
 import attrs
-import tenacity
 
 from godwitglade.command import environment
 from godwitglade.command import errors
 from godwitglade.command import http_client
+from godwitglade.command import retries
 from godwitglade.common import codec
 from godwitglade.common import errors as common_errors
+from godwitglade.coordination import audit
+from godwitglade.operators import gateway
 
-MAX_ATTEMPTS = 5
-BACKOFF_S = 0.2
-MAX_BACKOFF_S = 3
+T = typing.TypeVar('T')
 
 
 @attrs.frozen
-class Answer:
-    """An answer that is not an error: status and plain body."""
-
-    status: int
-    body: dict[str, typing.Any]
-
-
-def is_retryable(error: BaseException) -> bool:
-    """Tell whether the same call may succeed later."""
-    is_coded = isinstance(error, common_errors.CodedError)
-    return is_coded and error.is_retryable
-
-
-def retrying(
-    env: environment.Environment,
-    should_retry: typing.Callable[[BaseException], bool] = is_retryable,
-) -> tenacity.Retrying:
-    """Return the retries of one call; the last error comes through."""
-    return tenacity.Retrying(
-        stop=tenacity.stop_after_attempt(MAX_ATTEMPTS),
-        wait=tenacity.wait_random_exponential(BACKOFF_S, MAX_BACKOFF_S),
-        retry=tenacity.retry_if_exception(should_retry),
-        sleep=lambda delay_s: env.sleep_ms(int(delay_s * 1_000)),
-        reraise=True,
-    )
+class Documents:
+    """Body of the list of documents."""
+
+    documents: tuple[gateway.DocumentView, ...]
+
+
+@attrs.frozen
+class Records:
+    """Body of a page of the audit trail."""
+
+    records: tuple[audit.AuditRecord, ...]
+
+
+@attrs.frozen
+class Quarantine:
+    """Body of the list of requests in quarantine."""
+
+    quarantine: tuple[gateway.QuarantineView, ...]
+
+
+@attrs.frozen
+class ChangeState:
+    """Body about a change; the last three are set when it is applied.
+
+    ``state`` is ``applied``, ``absent``, ``unknown`` or ``not_applied``.
+    """
+
+    state: str
+    change_id: str
+    pipeline: str = ''
+    version: int = 0
+    sequence: int = 0
+
+    @property
+    def is_applied(self) -> bool:
+        """Tell whether the change took effect."""
+        return self.state == 'applied'
+
+
+@attrs.frozen
+class Cleared:
+    """Body for a quarantine that was cleared."""
+
+    state: str
+    fingerprint: str
 
 
 class Operators:
-    """The operators' interface at ``url`` for the owner of ``token``."""
+    """The operators' interface at ``url`` for the owner of ``token``.
+
+    Each call raises ServerError, NotSentError or AnswerLostError. Calls
+    that change nothing are retried.
+    """
 
     def __init__(
         self, env: environment.Environment, url: str, token: str
@@ -58,14 +82,71 @@
             'Content-Type': 'application/json',
         }
 
-    def read(self, *path: str, **query: int) -> dict[str, typing.Any]:
-        """Return the body at ``path``; retried, as it changes nothing."""
-        return retrying(self._env)(self.call, 'GET', *path, **query).body
+    def documents(self) -> Documents:
+        """Return the documents in force that the owner may read."""
+        return self._read(Documents, 'documents')
+
+    def document(self, pipeline: str) -> gateway.DocumentView:
+        """Return the document in force of ``pipeline``."""
+        return self._read(gateway.DocumentView, 'documents', pipeline)
+
+    def status(self) -> gateway.StatusView:
+        """Return what is in force per host."""
+        return self._read(gateway.StatusView, 'status')
+
+    def poll_status(self, at_least: int) -> gateway.StatusView:
+        """Return what is in force per host, asking once.
+
+        Hosts known to have change ``at_least`` in force are not asked.
+        """
+        return self._call(
+            gateway.StatusView, 'GET', 'status', at_least=at_least
+        )
 
-    def call(
-        self, method: str, *path: str, body: typing.Any = None, **query: int
-    ) -> Answer:
-        """Call once; raises ServerError, NotSentError, AnswerLostError."""
+    def audit(self, after: int, limit: int) -> Records:
+        """Return a page of the audit trail."""
+        return self._read(Records, 'audit', after=after, limit=limit)
+
+    def quarantine(self) -> Quarantine:
+        """Return the requests in quarantine."""
+        return self._read(Quarantine, 'quarantine')
+
+    def clear(self, fingerprint: str) -> Cleared:
+        """End the quarantine of ``fingerprint``."""
+        return self._call(Cleared, 'DELETE', 'quarantine', fingerprint)
+
+    def apply(
+        self,
+        pipeline: str,
+        based_on: int,
+        change_id: str,
+        text: str | None,
+    ) -> ChangeState:
+        """Send a change once."""
+        body = {'based_on': based_on, 'change_id': change_id, 'text': text}
+        path = ('documents', pipeline)
+        return self._call(ChangeState, 'PUT', *path, body=body)
+
+    def change(self, change_id: str) -> ChangeState:
+        """Return the state of a change, once."""
+        return self._call(ChangeState, 'GET', 'changes', change_id)
+
+    def settle(self, change_id: str) -> ChangeState:
+        """Make the state of a change final, once."""
+        return self._call(ChangeState, 'DELETE', 'changes', change_id)
+
+    def _read(self, kind: type[T], *path: str, **query: int) -> T:
+        call = retries.retrying(self._env)
+        return call(self._call, kind, 'GET', *path, **query)
+
+    def _call(
+        self,
+        kind: type[T],
+        method: str,
+        *path: str,
+        body: typing.Any = None,
+        **query: int,
+    ) -> T:
         request = http_client.Request(
             method,
             self._make_url(path, query),
@@ -73,7 +154,7 @@
             b'' if body is None else codec.to_json(body),
         )
         reply = self._env.client.send(request)
-        return parse_answer(request.url, reply)
+        return parse_answer(kind, request.url, reply)
 
     def _make_url(self, path: tuple[str, ...], query: dict[str, int]) -> str:
         url = '/'.join([self._url, 'v1', *map(quote, path)])
@@ -85,27 +166,23 @@
     return urllib.parse.quote(part, safe='', errors='surrogateescape')
 
 
-def parse_answer(url: str, reply: http_client.Reply) -> Answer:
+def parse_answer(kind: type[T], url: str, reply: http_client.Reply) -> T:
     """Return the answer in ``reply``; raises ServerError.
 
-    An answer that is not JSON came from something between the two ends,
+    An answer of another shape came from something between the two ends,
     and counts as lost.
     """
     try:
         body = codec.parse_json(reply.read())
+        if reply.status < 400:
+            return codec.from_plain(body, kind)
     except common_errors.MalformedError as error:
         raise errors.AnswerLostError(url, str(error)) from error
-    if not isinstance(body, dict):
-        raise errors.AnswerLostError(url, 'not an object')
-    if reply.status < 400:
-        return Answer(reply.status, body)
     raise _server_error(reply.status, body)
 
 
-def _server_error(
-    http_status: int, body: dict[str, typing.Any]
-) -> errors.ServerError:
-    fields = body.get('error')
+def _server_error(http_status: int, body: typing.Any) -> errors.ServerError:
+    fields = body.get('error') if isinstance(body, dict) else None
     if not isinstance(fields, dict):
         fields = {}
     return errors.ServerError(
--- a/packages/command/src/godwitglade/command/output.py
+++ b/packages/command/src/godwitglade/command/output.py
@@ -10,6 +10,8 @@
 
 from godwitglade.command import environment
 from godwitglade.command import errors
+from godwitglade.common import codec
+from godwitglade.common import errors as common_errors
 
 PLAIN_WIDTH = 120
 
@@ -26,7 +28,7 @@
     ) -> None:
         """Print ``data`` as JSON, or call ``render`` for people."""
         if self.is_json:
-            self.json(data)
+            self.json(codec.to_plain(data))
         else:
             render()
 
@@ -40,6 +42,11 @@
         if not self.is_json:
             print(text, file=self.env.stdout)
 
+    def piece(self, text: str) -> None:
+        """Print a piece of a line at once, for people only."""
+        if not self.is_json:
+            print(text, end='', flush=True, file=self.env.stdout)
+
     def note(self, text: str) -> None:
         """Print one line of progress beside the results."""
         print(text, file=self.env.stderr)
@@ -55,9 +62,10 @@
             table.add_row(*(_cell(value) for value in row))
         self._console().print(table)
 
-    def error(self, error: errors.CommandError) -> None:
+    def error(self, error: common_errors.CodedError) -> None:
         """Print an error: every fault, then what to do about it."""
-        fields = getattr(error, 'fields', {})
+        is_answer = isinstance(error, errors.ServerError)
+        fields = error.fields if is_answer else {}
         if self.is_json:
             shown = {'code': error.code, 'message': str(error), **fields}
             self.json({'error': shown})
--- a/packages/command/src/godwitglade/command/quarantining.py
+++ b/packages/command/src/godwitglade/command/quarantining.py
@@ -3,24 +3,25 @@
 from godwitglade.command import operators
 from godwitglade.command import output
 from godwitglade.command import status
+from godwitglade.common import clock as clocks
 
 
 def show(
     printer: output.Printer, server: operators.Operators
 ) -> status.ExitStatus:
     """Print the requests in quarantine."""
-    body = server.read('quarantine')
+    found = server.quarantine()
     columns = ('fingerprint', 'pipeline', 'reason', 'ends in')
     rows = [
         (
-            entry['fingerprint'],
-            entry['pipeline'],
-            entry['reason'],
-            f'{entry["ends_in_ms"] // 1_000} s',
+            entry.fingerprint,
+            entry.pipeline,
+            entry.reason,
+            f'{entry.ends_in_ms // clocks.SECOND_MS} s',
         )
-        for entry in body['quarantine']
+        for entry in found.quarantine
     ]
-    printer.show(body, lambda: printer.table(columns, rows))
+    printer.show(found, lambda: printer.table(columns, rows))
     return status.ExitStatus.OK
 
 
@@ -28,6 +29,6 @@
     printer: output.Printer, server: operators.Operators, fingerprint: str
 ) -> status.ExitStatus:
     """End the quarantine of one fingerprint on every host."""
-    body = server.call('DELETE', 'quarantine', fingerprint).body
-    printer.show(body, lambda: printer.line(f'{fingerprint}: cleared'))
+    cleared = server.clear(fingerprint)
+    printer.show(cleared, lambda: printer.line(f'{fingerprint}: cleared'))
     return status.ExitStatus.OK
--- a/packages/command/src/godwitglade/command/streams.py
+++ b/packages/command/src/godwitglade/command/streams.py
@@ -7,6 +7,16 @@
 
 from godwitglade.common import codec
 
+CONTENT_TYPE = 'text/event-stream'
+
+
+@attrs.frozen
+class Piece:
+    """A piece of the answer; ``offset`` counts characters before it."""
+
+    offset: int
+    text: str
+
 
 @attrs.frozen
 class StreamEvent:
--- a/packages/common/src/godwitglade/common/web.py
+++ b/packages/common/src/godwitglade/common/web.py
@@ -68,8 +68,8 @@
         }
     }
     app = cherrypy.Application(root, '', config)
-    # The structured log replaces CherryPy's access and error logs.
-    app.log.screen = False
+    # The structured log takes the place of a line for each request.
+    app.log.access = _log_nothing
     return app
 
 
@@ -118,4 +118,10 @@
 
 def _error_page(status: str, **_context: str) -> bytes:
     cherrypy.response.headers['Content-Type'] = JSON
-    return error_body(RequestError(status))
+    is_own_fault = status.startswith('5')
+    error = errors.CodedError() if is_own_fault else RequestError(status)
+    return error_body(error)
+
+
+def _log_nothing() -> None:
+    return None
--- a/tests/command/commands.py
+++ b/tests/command/commands.py
@@ -13,6 +13,8 @@
 from godwitglade.common import codec
 from tests.operators import gateways
 
+IDS = itertools.count(1)
+
 
 @attrs.frozen
 class Result:
@@ -78,7 +80,6 @@
     """Run ``godwitglade`` with ``args`` against a host in memory."""
     fake = gateways.FakeGateway() if fake is None else fake
     clock = clocks.ManualClock()
-    ids = itertools.count(1)
     env = environment.Environment(
         stdin=io.StringIO(stdin),
         stdout=io.StringIO(),
@@ -91,7 +92,7 @@
         clock=clock,
         client=client or FakeOperators(fake, faults),
         sleep_ms=clock.advance,
-        make_id=lambda: f'{id(env):016x}-{next(ids)}',
+        make_id=lambda: f'change-{next(IDS):016}',
     )
     status = core.main([str(arg) for arg in args], env)
     return Result(status.name, env.stdout.getvalue(), env.stderr.getvalue())
--- a/tests/command/test_operation.py
+++ b/tests/command/test_operation.py
@@ -91,6 +91,16 @@
     assert made['sha256'] == access.hash_token(made['token'])
 
 
+@pytest.mark.parametrize(
+    'body', [b'', b'[]', b'{}', b'{"records": [{"sequence": "x"}]}', b'\xff']
+)
+def test_answer_of_another_shape_is_a_typed_error(body):
+    client = commands.FakeCallers(chunks=[body])
+    result = commands.run('audit', client=client)
+    assert result.status in ('ERROR', 'UNKNOWN')
+    assert result.stderr.startswith('error: ')
+
+
 def test_errors_are_json_for_programs():
     result = commands.run('show', 'x', '--json')
     assert result.json['error']['code'] == 'name_not_found'
--- a/tests/operators/test_app.py
+++ b/tests/operators/test_app.py
@@ -1,6 +1,7 @@
 """The operators' HTTP interface: access, answers and typed errors."""
 
 import json
+import logging
 
 import hypothesis
 from hypothesis import strategies
@@ -158,6 +159,19 @@
     assert not response.body['error']['is_retryable']
 
 
+def test_fault_of_the_program_is_a_typed_answer():
+    fake = gateways.FakeGateway()
+    fake.status = None
+    response = gateways.connect(fake).call('GET', '/v1/status')
+    assert (response.status, response.error) == (500, 'internal')
+
+
+def test_requests_leave_no_line_of_their_own(caplog):
+    caplog.set_level(logging.INFO)
+    gateways.connect(gateways.FakeGateway()).call('GET', '/v1/status')
+    assert caplog.records == []
+
+
 def to_bytes(plain):
     return json.dumps(plain).encode()
 
