Quarantine requests that crash targets, not those beside them

Change: every request on a crashed target becomes a suspect; suspects of a crash run again on different targets, the one that had run shortest first, until each outlives its earlier run; a second crash after as long a run quarantines it. Copies through other hosts end or wait; hosts tell each other at once; an operator's clearing is taken in.

--- a/packages/decisions/src/godwitglade/decisions/admitting.py
+++ b/packages/decisions/src/godwitglade/decisions/admitting.py
@@ -25,7 +25,8 @@
     document = context.documents.get(request.pipeline)
     reason = _reason(context, request, document, now_ms)
     if reason is not None:
-        return Rejection(reason, _RETRY_AFTER_MS.get(reason, 0))
+        left_ms = context.quarantine.ends_in_ms(request.fingerprint, now_ms)
+        return Rejection(reason, _RETRY_AFTER_MS.get(reason, left_ms))
     priority = request.priority or document.default_priority
     job = jobs.Job(
         request=request,
@@ -65,6 +66,8 @@
         return refusal.KEY_REQUIRED
     if request.deadline_ms <= now_ms:
         return refusal.DEADLINE_PASSED
+    if context.quarantine.ends_in_ms(request.fingerprint, now_ms):
+        return refusal.QUARANTINED
     if not admission.has_targets(context, document, now_ms):
         return refusal.NO_TARGET
     if len(context.jobs) >= context.settings.max_jobs:
--- a/packages/decisions/src/godwitglade/decisions/context.py
+++ b/packages/decisions/src/godwitglade/decisions/context.py
@@ -12,6 +12,7 @@
 from godwitglade.decisions import documents as document_types
 from godwitglade.decisions import estimates
 from godwitglade.decisions import jobs as job_types
+from godwitglade.decisions import quarantine as quarantines
 from godwitglade.decisions import queueing
 from godwitglade.decisions import retries
 from godwitglade.decisions import settings as request_settings
@@ -45,6 +46,7 @@
     retry_budgets: dict[str, retries.Budget] = attrs.Factory(dict)
     hedge_budgets: dict[str, retries.Budget] = attrs.Factory(dict)
     backlogs: dict[str, backlog_types.Backlog] = attrs.Factory(dict)
+    quarantine: quarantines.Quarantine = attrs.Factory(quarantines.Quarantine)
     attempt_number: int = 0
     store_down_until_ms: int = -1
     queries: dict[str, typing.Any] = attrs.Factory(dict)
--- a/packages/decisions/src/godwitglade/decisions/endings.py
+++ b/packages/decisions/src/godwitglade/decisions/endings.py
@@ -10,6 +10,7 @@
 from godwitglade.decisions import jobs
 from godwitglade.decisions import outcomes
 from godwitglade.decisions import records
+from godwitglade.decisions import suspicion
 
 
 def refuse(
@@ -82,6 +83,7 @@
         _note_unfinished(context, job, now_ms)
     cancelled = calling.cancel_all(context, job)
     closed = _close_claim(context, job, outcome, now_ms)
+    closed += suspicion.let_go(context, job)
     return [*cancelled, *closed, *exit_if_idle(context)]
 
 
--- a/packages/decisions/src/godwitglade/decisions/jobs.py
+++ b/packages/decisions/src/godwitglade/decisions/jobs.py
@@ -101,6 +101,7 @@
     reserved: targets.Target | None = None
     queue_key: tuple[int, int] | None = None
     is_answered: bool = False
+    is_suspect: bool = False
 
     @property
     def request_id(self) -> str:
--- a/packages/decisions/src/godwitglade/decisions/replies.py
+++ b/packages/decisions/src/godwitglade/decisions/replies.py
@@ -13,6 +13,7 @@
 from godwitglade.decisions import messages
 from godwitglade.decisions import outcomes
 from godwitglade.decisions import stages
+from godwitglade.decisions import suspicion
 
 _Ids = (
     messages.StageReplied
@@ -107,6 +108,19 @@
     """End a failed attempt and try elsewhere where that is allowed."""
     calling.close(context, job, attempt)
     _unmark(job, message)
+    if message.is_crash:
+        told = suspicion.struck(context, job, attempt, now_ms)
+        return [*told, *_after_fault(context, job, attempt, message, now_ms)]
+    return _after_fault(context, job, attempt, message, now_ms)
+
+
+def _after_fault(
+    context: contexts.Context,
+    job: jobs.Job,
+    attempt: jobs.Attempt,
+    message: messages.StageFault,
+    now_ms: int,
+) -> contexts.Effects:
     if job.is_answered:
         if job.attempts:
             return []
@@ -116,6 +130,10 @@
     if message.was_sent and not job.stage.is_repeatable:
         reason = reason_of(message.kind)
         return endings.give_up(context, job, reason, now_ms)
+    fingerprint = job.request.fingerprint
+    if context.quarantine.ends_in_ms(fingerprint, now_ms):
+        reason = outcomes.Failure.QUARANTINED
+        return endings.give_up(context, job, reason, now_ms)
     if message.kind is messages.FaultKind.REJECTED:
         reason = outcomes.Failure.TARGET_ERROR
         return endings.give_up(context, job, reason, now_ms)
@@ -126,7 +144,7 @@
         job,
         reason_of(message.kind),
         now_ms,
-        is_free=not message.was_sent,
+        is_free=message.is_crash or not message.was_sent,
     )
 
 
--- a/packages/decisions/src/godwitglade/decisions/requests.py
+++ b/packages/decisions/src/godwitglade/decisions/requests.py
@@ -8,6 +8,8 @@
 import random
 import typing
 
+import attrs
+
 from godwitglade.coordination import claim_messages
 from godwitglade.coordination import hosts
 from godwitglade.coordination import messages as coordination_messages
@@ -23,6 +25,7 @@
 from godwitglade.decisions import replies
 from godwitglade.decisions import settings as request_settings
 from godwitglade.decisions import stages
+from godwitglade.decisions import suspicion
 from godwitglade.decisions import upkeep
 
 
@@ -49,6 +52,11 @@
         """Begin the periodic upkeep."""
         return upkeep.next_tick(self.context, now_ms)
 
+    def quarantined(self, now_ms: int) -> list[tuple[str, str, int, str]]:
+        """Return fingerprint, reason, time left and pipeline of each."""
+        entries = self.context.quarantine.entries(now_ms)
+        return [attrs.astuple(entry) for entry in entries]
+
     @functools.singledispatchmethod
     def handle(self, message: typing.Any, now_ms: int) -> contexts.Effects:
         """Take in a message; return the effects that follow."""
@@ -173,6 +181,12 @@
     ) -> contexts.Effects:
         return upkeep.timer_fired(self.context, message.token, now_ms)
 
+    @handle.register
+    def _(
+        self, message: messages.QuarantineCleared, now_ms: int
+    ) -> contexts.Effects:
+        return suspicion.lifted(self.context, message)
+
     @handle.register
     def _(self, message: messages.StopAsked, now_ms: int) -> contexts.Effects:
         self.context.is_stopping = True
--- a/packages/decisions/src/godwitglade/decisions/stages.py
+++ b/packages/decisions/src/godwitglade/decisions/stages.py
@@ -11,7 +11,10 @@
 from godwitglade.decisions import endings
 from godwitglade.decisions import jobs
 from godwitglade.decisions import outcomes
+from godwitglade.decisions import quarantine
 from godwitglade.decisions import records
+from godwitglade.decisions import suspects
+from godwitglade.decisions import suspicion
 
 
 def begin(
@@ -32,6 +35,8 @@
     context: contexts.Context, job: jobs.Job, now_ms: int
 ) -> contexts.Effects:
     """Send the current stage now, or let it wait for a target."""
+    if suspects.must_wait(context, job, now_ms):
+        return suspects.gate(context, job, now_ms)
     queue = context.queue(job.stage.pool)
     tracked = choose(context, job, now_ms) if not len(queue) else None
     if tracked is not None:
@@ -66,6 +71,9 @@
         if _is_given_up(context, job, now_ms):
             done += _hopeless(context, job, now_ms)
             continue
+        if suspects.must_wait(context, job, now_ms):
+            done += suspects.gate(context, job, now_ms)
+            continue
         tracked = choose(context, job, now_ms)
         if tracked is None:
             passed.append(job)
@@ -99,6 +107,35 @@
     )
 
 
+def run_suspect(
+    context: contexts.Context, job: jobs.Job, now_ms: int
+) -> contexts.Effects:
+    """Send a suspect when its turn comes, then watch how it does."""
+    if job.attempts:
+        return _watch_suspect(context, job, now_ms)
+    usable = {t.name: t for t in _candidates(context, job, now_ms)}
+    lane = context.quarantine.lane(job.request.fingerprint, list(usable))
+    if lane is None:
+        reason = outcomes.Failure.NO_TARGET
+        return endings.give_up(context, job, reason, now_ms)
+    name, is_due = lane
+    again = suspects.look_again(job, now_ms)
+    if not is_due:
+        return again
+    return [*_use(context, job, usable[name], now_ms), *again]
+
+
+def _watch_suspect(
+    context: contexts.Context, job: jobs.Job, now_ms: int
+) -> contexts.Effects:
+    attempt = next(iter(job.attempts.values()))
+    strikes = context.quarantine.strikes(job.request.fingerprint)
+    elapsed_ms = now_ms - attempt.sent_ms
+    if elapsed_ms > quarantine.clears_after_ms(strikes):
+        return suspicion.cleared(context, job)
+    return suspects.look_again(job, now_ms)
+
+
 def retry(
     context: contexts.Context,
     job: jobs.Job,
@@ -108,7 +145,8 @@
 ) -> contexts.Effects:
     """Try the stage on another target, or give the job up.
 
-    ``is_free`` leaves the budget alone: the last attempt cost no work.
+    ``is_free`` leaves the budget alone: the last attempt cost no work, or
+    its target is gone and can draw no more of them.
     """
     if job.attempts or job.is_answered:
         return []
@@ -132,6 +170,7 @@
 ) -> contexts.Effects:
     """Take the stage's output and go on with the next stage."""
     cancelled = calling.cancel_all(context, job)
+    cancelled += suspicion.cleared(context, job)
     calling.report(job, target_name, now_ms)
     job.results[job.stage.name] = output
     settled = _settle(context, job, now_ms)
--- a/packages/decisions/src/godwitglade/decisions/upkeep.py
+++ b/packages/decisions/src/godwitglade/decisions/upkeep.py
@@ -16,6 +16,8 @@
 from godwitglade.decisions import replies
 from godwitglade.decisions import rescue
 from godwitglade.decisions import stages
+from godwitglade.decisions import suspects
+from godwitglade.decisions import suspicion
 from godwitglade.decisions import targets
 
 
@@ -104,6 +106,9 @@
     now_ms: int,
 ) -> contexts.Effects:
     """Take in what any host made known."""
+    if message.kind in ('strike', 'quarantine'):
+        suspicion.learned(context, message, now_ms)
+        return suspects.end_copies(context, message.key, now_ms)
     tracked = context.directory.by_name.get(message.key)
     if tracked is None:
         return []
@@ -211,6 +216,15 @@
     return [cancelled, *signs, *ended, *drained]
 
 
+def _suspect(
+    context: contexts.Context, name: str, now_ms: int
+) -> contexts.Effects:
+    job = context.jobs.get(name)
+    if job is None or job.is_answered or not job.is_suspect:
+        return []
+    return stages.run_suspect(context, job, now_ms)
+
+
 def _poll(
     context: contexts.Context, name: str, now_ms: int
 ) -> contexts.Effects:
@@ -239,5 +253,6 @@
     'deadline': _deadline,
     'watch': _watch,
     'poll': _poll,
+    'suspect': _suspect,
     'follow': _follow,
 }
