--- a/packages/coordination/src/godwitglade/coordination/membership.py
+++ b/packages/coordination/src/godwitglade/coordination/membership.py
@@ -280,7 +280,8 @@
         host = exchange.sender.host
         for record in (exchange.sender, *exchange.members):
             self._merge(record, now_ms)
-        if self.table.records.get(host.name).host == host:
+        held = self.table.records.get(host.name)
+        if held is not None and held.host == host:
             self.table.hear(host, exchange.sequence, now_ms)
         found = self._repair_with(exchange, now_ms)
         for attachment in self._attachments:
--- /dev/null
+++ b/proof/document_replay.py
@@ -0,0 +1,53 @@
+"""Replays traces of the document specification on the real documents."""
+
+import random
+
+from godwitglade.coordination import bodies
+from godwitglade.coordination import heads
+from godwitglade.coordination import hosts
+from godwitglade.coordination import messages
+from godwitglade.coordination import rows
+from godwitglade.coordination import spread
+from proof import document_spec
+
+PIPELINE = 'pipeline'
+
+
+class Replay:
+    """Real documents of several hosts that follow a specification's trace."""
+
+    def __init__(self, count: int) -> None:
+        self.log: list[bodies.Change] = []
+        self.documents = [
+            spread.Documents(_host_id(index), random.Random(index))
+            for index in range(count)
+        ]
+        empty = messages.ReadSettled(heads.TOKEN, rows.Rows())
+        for documents in self.documents:
+            documents.handle(empty, 0)
+
+    def take_step(self, label: str, state: document_spec.State) -> None:
+        """Do what the step that led to ``state`` does to hosts."""
+        while len(self.log) < len(state.log):
+            number = len(self.log) + 1
+            change = bodies.Change(number, PIPELINE, number, f'text {number}')
+            self.log.append(change)
+        name, *rest = label.split()
+        if name == 'hear':
+            self._hear(int(rest[0]), int(rest[1]))
+        if name == 'poll':
+            self._hear(int(rest[0]), len(self.log))
+
+    def in_force(self) -> list[int]:
+        """Return the number in force on each host."""
+        return [documents.sequence for documents in self.documents]
+
+    def _hear(self, index: int, number: int) -> None:
+        sender = bodies.MemberRecord(_host_id(99), 'address')
+        known = tuple(self.log[:number])
+        exchange = bodies.Exchange(sender, number, changes=known)
+        self.documents[index].receive(exchange, 0)
+
+
+def _host_id(index: int) -> hosts.HostId:
+    return hosts.HostId(f'host-{index}', 'zone-a', 1)
--- a/tests/proof/test_model.py
+++ b/tests/proof/test_model.py
@@ -7,6 +7,7 @@
 from proof import claim_replay
 from proof import claim_spec
 from proof import claim_world
+from proof import document_replay
 from proof import document_spec
 from proof import lease_spec
 from proof import quarantine_spec
@@ -53,3 +54,14 @@
             break
     assert world.sent_count <= 1
     assert 'NotRun' not in (h.verdict for h in world.hosts if h.sent)
+
+
+@pytest.mark.parametrize('seed', range(30))
+def test_real_documents_follow_the_specification(seed):
+    start = document_spec.protocol(3)
+    start.initial = start.initial._replace(restarts_left=0)
+    replay = document_replay.Replay(3)
+    for label, state in claim_replay.walk(start, random.Random(seed), 60):
+        replay.take_step(label, state)
+        expected = [host.in_force for host in state.hosts]
+        assert replay.in_force() == expected, label
