--- a/packages/decisions/src/godwitglade/decisions/endings.py
+++ b/packages/decisions/src/godwitglade/decisions/endings.py
@@ -2,9 +2,11 @@
 
 from godwitglade.common import events
 from godwitglade.coordination import effects as coordination_effects
+from godwitglade.decisions import admission
 from godwitglade.decisions import calling
 from godwitglade.decisions import context as contexts
 from godwitglade.decisions import effects
+from godwitglade.decisions import health
 from godwitglade.decisions import jobs
 from godwitglade.decisions import outcomes
 from godwitglade.decisions import records
@@ -57,6 +59,7 @@
     if job.is_answered:
         return []
     job.is_answered = True
+    admission.ended(context, job)
     context.queue(job.stage.pool).remove(job)
     if job.reserved is not None:
         calling.release_slot(context, job.reserved.name)
@@ -75,11 +78,30 @@
 ) -> contexts.Effects:
     """Drop an answered job, its attempts and its claim."""
     context.jobs.pop(job.request_id, None)
+    if not isinstance(outcome, outcomes.Answered):
+        _note_unfinished(context, job, now_ms)
     cancelled = calling.cancel_all(context, job)
     closed = _close_claim(context, job, outcome, now_ms)
     return [*cancelled, *closed, *exit_if_idle(context)]
 
 
+def _note_unfinished(
+    context: contexts.Context, job: jobs.Job, now_ms: int
+) -> None:
+    # Without the calls that took too long, measured times look too short.
+    # A call without a first byte from a target that has nothing waiting
+    # tells of its connection, not of its stage.
+    times = context.times
+    for attempt in job.attempts.values():
+        sketch = times.whole(job.document.pipeline, attempt.stage)
+        elapsed_ms = now_ms - attempt.sent_ms
+        tracked = context.directory.by_name.get(attempt.target.name)
+        is_telling = attempt.has_begun or health.has_queue(tracked)
+        is_usual = health.is_usual(context, tracked)
+        if is_telling and is_usual and elapsed_ms > sketch.mean_ms:
+            sketch.add(elapsed_ms)
+
+
 def exit_if_idle(context: contexts.Context) -> contexts.Effects:
     """End a planned stop once no request is in flight."""
     if context.is_stopping and not context.jobs and not context.has_exited:
--- a/packages/decisions/src/godwitglade/decisions/jobs.py
+++ b/packages/decisions/src/godwitglade/decisions/jobs.py
@@ -41,9 +41,34 @@
     sent_ms: int
     timeout_ms: int
     is_hedge: bool = False
-    has_begun: bool = False
+    begun_ms: int | None = None
+    is_slow: bool = False
+    is_stalled: bool = False
+    is_watched_late: bool = False
+    begun_length: int = 0
+    marked_ms: int = 0
+    marked_length: int = 0
     feed: streams.StreamFeed | None = None
 
+    @property
+    def has_begun(self) -> bool:
+        """Tell whether a first piece arrived."""
+        return self.begun_ms is not None
+
+    def recent_pace_ms(self, now_ms: int) -> float:
+        """Return the milliseconds a character since the last call of this."""
+        made = len(self.feed.text) - self.marked_length
+        elapsed_ms = now_ms - self.marked_ms
+        self.is_stalled = not made
+        self.marked_ms = now_ms
+        self.marked_length = len(self.feed.text)
+        return elapsed_ms / max(1, made)
+
+    def pace_ms(self, now_ms: int) -> float:
+        """Return the milliseconds a character, over the pieces so far."""
+        made = len(self.feed.text) - self.begun_length
+        return (now_ms - self.begun_ms) / max(1, made)
+
 
 @attrs.define(eq=False, slots=True)
 class Job:
@@ -51,7 +76,8 @@
 
     ``begun_ms`` is when the current stage began, ``tried`` the targets that
     it was sent to, ``ran`` the stages of which something was sent and
-    ``unsafe`` the non-repeatable ones among them.
+    ``unsafe`` the non-repeatable ones among them; ``owed`` are the pools
+    that it still has to be sent to.
     """
 
     request: messages.RequestArrived
@@ -68,6 +94,7 @@
     attempts: dict[str, Attempt] = attrs.Factory(dict)
     tried: set[str] = attrs.Factory(set)
     ran: list[str] = attrs.Factory(list)
+    owed: list[str] = attrs.Factory(list)
     unsafe: list[str] = attrs.Factory(list)
     text: str = ''
     claim: Claim | None = None
@@ -97,10 +124,18 @@
 
     @property
     def is_streamed(self) -> bool:
+        """Tell whether the current stage is called as a stream.
+
+        Engines always are, also when the caller wants the text in one
+        piece: the first piece tells early whether a call goes well, and a
+        lost call is resumed.
+        """
+        return self.stage.kind is documents.StageKind.GENERATE
+
+    @property
+    def is_passed_on(self) -> bool:
         """Tell whether the current stage's text goes to the caller."""
-        if not self.request.is_stream:
-            return False
-        if self.stage.kind is not documents.StageKind.GENERATE:
+        if not self.request.is_stream or not self.is_streamed:
             return False
         later = self.document.stages[self.stage_index + 1 :]
         return all(s.kind is not documents.StageKind.GENERATE for s in later)
