Drain before refusing in a planned stop, and record before exit

Cause: on SIGTERM a host refused new requests at once and, when idle, left at once, while the balancer still sent requests for its check interval; and it left although outcomes of non-repeatable stages were not yet recorded, which nobody else can settle. Change: phases draining, finishing, recording; bounds.drain_ms (3 s).

--- a/packages/coordination/src/godwitglade/coordination/claims.py
+++ b/packages/coordination/src/godwitglade/coordination/claims.py
@@ -69,6 +69,11 @@
         """Begin to delete old rows."""
         return self._sweep.start(now_ms)
 
+    @property
+    def is_idle(self) -> bool:
+        """Tell whether no claim is open and every outcome is recorded."""
+        return not self._progress.holds
+
     def claim(
         self,
         claim_key: str,
--- a/packages/daemon/src/godwitglade/daemon/assembly.py
+++ b/packages/daemon/src/godwitglade/daemon/assembly.py
@@ -178,6 +178,7 @@
         ),
         env.clock.wall_ms() - env.clock.monotonic_ms(),
         settings.platform.spill_zones,
+        settings.bounds.drain_ms,
     )
     host = deciders.Host(self_id, parts, parsing.parse_document)
     report = _fault_reporter(logger)
--- a/packages/daemon/src/godwitglade/daemon/settings_schema.py
+++ b/packages/daemon/src/godwitglade/daemon/settings_schema.py
@@ -142,6 +142,11 @@
             kinds.Number(0, MAX_REQUESTS, 'requests'),
             'Requests that may wait; more are refused.',
         ),
+        'drain_ms': kinds.Field(
+            kinds.Number(0, 60_000, 'ms'),
+            'Time from not ready to refusing requests in a planned stop; '
+            'longer than the balancer needs to notice.',
+        ),
     },
 )
 
--- a/packages/daemon/src/godwitglade/daemon/settings_types.py
+++ b/packages/daemon/src/godwitglade/daemon/settings_types.py
@@ -71,6 +71,7 @@
     max_body_bytes: int = 1_048_576
     max_in_flight: int = 512
     max_queued: int = 1_024
+    drain_ms: int = 3_000
 
 
 @attrs.frozen
--- a/packages/decisions/src/godwitglade/decisions/host.py
+++ b/packages/decisions/src/godwitglade/decisions/host.py
@@ -34,6 +34,7 @@
 from godwitglade.decisions import outcomes
 from godwitglade.decisions import requests
 from godwitglade.decisions import settings as request_settings
+from godwitglade.decisions import stopping
 
 NOT_READY_RETRY_MS = 2_000
 
@@ -54,6 +55,7 @@
     orders: orders.Orders
     requests: requests.Requests
     listing: listing.Listing
+    stopping: stopping.Stopping
 
 
 @attrs.frozen
@@ -80,6 +82,7 @@
     settings: request_settings.RequestSettings,
     wall_offset_ms: int = 0,
     spill_zones: tuple[str, ...] = (),
+    drain_ms: int = 0,
 ) -> Parts:
     """Return the parts of a host, each with a random source of its own."""
     seeds = (random.Random(rng.getrandbits(64)) for _ in iter(int, 1))
@@ -103,6 +106,7 @@
         orders=orders_,
         requests=requests.Requests(self_id, next(seeds), claims_, settings),
         listing=listing.Listing(self_id.zone, spill_zones, next(seeds)),
+        stopping=stopping.Stopping(claims_, drain_ms),
     )
 
 
@@ -141,8 +145,8 @@
     @property
     def is_ready(self) -> bool:
         """Tell whether new requests are accepted."""
-        is_stopping = self.parts.requests.context.is_stopping
-        return self.parts.documents.is_ready and not is_stopping
+        is_serving = self.parts.stopping.phase is stopping.Phase.SERVING
+        return self.parts.documents.is_ready and is_serving
 
     @property
     def refused_documents(self) -> tuple[RefusedDocument, ...]:
@@ -190,6 +194,8 @@
                 pending.extend(self._decide(effect.message, now_ms))
             elif isinstance(effect, shared_effects.PublishFact):
                 pending.extend(self.parts.facts.publish(effect, now_ms))
+            elif isinstance(effect, effects.Exit):
+                outside.extend(self.parts.stopping.record(now_ms))
             else:
                 outside.append(effect)
         return outside
@@ -213,6 +219,10 @@
     @_decide.register(shared_messages.PeerReply)
     @_decide.register(shared_messages.TimerFired)
     def _(self, message: typing.Any, now_ms: int) -> Effects:
+        if message.token == stopping.DRAIN_TOKEN:
+            return self._finish(now_ms)
+        if message.token == stopping.RECORD_TOKEN:
+            return [effects.Exit()]
         prefix = message.token.partition(':')[0]
         part = self._by_prefix.get(prefix)
         if part is None:
@@ -319,7 +329,7 @@
         return [
             *self.parts.members.leave(now_ms),
             *self.parts.orders.handle(message, now_ms),
-            *self.parts.requests.handle(message, now_ms),
+            *self.parts.stopping.begin(now_ms),
         ]
 
     def _note_in_force(
@@ -346,6 +356,11 @@
         event = events.Event.DOCUMENT_REFUSED
         return [shared_effects.LogEvent(event, fields)]
 
+    def _finish(self, now_ms: int) -> Effects:
+        if not self.parts.stopping.finish():
+            return []
+        return self.parts.requests.handle(messages.StopAsked(), now_ms)
+
     def _report(self) -> bodies.StatusGiven:
         return bodies.StatusGiven(
             self.self_id,
