Bound the time to read a request as a whole; refuse cut bodies

Cause: the server bounds each wait for bytes only, so that a client sending a byte now and then held a thread for as long as it liked; a body cut short by its sender was parsed as if whole, and 12 of 1234 is valid JSON too. Change: connections with a deadline for each request's head and body (10 s), typed errors body_too_slow and body_incomplete, connections closed after them. Conclusion: bad senders cost a thread for at most 10 s.

--- a/packages/common/src/godwitglade/common/web.py
+++ b/packages/common/src/godwitglade/common/web.py
@@ -45,6 +45,29 @@
     limit_bytes: int
 
 
+@attrs.define(auto_exc=True, str=False)
+class BodyTooSlowError(errors.CodedError):
+    """The body did not arrive in time."""
+
+    code = 'body_too_slow'
+    http_status = 408
+    is_retryable = True
+    template = 'the body did not arrive in time'
+
+
+@attrs.define(auto_exc=True, str=False)
+class BodyIncompleteError(errors.CodedError):
+    """The connection ended before the whole body had arrived."""
+
+    code = 'body_incomplete'
+    http_status = 400
+    is_retryable = True
+    template = 'got {size_bytes} of {declared_bytes} bytes'
+
+    size_bytes: int
+    declared_bytes: int
+
+
 @attrs.define(auto_exc=True, str=False)
 class RequestError(errors.CodedError):
     """The server could not serve the request; ``status`` says why."""
@@ -83,20 +106,29 @@
 
 
 def read_body(limit_bytes: int) -> bytes:
-    """Return the body; raises BodyTooLargeError."""
+    """Return the whole body.
+
+    Raises BodyTooLargeError, BodyTooSlowError and BodyIncompleteError.
+    """
     declared = cherrypy.request.headers.get('Content-Length', '0')
-    if declared.isdigit() and int(declared) > limit_bytes:
-        raise _too_large(limit_bytes)
-    body = cherrypy.request.rfile.read(limit_bytes + 1)
+    declared_bytes = int(declared) if declared.isdigit() else 0
+    if declared_bytes > limit_bytes:
+        raise _unread(BodyTooLargeError(limit_bytes))
+    try:
+        body = cherrypy.request.rfile.read(limit_bytes + 1)
+    except TimeoutError as error:
+        raise _unread(BodyTooSlowError()) from error
     if len(body) > limit_bytes:
-        raise _too_large(limit_bytes)
+        raise _unread(BodyTooLargeError(limit_bytes))
+    if len(body) < declared_bytes:
+        raise _unread(BodyIncompleteError(len(body), declared_bytes))
     return body
 
 
-def _too_large(limit_bytes: int) -> BodyTooLargeError:
+def _unread(error: errors.CodedError) -> errors.CodedError:
     # What was not read would be taken for the connection's next request.
     cherrypy.response.headers['Connection'] = 'close'
-    return BodyTooLargeError(limit_bytes)
+    return error
 
 
 def answer(status: int, body: bytes) -> bytes:
--- /dev/null
+++ b/packages/daemon/src/godwitglade/daemon/connections.py
@@ -0,0 +1,88 @@
+"""Connections of the WSGI server that bound the time to read a request.
+
+The server's own time-out bounds each wait for bytes. A client that sends one
+byte now and then would hold a thread for as long as it likes; here reading
+head and body of one request has a bound as a whole.
+"""
+
+import io
+import socket
+import typing
+
+from cheroot import makefile
+from cheroot import server
+
+from godwitglade.common import clock as clocks
+
+READ_TIMEOUT_MS = 10 * clocks.SECOND_MS
+
+
+class BoundedIO(socket.SocketIO):
+    """Raw bytes of a socket, readable until ``deadline_ms``.
+
+    Raises TimeoutError once the deadline has passed.
+    """
+
+    def __init__(self, sock: socket.socket, clock: clocks.Clock) -> None:
+        super().__init__(sock, 'rb')
+        self._clock = clock
+        self.deadline_ms = 0
+
+    def readinto(self, buffer: typing.Any) -> int | None:
+        """Read what is there, waiting no longer than the deadline."""
+        left_ms = self.deadline_ms - self._clock.monotonic_ms()
+        if left_ms <= 0:
+            raise TimeoutError('timed out')
+        usual_s = self._sock.gettimeout()
+        self._sock.settimeout(left_ms / clocks.SECOND_MS)
+        try:
+            return super().readinto(buffer)
+        finally:
+            self._sock.settimeout(usual_s)
+
+
+class BoundedReader(makefile.StreamReader):
+    """The server's buffered reader over a BoundedIO."""
+
+    def __init__(self, raw: BoundedIO, size_bytes: int) -> None:
+        # The base class would open a reader without a bound.
+        io_base = makefile.StreamReader.__mro__[1]
+        io_base.__init__(self, raw, size_bytes)
+        self.bytes_read = 0
+
+
+class ClosingRequest(server.HTTPRequest):
+    """A request whose application may ask to close the connection.
+
+    The server itself would first read the rest of the body.
+    """
+
+    def send_headers(self) -> None:
+        """Send status and headers."""
+        if (b'Connection', b'close') in self.outheaders:
+            self.close_connection = True
+        super().send_headers()
+
+
+class BoundedConnection(server.HTTPConnection):
+    """A connection each of whose requests is read within a bound."""
+
+    RequestHandlerClass = ClosingRequest
+    clock: typing.ClassVar[clocks.Clock] = clocks.Clock()
+    read_timeout_ms: typing.ClassVar[int] = READ_TIMEOUT_MS
+
+    def __init__(
+        self,
+        http_server: server.HTTPServer,
+        sock: socket.socket,
+        make_file: typing.Callable = makefile.MakeFile,
+    ) -> None:
+        super().__init__(http_server, sock, make_file)
+        self._raw = BoundedIO(sock, self.clock)
+        self.rfile = BoundedReader(self._raw, io.DEFAULT_BUFFER_SIZE)
+
+    def communicate(self) -> bool:
+        """Serve one request; tell whether the connection stays open."""
+        now_ms = self.clock.monotonic_ms()
+        self._raw.deadline_ms = now_ms + self.read_timeout_ms
+        return bool(super().communicate())
--- a/packages/daemon/src/godwitglade/daemon/servers.py
+++ b/packages/daemon/src/godwitglade/daemon/servers.py
@@ -6,6 +6,8 @@
 import attrs
 from cheroot import wsgi
 
+from godwitglade.daemon import connections
+
 #: Backlog of connections that the kernel accepts for a listener.
 LISTEN_BACKLOG = 128
 #: Longest time a client may take between bytes of a request.
@@ -29,6 +31,7 @@
     app: typing.Any
     threads: int
     ssl_adapter: typing.Any = None
+    connection_class: type = connections.BoundedConnection
 
 
 class Servers:
@@ -67,6 +70,7 @@
     )
     server.max_request_header_size = MAX_HEADER_BYTES
     server.ssl_adapter = listener.ssl_adapter
+    server.ConnectionClass = listener.connection_class
     # A reset connection of one client is no fault of the server.
     server.error_log = _drop_log
     return server
--- a/tests/callers/test_callers_http.py
+++ b/tests/callers/test_callers_http.py
@@ -2,6 +2,7 @@
 
 import functools
 import json
+import select
 import socket
 import threading
 
@@ -12,6 +13,7 @@
 from godwitglade.callers import app as callers_app
 from godwitglade.callers import exchanges
 from godwitglade.common import clock
+from godwitglade.daemon import connections
 from godwitglade.daemon import servers
 from godwitglade.decisions import effects
 from godwitglade.decisions import messages
@@ -92,7 +94,9 @@
     )
     with socket.create_server(('127.0.0.1', 0)) as probe:
         port = probe.getsockname()[1]
-    listener = servers.Listener('127.0.0.1', port, app, 4)
+    listener = servers.Listener(
+        '127.0.0.1', port, app, 4, connection_class=HastyConnection
+    )
     running = servers.Servers([listener])
     running.start()
     yield loop, functools.partial(http, port)
@@ -210,6 +214,51 @@
     assert call('POST', PATH, {}, **HEADERS).status == 200
 
 
+class HastyConnection(connections.BoundedConnection):
+    """Gives a request 300 ms to arrive."""
+
+    read_timeout_ms = 300
+
+
+def drip(port, head, gap_s, count, is_half_closed=False):
+    """Send ``head``, then single bytes; return all that is answered."""
+    with socket.create_connection(('127.0.0.1', port), timeout=20) as sock:
+        sock.sendall(head)
+        for _ in range(count):
+            if select.select([sock], [], [], gap_s)[0]:
+                break
+            sock.sendall(b'1')
+        if is_half_closed:
+            sock.shutdown(socket.SHUT_WR)
+        return b''.join(iter(lambda: sock.recv(65_536), b'')).decode()
+
+
+HEAD = (
+    f'POST {PATH} HTTP/1.1\r\nHost: a\r\nX-Workspace: a\r\n'
+    'Content-Length: 50\r\n'
+).encode()
+
+
+@pytest.mark.parametrize(
+    'head, is_half_closed, status, reason',
+    [
+        (HEAD + b'\r\n', False, '408', 'body_too_slow'),
+        (HEAD + b'\r\n123', True, '400', 'body_incomplete'),
+        (HEAD + b'X-Slow: ', False, '408', ''),
+    ],
+    ids=['body', 'cut body', 'head'],
+)
+def test_request_that_does_not_arrive_is_ended(
+    served, head, is_half_closed, status, reason
+):
+    loop, call = served
+    count = 0 if is_half_closed else 1_000
+    answer_ = drip(call.args[0], head, 0.05, count, is_half_closed)
+    assert answer_.startswith(f'HTTP/1.1 {status}')
+    assert reason in answer_
+    assert loop.arrivals == []
+
+
 @pytest.mark.parametrize('path, status', [('healthz', 200), ('readyz', 200)])
 def test_health(served, path, status):
     assert served[1]('GET', f'/{path}').status == status
