--- a/packages/decisions/src/godwitglade/decisions/endings.py
+++ b/packages/decisions/src/godwitglade/decisions/endings.py
@@ -8,6 +8,7 @@
 from godwitglade.decisions import effects
 from godwitglade.decisions import health
 from godwitglade.decisions import jobs
+from godwitglade.decisions import metrics
 from godwitglade.decisions import outcomes
 from godwitglade.decisions import records
 from godwitglade.decisions import suspicion
@@ -65,7 +66,11 @@
     if job.reserved is not None:
         calling.release_slot(context, job.reserved.name)
         job.reserved = None
-    done = [effects.AnswerCaller(job.request_id, outcome), *_logged(outcome)]
+    done = [
+        effects.AnswerCaller(job.request_id, outcome),
+        *_logged(outcome),
+        *metrics.measure_job(job, outcome, now_ms),
+    ]
     if job.is_claim_sent and job.attempts:
         return done
     return [*done, *forget(context, job, outcome, now_ms)]
