Keep the lists of hosts in service until a record changes

Cause: at 770 hosts the timers of a second went over all records several times, to choose pollers and peers. Change: the table keeps both lists until a record changes or a hold ends, and the choice of pollers is kept with them.

--- a/bench/measure/control.py
+++ b/bench/measure/control.py
@@ -24,7 +24,11 @@
 from bench.measure import spread
 from godwitglade.coordination import bodies
 from godwitglade.coordination import effects
+from godwitglade.coordination import facts
 from godwitglade.coordination import hosts as identities
+from godwitglade.coordination import membership
+from godwitglade.coordination import messages
+from godwitglade.coordination import spread as documents
 from godwitglade.daemon import peer_codec
 from godwitglade.peers import codec as codecs
 
@@ -229,7 +233,11 @@
     for host_count in (9, 48, 192, 770):
         node, exchange = _lone_host(host_count)
         spent_us = _time_exchange(node, exchange)
-        print(f'exchange with {host_count} hosts known: {spent_us:.0f} us')
+        tick_us = _time_ticks(node)
+        print(
+            f'{host_count} hosts known: an exchange {spent_us:.0f} us,'
+            f' the timers of a second {tick_us:.0f} us'
+        )
     print(f'memory a host: {_host_bytes():.0f} bytes')
     print(f'memory a fact: {_fact_bytes():.0f} bytes')
     print(f'memory a workspace in use: {_usage_bytes():.0f} bytes')
@@ -264,6 +272,16 @@
     return 1e6 * (time.perf_counter() - started_s) / rounds
 
 
+def _time_ticks(node: fleet.Node) -> float:
+    rounds = 200
+    tokens = (membership.TICK_TOKEN, documents.TICK_TOKEN, facts.TICK_TOKEN)
+    fired = [messages.TimerFired(token) for token in tokens]
+    started_s = time.perf_counter()
+    for part, message in itertools.product(node.parts, fired * rounds):
+        part.handle(message, 3_000)
+    return 1e6 * (time.perf_counter() - started_s) / rounds
+
+
 def _codec_us() -> float:
     _, exchange = _lone_host(9)
     codec = peer_codec.make_codec()
@@ -281,7 +299,7 @@
     def fill(count: int) -> None:
         for record in itertools.islice(_records(count), count):
             node.members.table.merge(record, 0, is_news=False)
-            node.members.table.hear(record.host.name, 1, 0)
+            node.members.table.hear(record.host, 1, 0)
 
     return _bytes_each(fill)
 
--- a/packages/coordination/src/godwitglade/coordination/facts.py
+++ b/packages/coordination/src/godwitglade/coordination/facts.py
@@ -238,7 +238,7 @@
         ]
 
     def _tell_usage(self, now_ms: int) -> Effects:
-        host_count = len(self._membership.live())
+        host_count = len(self._membership.serving())
         news = self._usage.news(host_count, now_ms)
         return [
             effects.Deliver(
--- a/packages/coordination/src/godwitglade/coordination/heads.py
+++ b/packages/coordination/src/godwitglade/coordination/heads.py
@@ -1,10 +1,10 @@
 """Reading the head of the change log, by a few hosts of each zone."""
 
+from godwitglade.coordination import bodies
 from godwitglade.coordination import change_rows
 from godwitglade.coordination import effects
 from godwitglade.coordination import hashing
 from godwitglade.coordination import hosts
-from godwitglade.coordination import members
 from godwitglade.coordination import platform_rows
 from godwitglade.coordination import rows
 
@@ -24,16 +24,24 @@
     def __init__(self, self_id: hosts.HostId) -> None:
         self._self_id = self_id
         self._is_asked = False
+        self._serving: tuple[bodies.MemberRecord, ...] = ()
+        self._is_poller = False
         self.has_failed = False
         self.sequence = 0
 
-    def is_poller(self, live: tuple[members.Member, ...]) -> bool:
+    def is_poller(self, serving: tuple[bodies.MemberRecord, ...]) -> bool:
         """Tell whether this host is to read the head regularly."""
+        if serving is not self._serving:
+            self._serving = serving
+            self._is_poller = self._is_chosen(serving)
+        return self._is_poller
+
+    def _is_chosen(self, serving: tuple[bodies.MemberRecord, ...]) -> bool:
         zone = self._self_id.zone
         near = [
-            member.host.name for member in live if member.host.zone == zone
+            record.host.name for record in serving if record.host.zone == zone
         ]
-        zone_count = len({member.host.zone for member in live})
+        zone_count = len({record.host.zone for record in serving})
         share = READS_PER_S // max(1, zone_count)
         count = max(POLLERS_PER_ZONE, share)
         chosen = hashing.choose(f'pollers:{zone}', near, count)
--- a/packages/coordination/src/godwitglade/coordination/members.py
+++ b/packages/coordination/src/godwitglade/coordination/members.py
@@ -1,6 +1,7 @@
 """The table of hosts: records, suspicion and damping of flapping hosts."""
 
 import collections
+import math
 
 import attrs
 
@@ -67,6 +68,9 @@
         self._suspects_ms: dict[str, int] = {}
         self._returns: dict[str, collections.deque] = {}
         self._held_until_ms: dict[str, int] = {}
+        self._serving: tuple[bodies.MemberRecord, ...] | None = None
+        self._serving_until_ms = math.inf
+        self._peers: list[bodies.MemberRecord] | None = None
         self.records.merge(own.host.name, own)
 
     @property
@@ -87,6 +91,7 @@
             return False
         if not self.records.merge(name, record, is_news):
             return False
+        self._serving = self._peers = None
         self._note_state(name, held, record, now_ms)
         return True
 
@@ -149,20 +154,37 @@
         """Return hosts that are live or only suspected, without flapping."""
         return tuple(
             self._member(record)
-            for record in self.records
+            for record in self.serving(now_ms)
             if zone is None or record.host.zone == zone
-            if is_serving(record)
-            if self._held_until_ms.get(record.host.name, now_ms) <= now_ms
         )
 
+    def serving(self, now_ms: int) -> tuple[bodies.MemberRecord, ...]:
+        """Return the records of `live`; the same tuple until one changes."""
+        if self._serving is None or now_ms >= self._serving_until_ms:
+            held_ms = [
+                until_ms
+                for until_ms in self._held_until_ms.values()
+                if until_ms > now_ms
+            ]
+            self._serving_until_ms = min(held_ms, default=math.inf)
+            self._serving = tuple(
+                record
+                for record in self.records
+                if is_serving(record)
+                if self._held_until_ms.get(record.host.name, 0) <= now_ms
+            )
+        return self._serving
+
     def peers(self) -> list[bodies.MemberRecord]:
         """Return the records of the other hosts that may be contacted."""
-        return [
-            record
-            for record in self.records
-            if record.host.name != self.own_name
-            if record.state is not bodies.MemberState.GONE
-        ]
+        if self._peers is None:
+            self._peers = [
+                record
+                for record in self.records
+                if record.host.name != self.own_name
+                if record.state is not bodies.MemberState.GONE
+            ]
+        return self._peers
 
     def gone(self) -> list[bodies.MemberRecord]:
         """Return the records of the hosts that are gone."""
@@ -210,6 +232,7 @@
 
     def _forget(self, name: str) -> None:
         self.records.discard(name)
+        self._serving = self._peers = None
         for kept in (
             self._heard,
             self._gone_ms,
--- a/packages/coordination/src/godwitglade/coordination/membership.py
+++ b/packages/coordination/src/godwitglade/coordination/membership.py
@@ -102,6 +102,10 @@
         """Return the hosts in service, this one included, maybe by zone."""
         return self.table.live(zone, self._now_ms)
 
+    def serving(self) -> tuple[bodies.MemberRecord, ...]:
+        """Return the records of `live`; the same tuple until one changes."""
+        return self.table.serving(self._now_ms)
+
     def all_members(self) -> tuple[Member, ...]:
         """Return every host known, whatever its state."""
         return self.table.all()
--- a/packages/coordination/src/godwitglade/coordination/spread.py
+++ b/packages/coordination/src/godwitglade/coordination/spread.py
@@ -165,8 +165,8 @@
         jitter_ms = self._random.randrange(self._settings.interval_ms // 5)
         next_ms = now_ms + self._settings.interval_ms - jitter_ms
         found: Effects = [effects.StartTimer(TICK_TOKEN, next_ms)]
-        live = self._membership.live()
-        if not self._is_ready or self._head.is_poller(live):
+        serving = self._membership.serving()
+        if not self._is_ready or self._head.is_poller(serving):
             found += self._head.read()
         if self._is_ready:
             found += self._fetch_missing(now_ms)
@@ -353,7 +353,7 @@
         )
         if not is_current or not self._snapshots.is_due(self.sequence, now_ms):
             return []
-        names = [member.host.name for member in self._membership.live()]
+        names = [record.host.name for record in self._membership.serving()]
         snapshot = snapshots.Snapshot(self.sequence, self.held())
         return self._snapshots.write(snapshot, names, now_ms)
 
