--- a/bench/measure/control.py
+++ b/bench/measure/control.py
@@ -35,7 +35,6 @@
 #: 32,000 changes a day as a rate.
 CHANGES_PER_S = 32_000 / 86_400
 SETTLE_S = 8
-WARM_MS = 60_000
 
 #: Headers of a request and a reply between hosts, and of TCP and IP for
 #: one exchange on a connection of its own: 10 segments.
@@ -153,6 +152,7 @@
     times_rate: float = 0.0,
     restarts: Number = 0,
     usage: Number = 0,
+    warm_s: Number = 60,
     workspaces: Number = 5,
     whole: bool = False,
     seed: Number = 1,
@@ -160,7 +160,7 @@
     """Count messages and bytes of the parts in virtual time."""
     made = fleet.Fleet(hosts, zones, 0.01, seed)
     made.store.change(spread.PIPELINE, spread.make_text(0, workspaces))
-    made.run(WARM_MS)
+    made.run(warm_s * 1_000)
     meter = Meter()
     made.on_message = meter.take
     change_count = round(seconds * CHANGES_PER_S * times_rate)
