--- a/bench/measure/control.py
+++ b/bench/measure/control.py
@@ -24,14 +24,17 @@
 from bench.measure import spread
 from godwitglade.coordination import bodies
 from godwitglade.coordination import effects
+from godwitglade.coordination import facts
 from godwitglade.coordination import hosts as identities
+from godwitglade.coordination import membership
+from godwitglade.coordination import messages
+from godwitglade.coordination import spread as documents
 from godwitglade.daemon import peer_codec
 from godwitglade.peers import codec as codecs
 
 #: 32,000 changes a day as a rate.
 CHANGES_PER_S = 32_000 / 86_400
 SETTLE_S = 8
-WARM_MS = 60_000
 
 #: Headers of a request and a reply between hosts, and of TCP and IP for
 #: one exchange on a connection of its own: 10 segments.
@@ -149,6 +152,7 @@
     times_rate: float = 0.0,
     restarts: Number = 0,
     usage: Number = 0,
+    warm_s: Number = 60,
     workspaces: Number = 5,
     whole: bool = False,
     seed: Number = 1,
@@ -156,7 +160,7 @@
     """Count messages and bytes of the parts in virtual time."""
     made = fleet.Fleet(hosts, zones, 0.01, seed)
     made.store.change(spread.PIPELINE, spread.make_text(0, workspaces))
-    made.run(WARM_MS)
+    made.run(warm_s * 1_000)
     meter = Meter()
     made.on_message = meter.take
     change_count = round(seconds * CHANGES_PER_S * times_rate)
@@ -229,7 +233,11 @@
     for host_count in (9, 48, 192, 770):
         node, exchange = _lone_host(host_count)
         spent_us = _time_exchange(node, exchange)
-        print(f'exchange with {host_count} hosts known: {spent_us:.0f} us')
+        tick_us = _time_ticks(node)
+        print(
+            f'{host_count} hosts known: an exchange {spent_us:.0f} us,'
+            f' the timers of a second {tick_us:.0f} us'
+        )
     print(f'memory a host: {_host_bytes():.0f} bytes')
     print(f'memory a fact: {_fact_bytes():.0f} bytes')
     print(f'memory a workspace in use: {_usage_bytes():.0f} bytes')
@@ -264,6 +272,16 @@
     return 1e6 * (time.perf_counter() - started_s) / rounds
 
 
+def _time_ticks(node: fleet.Node) -> float:
+    rounds = 200
+    tokens = (membership.TICK_TOKEN, documents.TICK_TOKEN, facts.TICK_TOKEN)
+    fired = [messages.TimerFired(token) for token in tokens]
+    started_s = time.perf_counter()
+    for part, message in itertools.product(node.parts, fired * rounds):
+        part.handle(message, 3_000)
+    return 1e6 * (time.perf_counter() - started_s) / rounds
+
+
 def _codec_us() -> float:
     _, exchange = _lone_host(9)
     codec = peer_codec.make_codec()
@@ -281,7 +299,7 @@
     def fill(count: int) -> None:
         for record in itertools.islice(_records(count), count):
             node.members.table.merge(record, 0, is_news=False)
-            node.members.table.hear(record.host.name, 1, 0)
+            node.members.table.hear(record.host, 1, 0)
 
     return _bytes_each(fill)
 
