Close connections after a body that was not read

Cause: after an early answer (401, 403, 404, a bad header) the server read the rest of the body into memory, whatever length was declared, and took an unread chunked body for the connection's next request. Change: ClosingRequest closes the connection when body bytes are left. Conclusion: an early answer costs the host nothing of the body.

--- a/packages/daemon/src/godwitglade/daemon/connections.py
+++ b/packages/daemon/src/godwitglade/daemon/connections.py
@@ -52,17 +52,25 @@
 
 
 class ClosingRequest(server.HTTPRequest):
-    """A request whose application may ask to close the connection.
+    """A request whose connection closes after an unread body.
 
-    The server itself would first read the rest of the body.
+    The server itself would first read the rest of the body into memory,
+    whatever length the client declared. The application may ask to close
+    the connection, too.
     """
 
     def send_headers(self) -> None:
         """Send status and headers."""
-        if (b'Connection', b'close') in self.outheaders:
+        is_asked = (b'Connection', b'close') in self.outheaders
+        if is_asked or self._is_body_unread():
             self.close_connection = True
         super().send_headers()
 
+    def _is_body_unread(self) -> bool:
+        if self.chunked_read:
+            return not self.rfile.closed
+        return getattr(self.rfile, 'remaining', 0) > 0
+
 
 class BoundedConnection(server.HTTPConnection):
     """A connection each of whose requests is read within a bound."""
