Set a socket's timeout only when it matters

Cause: each settimeout is a system call that hands over the interpreter lock, once for every piece of a stream. Change: a wait may end up to 20 ms late; the timeout is set less often.

--- a/packages/targets/src/godwitglade/targets/connections.py
+++ b/packages/targets/src/godwitglade/targets/connections.py
@@ -22,6 +22,8 @@
 MAX_IDLE_MS = 15_000
 #: A connection heard from within this time is proven alive.
 PROVEN_ALIVE_MS = 300
+#: How much later than asked for a wait may end.
+WAIT_SLACK_MS = 20
 
 _DISCARD_ON_CLOSE = struct.pack('ii', 1, 0)
 
@@ -36,6 +38,7 @@
         )
         self._clock = clock
         self._socket: socket.socket | None = None
+        self._wait_ms = 0
         self.opened_ms = 0
         self.heard_ms = 0
 
@@ -67,13 +70,22 @@
 
         Raises TimeoutError when no byte came within ``timeout_ms``.
         """
+        self._wait_ms = timeout_ms
         self._http.timeout = timeout_ms / clocks.SECOND_MS
         response = self._http.getresponse()
         self.mark_heard()
         return response
 
     def limit_wait(self, timeout_ms: int) -> None:
-        """Bound the wait for the next bytes."""
+        """Bound the wait for the next bytes, WAIT_SLACK_MS too late at most.
+
+        Each change of a socket's timeout is a system call that hands the
+        interpreter lock to another thread.
+        """
+        slack_ms = self._wait_ms - timeout_ms
+        if 0 <= slack_ms <= WAIT_SLACK_MS:
+            return
+        self._wait_ms = timeout_ms
         # The socket outlives http.client's own reference to it when the
         # reply says that the connection will close.
         self._socket.settimeout(max(timeout_ms, 1) / clocks.SECOND_MS)
