--- a/packages/decisions/src/godwitglade/decisions/calling.py
+++ b/packages/decisions/src/godwitglade/decisions/calling.py
@@ -1,9 +1,12 @@
 """Sending attempts to targets and taking them back."""
 
 from godwitglade.coordination import effects as coordination_effects
+from godwitglade.decisions import admission
 from godwitglade.decisions import context as contexts
 from godwitglade.decisions import directory
 from godwitglade.decisions import effects
+from godwitglade.decisions import estimates
+from godwitglade.decisions import health
 from godwitglade.decisions import jobs
 from godwitglade.decisions import outcomes
 from godwitglade.decisions import payloads
@@ -28,6 +31,7 @@
         is_hedge=is_hedge,
         feed=streams.StreamFeed(job.text) if job.is_streamed else None,
     )
+    admission.sent(context, job)
     job.attempts[attempt.attempt_id] = attempt
     context.attempts[attempt.attempt_id] = job
     tracked.in_flight += 1
@@ -35,13 +39,17 @@
     job.stage_attempts += 1
     if job.stage.name not in job.ran:
         job.ran.append(job.stage.name)
-    watch_ms = now_ms + timeout_ms + TIMEOUT_GRACE_MS
     return [
         _call(context, job, attempt),
-        *timer('watch', attempt.attempt_id, watch_ms),
+        *timer('watch', attempt.attempt_id, attempt.sent_ms),
     ]
 
 
+def ends_ms(attempt: jobs.Attempt) -> int:
+    """Return when an attempt ends although the transport has not said so."""
+    return attempt.sent_ms + attempt.timeout_ms + TIMEOUT_GRACE_MS
+
+
 def close(
     context: contexts.Context, job: jobs.Job, attempt: jobs.Attempt
 ) -> None:
@@ -87,20 +95,28 @@
     return [coordination_effects.StartTimer(token, due_ms)]
 
 
+def sketch_of(
+    context: contexts.Context, job: jobs.Job
+) -> estimates.DurationSketch:
+    """Return the measured times to the first byte of the job's stage."""
+    pipeline, name = job.document.pipeline, job.stage.name
+    if job.is_streamed:
+        return context.times.first_byte(pipeline, name)
+    return context.times.whole(pipeline, name)
+
+
 def first_byte_ms(
     context: contexts.Context, job: jobs.Job, timeout_ms: int
 ) -> int:
     """Return how long the first byte of a reply may take.
 
     The bound comes from the stage's own measured times; without enough of
-    them it is the whole timeout.
+    them, or in a busy pool, it is the whole timeout.
     """
-    sketch = (
-        context.times.first_byte(job.document.pipeline, job.stage.name)
-        if job.is_streamed
-        else context.times.whole(job.document.pipeline, job.stage.name)
-    )
-    if sketch.count < MIN_SAMPLES:
+    sketch = sketch_of(context, job)
+    if not sketch.is_ready or not job.stage.is_repeatable:
+        return timeout_ms
+    if health.is_busy(context.directory.pool(job.stage.pool)):
         return timeout_ms
     slowest_ms = FIRST_BYTE_FACTOR * sketch.quantile_ms(0.99)
     least_ms = context.settings.min_first_byte_ms
@@ -110,11 +126,8 @@
 #: A call that the transport has not ended by itself is ended after this.
 TIMEOUT_GRACE_MS = 50
 
-#: Samples before a measured time is used.
-MIN_SAMPLES = 20
-
 #: A first byte may take this many times the 99th percentile.
-FIRST_BYTE_FACTOR = 3.0
+FIRST_BYTE_FACTOR = 5.0
 
 
 def _call(
--- a/packages/decisions/src/godwitglade/decisions/directory.py
+++ b/packages/decisions/src/godwitglade/decisions/directory.py
@@ -2,18 +2,27 @@
 
 import attrs
 
+from godwitglade.common import clock
 from godwitglade.decisions import targets
 
+DAY_MS = clock.DAY_MS
+
 #: In-flight limit of a target before anything was measured.
-INITIAL_LIMIT = 8.0
+INITIAL_LIMIT = 2.0
 
 
 @attrs.define(eq=False, slots=True)
 class TrackedTarget:
     """A target with what this host knows of it.
 
-    ``limit`` bounds this host's own calls in flight. ``silent`` counts
-    probes that failed one after another. Times are None when not so.
+    ``limit`` bounds this host's own calls in flight. ``told_out`` is when
+    other hosts said that they ejected it. ``failures`` counts calls that
+    failed one after another, ``overdue`` recent calls that took far too
+    long; ``slowness`` is the mean of ``samples`` times over what their
+    stage usually takes. While ejected, the target is probed from
+    ``probe_at_ms`` on, and then takes one call at a time on trial.
+    ``is_suspect`` asks for its open connections to be dropped once a probe
+    on a new one succeeds.
     """
 
     target: targets.Target
@@ -24,20 +33,30 @@
     is_listed: bool = True
     is_listed_leaving: bool = False
     told_leaving_until_ms: int | None = None
-    ejected_until_ms: int | None = None
-    silent: int = 0
+    busy_until_ms: int = 0
+    is_ejected: bool = False
+    is_on_trial: bool = False
+    last_ejected_ms: int = -DAY_MS
+    out_ms: int = 0
+    probe_at_ms: int = 0
     probe_sent_ms: int | None = None
+    is_suspect: bool = False
     failures: int = 0
+    overdue: float = 0.0
+    told_out: dict[str, int] = attrs.Factory(dict)
+    slowness: float = 1.0
+    samples: int = 0
 
     @property
     def name(self) -> str:
         """Return the target's name."""
         return self.target.name
 
-    @property
-    def has_room(self) -> bool:
+    def has_room(self, now_ms: int) -> bool:
         """Tell whether this host may have one more call in flight."""
-        return self.in_flight < max(1, int(self.limit))
+        is_paused = now_ms < self.busy_until_ms
+        limit = 1.0 if self.is_on_trial else self.limit
+        return not is_paused and self.in_flight < limit
 
     def is_leaving(self, now_ms: int) -> bool:
         """Tell whether any sign says that the target takes no new work."""
@@ -46,14 +65,9 @@
         until_ms = self.told_leaving_until_ms
         return until_ms is not None and now_ms < until_ms
 
-    def is_ejected(self, now_ms: int) -> bool:
-        """Tell whether the target is out as an outlier."""
-        until_ms = self.ejected_until_ms
-        return until_ms is not None and now_ms < until_ms
-
     def takes_work(self, now_ms: int) -> bool:
         """Tell whether new work may go to the target."""
-        return not self.is_leaving(now_ms) and not self.is_ejected(now_ms)
+        return not self.is_leaving(now_ms) and not self.is_ejected
 
 
 @attrs.define(eq=False)
--- a/packages/decisions/src/godwitglade/decisions/estimates.py
+++ b/packages/decisions/src/godwitglade/decisions/estimates.py
@@ -8,8 +8,14 @@
 _GROWTH = 1.15
 _BOUNDS_MS = tuple(_GROWTH**n for n in range(92))
 
+#: Weight of a new sample in the mean.
+_MEAN_GAIN = 0.1
+
+#: Samples before a measured time is used.
+MIN_SAMPLES = 10
+
 #: All weights are halved after this many samples.
-_WINDOW = 512
+_WINDOW = 32
 
 
 @attrs.define(eq=False)
@@ -25,7 +31,7 @@
         index = bisect.bisect_left(_BOUNDS_MS, elapsed_ms)
         self._weights[min(index, len(_BOUNDS_MS) - 1)] += 1.0
         self._total += 1.0
-        gain = max(1.0 / self._total, 0.02)
+        gain = max(1.0 / self._total, _MEAN_GAIN)
         self.mean_ms += gain * (elapsed_ms - self.mean_ms)
         if self._total >= 2 * _WINDOW:
             self._weights = [weight / 2 for weight in self._weights]
@@ -36,6 +42,11 @@
         """Return how many recent samples there are."""
         return self._total
 
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether there are enough samples to go by."""
+        return self._total >= MIN_SAMPLES
+
     def quantile_ms(self, share: float) -> float:
         """Return the duration that ``share`` of samples do not exceed."""
         wanted = share * self._total
@@ -53,6 +64,12 @@
 
     _whole: dict[tuple[str, str], DurationSketch] = attrs.Factory(dict)
     _first: dict[tuple[str, str], DurationSketch] = attrs.Factory(dict)
+    _pace: dict[tuple[str, str], DurationSketch] = attrs.Factory(dict)
+
+    def pace(self, pipeline: str, stage: str) -> DurationSketch:
+        """Return the sketch of milliseconds a character of a stage."""
+        key = (pipeline, stage)
+        return self._pace.setdefault(key, DurationSketch())
 
     def whole(self, pipeline: str, stage: str) -> DurationSketch:
         """Return the sketch of whole calls of a stage."""
--- a/packages/decisions/src/godwitglade/decisions/replies.py
+++ b/packages/decisions/src/godwitglade/decisions/replies.py
@@ -8,6 +8,7 @@
 from godwitglade.decisions import context as contexts
 from godwitglade.decisions import effects
 from godwitglade.decisions import endings
+from godwitglade.decisions import health
 from godwitglade.decisions import jobs
 from godwitglade.decisions import messages
 from godwitglade.decisions import outcomes
@@ -70,10 +71,14 @@
     if feed is None:
         return _broken(context, job, attempt, now_ms)
     if not attempt.has_begun:
-        attempt.has_begun = True
         _first_byte(context, job, attempt, now_ms)
     others = _cancel_others(context, job, attempt)
     feed.add(message.offset, message.text)
+    if not attempt.has_begun:
+        attempt.begun_ms = now_ms
+        attempt.begun_length = len(feed.text)
+        attempt.marked_ms = now_ms
+        attempt.marked_length = len(feed.text)
     sent = [] if job.is_answered else _pass_on(job, feed.text)
     return [*others, *sent, *_check(context, job, attempt, now_ms)]
 
@@ -114,7 +119,33 @@
     if message.kind is messages.FaultKind.REJECTED:
         reason = outcomes.Failure.TARGET_ERROR
         return endings.give_up(context, job, reason, now_ms)
-    return stages.retry(context, job, reason_of(message.kind), now_ms)
+    if message.kind is messages.FaultKind.BUSY:
+        return _bounced(context, job, attempt, now_ms)
+    return stages.retry(
+        context,
+        job,
+        reason_of(message.kind),
+        now_ms,
+        is_free=not message.was_sent,
+    )
+
+
+def _bounced(
+    context: contexts.Context,
+    job: jobs.Job,
+    attempt: jobs.Attempt,
+    now_ms: int,
+) -> contexts.Effects:
+    """Let a job wait again that a target did not run for want of room."""
+    if job.attempts:
+        return []
+    job.bounces += 1
+    job.stage_attempts -= 1
+    job.tried.discard(attempt.target.name)
+    if job.bounces <= MAX_BOUNCES:
+        return stages.place(context, job, now_ms)
+    reason = outcomes.Failure.OUT_OF_ATTEMPTS
+    return endings.give_up(context, job, reason, now_ms, retry_after_ms=500)
 
 
 def reason_of(kind: messages.FaultKind) -> str:
@@ -143,7 +174,14 @@
 ) -> contexts.Effects:
     pipeline = job.document.pipeline
     elapsed_ms = now_ms - attempt.sent_ms
-    context.times.whole(pipeline, attempt.stage).add(elapsed_ms)
+    sketch = context.times.whole(pipeline, attempt.stage)
+    tracked = context.directory.by_name.get(attempt.target.name)
+    if tracked is not None:
+        ratio = elapsed_ms / sketch.mean_ms if sketch.is_ready else 1.0
+        health.succeeded(tracked, ratio)
+    if health.is_usual(context, tracked):
+        sketch.add(elapsed_ms)
+        _note_pace(context, job, attempt, now_ms)
     calling.close(context, job, attempt)
     return stages.complete(context, job, output, attempt.target.name, now_ms)
 
@@ -154,8 +192,22 @@
     attempt: jobs.Attempt,
     now_ms: int,
 ) -> None:
-    sketch = context.times.first_byte(job.document.pipeline, attempt.stage)
-    sketch.add(now_ms - attempt.sent_ms)
+    tracked = context.directory.by_name.get(attempt.target.name)
+    if health.is_usual(context, tracked) and not tracked.is_on_trial:
+        name = job.document.pipeline
+        sketch = context.times.first_byte(name, attempt.stage)
+        sketch.add(now_ms - attempt.sent_ms)
+
+
+def _note_pace(
+    context: contexts.Context,
+    job: jobs.Job,
+    attempt: jobs.Attempt,
+    now_ms: int,
+) -> None:
+    if attempt.has_begun:
+        pace = context.times.pace(job.document.pipeline, attempt.stage)
+        pace.add(attempt.pace_ms(now_ms))
 
 
 def _pass_on(job: jobs.Job, text: str) -> contexts.Effects:
@@ -163,6 +215,8 @@
     if len(text) <= offset:
         return []
     job.text = text
+    if not job.is_passed_on:
+        return []
     return [effects.SendPiece(job.request_id, offset, text[offset:])]
 
 
@@ -190,10 +244,12 @@
     calling.close(context, job, attempt)
     cancelled = effects.CancelCall(attempt.attempt_id, attempt.target)
     reason = outcomes.Failure.BROKEN_STREAM
-    if not job.stage.is_repeatable or job.text:
+    is_seen = bool(job.text) and job.is_passed_on
+    if not job.stage.is_repeatable or is_seen:
         # Text that the caller has seen cannot be taken back.
         ended = endings.give_up(context, job, reason, now_ms)
         return [cancelled, *ended]
+    job.text = ''
     return [cancelled, *stages.retry(context, job, reason, now_ms)]
 
 
@@ -206,6 +262,9 @@
     return [effects.CancelCall(a.attempt_id, a.target) for a in others]
 
 
+#: Refusals as busy after which a job is given up.
+MAX_BOUNCES = 16
+
 _REASONS = {
     messages.FaultKind.TIMEOUT: outcomes.Failure.DEADLINE,
     messages.FaultKind.ERROR: outcomes.Failure.TARGET_ERROR,
