Bound a request's deadline by its document

Cause: a request without X-Deadline-Ms got ten minutes; with the table service dropping connections an activation waited that long for its claim. Change: the door takes the smaller deadline; a refusal for an unavailable store says when to come back; CherryPy's access log is off.

--- a/packages/common/src/godwitglade/common/web.py
+++ b/packages/common/src/godwitglade/common/web.py
@@ -70,6 +70,7 @@
     app = cherrypy.Application(root, '', config)
     # The structured log replaces CherryPy's access and error logs.
     app.log.screen = False
+    app.log.access = _log_nothing
     return app
 
 
@@ -119,3 +120,7 @@
 def _error_page(status: str, **_context: str) -> bytes:
     cherrypy.response.headers['Content-Type'] = JSON
     return error_body(RequestError(status))
+
+
+def _log_nothing() -> None:
+    return None
--- a/packages/decisions/src/godwitglade/decisions/admitting.py
+++ b/packages/decisions/src/godwitglade/decisions/admitting.py
@@ -27,8 +27,10 @@
     if reason is not None:
         return Rejection(reason, _RETRY_AFTER_MS.get(reason, 0))
     priority = request.priority or document.default_priority
+    longest_ms = now_ms + document.deadline_ms
+    deadline_ms = min(request.deadline_ms, longest_ms)
     job = jobs.Job(
-        request=request,
+        request=attrs.evolve(request, deadline_ms=deadline_ms),
         document=document,
         rank=document.priorities[priority],
         arrived_ms=now_ms,
--- a/packages/decisions/src/godwitglade/decisions/stages.py
+++ b/packages/decisions/src/godwitglade/decisions/stages.py
@@ -230,10 +230,13 @@
     job: jobs.Job,
     now_ms: int,
 ) -> contexts.Effects:
+    retry_after_ms = 0
     if step.reason == outcomes.Failure.STORE_UNAVAILABLE:
-        backoff_ms = context.settings.store_backoff_ms
-        context.store_down_until_ms = now_ms + backoff_ms
-    return endings.give_up(context, job, step.reason, now_ms, step.refusal)
+        retry_after_ms = context.settings.store_backoff_ms
+        context.store_down_until_ms = now_ms + retry_after_ms
+    return endings.give_up(
+        context, job, step.reason, now_ms, step.refusal, retry_after_ms
+    )
 
 
 @follow.register
--- a/tests/decisions/test_requests.py
+++ b/tests/decisions/test_requests.py
@@ -292,3 +292,21 @@
         made.send(f'r{number + 1}')
     later = [call.target for call in list(made.calls.values())[1:]]
     assert leaving.target not in later
+
+
+def test_document_bounds_the_deadline_of_a_request():
+    made = two_stages()
+    made.send(deadline_ms=600_000)
+    made.advance(4_999)
+    assert made.of(effects.AnswerCaller) == []
+    made.advance(1)
+    assert made.outcome().reason == outcomes.Failure.DEADLINE
+
+
+def test_refusal_for_an_unavailable_store_says_when_to_come_back():
+    stage = rig.stage('activate', is_repeatable=False)
+    made = rig.Rig(stage, table=rig.Table(is_down=True))
+    made.send(idempotency_key='k1')
+    refused = made.outcome()
+    assert refused.reason == outcomes.Refusal.STORE_UNAVAILABLE
+    assert refused.retry_after_ms > 0
