Use proven connections for every attempt but the first

Cause: when connections to all targets went silent at once, the retry waited on a silent connection to the second target as well. Change: calls after a stage's first attempt need a proven connection.

--- a/packages/decisions/src/godwitglade/decisions/calling.py
+++ b/packages/decisions/src/godwitglade/decisions/calling.py
@@ -50,6 +50,15 @@
     return attempt.sent_ms + attempt.timeout_ms + TIMEOUT_GRACE_MS
 
 
+def needs_fresh_connection(job: jobs.Job) -> bool:
+    """Tell whether a call must not use a connection long unheard from.
+
+    What silences one connection mostly silences all of the same age, those
+    to other targets included.
+    """
+    return not job.stage.is_repeatable or job.stage_attempts > 1
+
+
 def close(
     context: contexts.Context, job: jobs.Job, attempt: jobs.Attempt
 ) -> None:
@@ -149,5 +158,5 @@
         resume_offset=len(job.text) if job.is_streamed else 0,
         prefix=job.text if job.is_streamed else '',
         priority=job.rank,
-        needs_fresh_connection=not stage.is_repeatable,
+        needs_fresh_connection=needs_fresh_connection(job),
     )
--- a/tests/decisions/test_requests.py
+++ b/tests/decisions/test_requests.py
@@ -310,3 +310,14 @@
     refused = made.outcome()
     assert refused.reason == outcomes.Refusal.STORE_UNAVAILABLE
     assert refused.retry_after_ms > 0
+
+
+def test_second_attempt_avoids_connections_long_unheard_from():
+    made = two_stages()
+    made.send()
+    first = made.last_call
+    made.fault(first, Fault.SILENT)
+    second = made.last_call
+    assert second.target != first.target
+    fresh = [c.needs_fresh_connection for c in (first, second)]
+    assert fresh == [False, True]
