--- a/bench/measure/control.py
+++ b/bench/measure/control.py
@@ -29,7 +29,11 @@
 from godwitglade.coordination import membership
 from godwitglade.coordination import messages
 from godwitglade.coordination import spread as documents
+from godwitglade.coordination import versioned
 from godwitglade.daemon import peer_codec
+from godwitglade.decisions import directory
+from godwitglade.decisions import targets
+from godwitglade.operators import parsing
 from godwitglade.peers import codec as codecs
 
 #: 32,000 changes a day as a rate.
@@ -241,6 +245,10 @@
     print(f'memory a host: {_host_bytes():.0f} bytes')
     print(f'memory a fact: {_fact_bytes():.0f} bytes')
     print(f'memory a workspace in use: {_usage_bytes():.0f} bytes')
+    print(f'memory a target: {_target_bytes():.0f} bytes')
+    for count in (5, 343):
+        used = _document_bytes(count)
+        print(f'memory a document of {count} workspaces: {used:.0f} bytes')
     print(f'codec an exchange, both ways: {_codec_us():.0f} us')
 
 
@@ -326,6 +334,34 @@
     return _bytes_each(fill)
 
 
+def _target_bytes() -> float:
+    known = directory.Directory()
+
+    def fill(count: int) -> None:
+        known.replace(
+            tuple(
+                targets.Target(f't-{n}', 'llm', 'north', f'10.0.0.1:{n}')
+                for n in range(count)
+            )
+        )
+
+    return _bytes_each(fill)
+
+
+def _document_bytes(workspaces: int) -> float:
+    texts = versioned.VersionedTexts()
+    parsed = []
+
+    def fill(count: int) -> None:
+        for number in range(count):
+            text = spread.make_text(number, workspaces)
+            held = bodies.HeldDocument(f'p-{number}', 1, number, text)
+            texts.restore(held)
+            parsed.append(parsing.parse_document(text))
+
+    return _bytes_each(fill, 35)
+
+
 def _bytes_each(
     fill: typing.Callable[[int], None], count: int = 4_000
 ) -> float:
