--- a/packages/decisions/src/godwitglade/decisions/admitting.py
+++ b/packages/decisions/src/godwitglade/decisions/admitting.py
@@ -28,8 +28,10 @@
         left_ms = context.quarantine.ends_in_ms(request.fingerprint, now_ms)
         return Rejection(reason, _RETRY_AFTER_MS.get(reason, left_ms))
     priority = request.priority or document.default_priority
+    longest_ms = now_ms + document.deadline_ms
+    deadline_ms = min(request.deadline_ms, longest_ms)
     job = jobs.Job(
-        request=request,
+        request=attrs.evolve(request, deadline_ms=deadline_ms),
         document=document,
         rank=document.priorities[priority],
         arrived_ms=now_ms,
