Send the same prompt beginning to the same engines

Cause: most prompts met an engine that did not hold their prefix. Change: engines are ranked for a prefix by rendezvous hashing; the first of three with room and no more than 1.25 times the mean load is chosen.

--- a/bench/measure/baselines.py
+++ b/bench/measure/baselines.py
@@ -20,7 +20,7 @@
         self,
         candidates: list[directory.TrackedTarget],
         zone: str,
-        affinity: str,
+        prefix: str,
         now_ms: int,
     ) -> directory.TrackedTarget | None:
         """Return the next candidate in turn."""
@@ -36,7 +36,7 @@
         self,
         candidates: list[directory.TrackedTarget],
         zone: str,
-        affinity: str,
+        prefix: str,
         now_ms: int,
     ) -> directory.TrackedTarget | None:
         """Return the candidate with the fewest own calls."""
--- a/packages/decisions/src/godwitglade/decisions/balance.py
+++ b/packages/decisions/src/godwitglade/decisions/balance.py
@@ -5,8 +5,15 @@
 
 import attrs
 
+from godwitglade.decisions import affinity
 from godwitglade.decisions import directory
 
+#: An engine is passed over when it is fuller than this times the mean.
+LOAD_BOUND = 1.25
+LOAD_SLACK = 0.1
+#: Engines that one prefix may use before the choice is by load alone.
+MAX_RANK = 3
+
 #: A reported load counts half after this time.
 LOAD_HALF_LIFE_MS = 500
 
@@ -18,7 +25,7 @@
         self,
         candidates: list[directory.TrackedTarget],
         zone: str,
-        affinity: str,
+        prefix: str,
         now_ms: int,
     ) -> directory.TrackedTarget | None:
         """Return the target to call, None to wait for room."""
@@ -34,10 +41,14 @@
         self,
         candidates: list[directory.TrackedTarget],
         zone: str,
-        affinity: str,
+        prefix: str,
         now_ms: int,
     ) -> directory.TrackedTarget | None:
         """Return the less loaded of two candidates with room."""
+        if prefix:
+            preferred = self._preferred(candidates, prefix, now_ms)
+            if preferred is not None:
+                return preferred
         with_room = [t for t in candidates if t.has_room(now_ms)]
         near = [t for t in with_room if t.target.zone == zone]
         choices = near or with_room
@@ -46,6 +57,22 @@
         drawn = self.rng.sample(choices, min(2, len(choices)))
         return min(drawn, key=lambda tracked: pressure(tracked, now_ms))
 
+    def _preferred(
+        self,
+        candidates: list[directory.TrackedTarget],
+        key: str,
+        now_ms: int,
+    ) -> directory.TrackedTarget | None:
+        """Return the first in rank that is not much fuller than others."""
+        if not candidates:
+            return None
+        pressures = {t.name: pressure(t, now_ms) for t in candidates}
+        mean = sum(pressures.values()) / len(pressures)
+        bound = LOAD_BOUND * mean + LOAD_SLACK
+        order = affinity.ranked(key, candidates)[:MAX_RANK]
+        fitting = (t for t in order if pressures[t.name] <= bound)
+        return next((t for t in fitting if t.has_room(now_ms)), None)
+
 
 def pressure(tracked: directory.TrackedTarget, now_ms: int) -> float:
     """Return the expected work ahead at a target, in shares of capacity."""
--- a/packages/decisions/src/godwitglade/decisions/stages.py
+++ b/packages/decisions/src/godwitglade/decisions/stages.py
@@ -4,6 +4,7 @@
 import typing
 
 from godwitglade.decisions import admission
+from godwitglade.decisions import affinity
 from godwitglade.decisions import calling
 from godwitglade.decisions import claiming
 from godwitglade.decisions import context as contexts
@@ -102,7 +103,7 @@
     return context.chooser.choose(
         _candidates(context, job, now_ms),
         context.host_id.zone,
-        job.request.fingerprint,
+        affinity.key_of(job),
         now_ms,
     )
 
