Bound the targets a host uses and a workspace's requests

Cause: every choice looked at the whole pool, workspaces' limits were not held, and with the store down paid stages ran before the refusal.

--- a/packages/decisions/src/godwitglade/decisions/admitting.py
+++ b/packages/decisions/src/godwitglade/decisions/admitting.py
@@ -8,6 +8,7 @@
 from godwitglade.decisions import jobs
 from godwitglade.decisions import messages
 from godwitglade.decisions import outcomes
+from godwitglade.decisions import usage
 
 
 @attrs.frozen
@@ -70,6 +71,10 @@
         return refusal.DEADLINE_PASSED
     if context.quarantine.ends_in_ms(request.fingerprint, now_ms):
         return refusal.QUARANTINED
+    if document.has_non_repeatable and now_ms < context.store_down_until_ms:
+        return refusal.STORE_UNAVAILABLE
+    if usage.is_at_limit(context, document, request.workspace):
+        return refusal.WORKSPACE_LIMIT
     if not admission.has_targets(context, document, now_ms):
         return refusal.NO_TARGET
     if len(context.jobs) >= context.settings.max_jobs:
@@ -81,4 +86,6 @@
     outcomes.Refusal.STOPPING: 1,
     outcomes.Refusal.OVERLOADED: 1_000,
     outcomes.Refusal.NO_TARGET: 1_000,
+    outcomes.Refusal.STORE_UNAVAILABLE: 1_000,
+    outcomes.Refusal.WORKSPACE_LIMIT: 1_000,
 }
--- a/packages/decisions/src/godwitglade/decisions/context.py
+++ b/packages/decisions/src/godwitglade/decisions/context.py
@@ -49,6 +49,8 @@
     quarantine: quarantines.Quarantine = attrs.Factory(quarantines.Quarantine)
     attempt_number: int = 0
     store_down_until_ms: int = -1
+    used_elsewhere: dict[str, int] = attrs.Factory(dict)
+    usage_told_ms: int = 0
     queries: dict[str, typing.Any] = attrs.Factory(dict)
     is_stopping: bool = False
     has_exited: bool = False
--- a/packages/decisions/src/godwitglade/decisions/directory.py
+++ b/packages/decisions/src/godwitglade/decisions/directory.py
@@ -1,5 +1,7 @@
 """The targets that a host knows, by pool, and whether they take work."""
 
+import typing
+
 import attrs
 
 from godwitglade.common import clock
@@ -70,6 +72,9 @@
         return not self.is_leaving(now_ms) and not self.is_ejected
 
 
+Narrowing = typing.Callable[[list[TrackedTarget]], list[TrackedTarget]]
+
+
 @attrs.define(eq=False)
 class Directory:
     """Every known target by name and by pool."""
@@ -85,6 +90,15 @@
         """Return every pool that has targets."""
         return self._pools
 
+    def narrow(self, choose: Narrowing) -> None:
+        """Keep of each pool only the targets that ``choose`` returns.
+
+        Targets with calls in flight stay known by name.
+        """
+        for name, pool in self._pools.items():
+            working = [t for t in pool if not t.is_listed_leaving]
+            self._pools[name] = choose(working) or pool
+
     def replace(self, listed: tuple[targets.Target, ...]) -> None:
         """Take a new host list; targets with calls in flight stay known."""
         names = {target.name for target in listed}
--- a/packages/decisions/src/godwitglade/decisions/requests.py
+++ b/packages/decisions/src/godwitglade/decisions/requests.py
@@ -25,6 +25,7 @@
 from godwitglade.decisions import replies
 from godwitglade.decisions import settings as request_settings
 from godwitglade.decisions import stages
+from godwitglade.decisions import subsets
 from godwitglade.decisions import suspicion
 from godwitglade.decisions import upkeep
 
@@ -155,7 +156,12 @@
     def _(
         self, message: messages.TargetsListed, now_ms: int
     ) -> contexts.Effects:
-        self.context.directory.replace(message.targets)
+        context = self.context
+        size = context.settings.subset_size
+        context.directory.replace(message.targets)
+        context.directory.narrow(
+            lambda pool: subsets.choose(context.host_id, pool, size)
+        )
         return upkeep.drain_all(self.context, now_ms)
 
     @handle.register
--- a/packages/decisions/src/godwitglade/decisions/upkeep.py
+++ b/packages/decisions/src/godwitglade/decisions/upkeep.py
@@ -19,6 +19,7 @@
 from godwitglade.decisions import suspects
 from godwitglade.decisions import suspicion
 from godwitglade.decisions import targets
+from godwitglade.decisions import usage
 
 
 def next_tick(context: contexts.Context, now_ms: int) -> contexts.Effects:
@@ -109,6 +110,9 @@
     if message.kind in ('strike', 'quarantine'):
         suspicion.learned(context, message, now_ms)
         return suspects.end_copies(context, message.key, now_ms)
+    if message.kind == 'usage':
+        context.used_elsewhere[message.key] = message.value or 0
+        return []
     tracked = context.directory.by_name.get(message.key)
     if tracked is None:
         return []
@@ -139,6 +143,7 @@
     checked = health.check(context, now_ms)
     checked += health.refresh(context, now_ms)
     checked += rescue.check(context, now_ms)
+    checked += usage.tell(context, now_ms)
     drained = drain_all(context, now_ms)
     cut = stages.cut_short(context, now_ms)
     return [*checked, *drained, *cut, *next_tick(context, now_ms)]
--- a/tests/decisions/test_policy.py
+++ b/tests/decisions/test_policy.py
@@ -1,5 +1,8 @@
 """The policy under load and faults, each failure caused on purpose."""
 
+import collections
+import itertools
+
 import hypothesis
 from hypothesis import strategies
 import pytest
@@ -354,4 +357,35 @@
     made.claims.table.is_down = True
     made.send(idempotency_key='k')
     assert made.outcome().reason == 'store_unavailable'
+    made.send('r2', idempotency_key='k2')
+    assert made.outcome('r2').retry_after_ms > 0
     assert not made.calls
+
+
+def test_workspace_limit_counts_requests_on_all_hosts():
+    limited = (documents.Workspace('small', max_in_flight=2),)
+    made = rig.Rig(rig.stage('find'), workspaces=limited)
+    made.send('r1')
+    learn(made, coordination_effects.PublishFact('usage', 'small', 1, 1))
+    made.send('r2')
+    assert made.outcome('r2').reason == 'workspace_limit'
+    made.reply(made.last_call)
+    made.send('r3')
+    assert made.last_call.request_id == 'r3'
+
+
+def test_large_pool_is_narrowed_evenly_and_stably():
+    listed = rig.pool('find', 400)
+    made = [one_stage(name=f'host-{n}') for n in range(50)]
+    for host in made:
+        host.tell(messages.TargetsListed(listed))
+    parts = [
+        {t.name for t in host.requests.context.directory.pool('find')}
+        for host in made
+    ]
+    assert {len(part) for part in parts} == {32}
+    uses = collections.Counter(itertools.chain.from_iterable(parts))
+    assert len(uses) > 380
+    made[0].tell(messages.TargetsListed(listed[1:]))
+    kept = {t.name for t in made[0].requests.context.directory.pool('find')}
+    assert len(kept & parts[0]) >= 31
