--- a/packages/decisions/src/godwitglade/decisions/replies.py
+++ b/packages/decisions/src/godwitglade/decisions/replies.py
@@ -197,7 +197,8 @@
     tracked = context.directory.by_name.get(attempt.target.name)
     if tracked is not None:
         limits.ended(tracked, elapsed_ms, now_ms)
-        ratio = elapsed_ms / sketch.mean_ms if sketch.is_ready else 1.0
+        mean_ms = max(1.0, sketch.mean_ms)
+        ratio = elapsed_ms / mean_ms if sketch.is_ready else 1.0
         health.succeeded(tracked, ratio)
     if health.is_usual(context, tracked):
         sketch.add(elapsed_ms)
--- a/tests/decisions/test_policy.py
+++ b/tests/decisions/test_policy.py
@@ -183,6 +183,12 @@
     assert not facts(made, 'ejected')
 
 
+def test_replies_within_a_millisecond_are_taken():
+    made = one_stage()
+    answer_many(made, count=20, after_ms=0)
+    assert len(made.of(effects.AnswerCaller)) == 20
+
+
 @pytest.mark.parametrize('is_repeatable', [True, False])
 def test_only_repeatable_stages_are_hedged(is_repeatable):
     made = one_stage(is_hedged=True, is_repeatable=is_repeatable)
