--- a/packages/decisions/src/godwitglade/decisions/requests.py
+++ b/packages/decisions/src/godwitglade/decisions/requests.py
@@ -16,6 +16,7 @@
 from godwitglade.decisions import admission
 from godwitglade.decisions import admitting
 from godwitglade.decisions import balance
+from godwitglade.decisions import claim_steps
 from godwitglade.decisions import claiming
 from godwitglade.decisions import context as contexts
 from godwitglade.decisions import endings
@@ -102,7 +103,7 @@
         if job is None:
             return released
         step = claiming.judge(message.verdict)
-        return stages.follow(step, self.context, job, now_ms)
+        return claim_steps.follow(step, self.context, job, now_ms)
 
     @handle.register
     def _(
@@ -114,7 +115,7 @@
         if job is None or job.is_answered:
             return []
         step = claiming.judge_look(message)
-        return stages.follow(step, self.context, job, now_ms)
+        return claim_steps.follow(step, self.context, job, now_ms)
 
     @handle.register
     def _(
--- a/packages/decisions/src/godwitglade/decisions/stages.py
+++ b/packages/decisions/src/godwitglade/decisions/stages.py
@@ -1,6 +1,5 @@
 """Running the stages of a job one after another."""
 
-import functools
 import typing
 
 from godwitglade.decisions import admission
@@ -41,7 +40,7 @@
     queue = context.queue(job.stage.pool)
     tracked = choose(context, job, now_ms) if not len(queue) else None
     if tracked is not None:
-        return _use(context, job, tracked, now_ms)
+        return use(context, job, tracked, now_ms)
     if not _has_target(context, job, now_ms):
         reason = outcomes.Failure.NO_TARGET
         return endings.give_up(context, job, reason, now_ms)
@@ -79,7 +78,7 @@
         if tracked is None:
             passed.append(job)
             continue
-        done += _use(context, job, tracked, now_ms)
+        done += use(context, job, tracked, now_ms)
     for job in passed:
         queue.push(job)
     return done
@@ -123,7 +122,7 @@
     again = suspects.look_again(job, now_ms)
     if not is_due:
         return again
-    return [*_use(context, job, usable[name], now_ms), *again]
+    return [*use(context, job, usable[name], now_ms), *again]
 
 
 def _watch_suspect(
@@ -200,102 +199,13 @@
     )
 
 
-@functools.singledispatch
-def follow(
-    step: typing.Any, context: contexts.Context, job: jobs.Job, now_ms: int
-) -> contexts.Effects:
-    """Do what a step of `claiming` asks for."""
-    raise TypeError(f'no step: {step!r}')
-
-
-@follow.register
-def _(
-    step: claiming.Send,
-    context: contexts.Context,
-    job: jobs.Job,
-    now_ms: int,
-) -> contexts.Effects:
-    job.claim.state = jobs.ClaimState.GRANTED
-    reserved, job.reserved = job.reserved, None
-    if reserved is None:
-        return place(context, job, now_ms)
-    calling.release_slot(context, reserved.name)
-    tracked = context.directory.by_name.get(reserved.name)
-    if tracked is None or not tracked.takes_work(now_ms):
-        return place(context, job, now_ms)
-    return _use(context, job, tracked, now_ms)
-
-
-@follow.register
-def _(
-    step: claiming.Take,
-    context: contexts.Context,
-    job: jobs.Job,
-    now_ms: int,
-) -> contexts.Effects:
-    _release_reserved(context, job)
-    left = endings.leave_claim(context, job)
-    if not isinstance(step.outcome, outcomes.Answered):
-        ended = endings.finish(context, job, step.outcome, now_ms)
-        return [*left, *ended]
-    job.results.update(step.outcome.results)
-    return [*left, *advance(context, job, now_ms)]
-
-
-@follow.register
-def _(
-    step: claiming.AskAgain,
-    context: contexts.Context,
-    job: jobs.Job,
-    now_ms: int,
-) -> contexts.Effects:
-    return claiming.ask(context, job, now_ms)
-
-
-@follow.register
-def _(
-    step: claiming.Poll,
-    context: contexts.Context,
-    job: jobs.Job,
-    now_ms: int,
-) -> contexts.Effects:
-    _release_reserved(context, job)
-    return claiming.poll_later(context, job, now_ms)
-
-
-@follow.register
-def _(
-    step: claiming.Refuse,
-    context: contexts.Context,
-    job: jobs.Job,
-    now_ms: int,
-) -> contexts.Effects:
-    retry_after_ms = 0
-    if step.reason == outcomes.Failure.STORE_UNAVAILABLE:
-        retry_after_ms = context.settings.store_backoff_ms
-        context.store_down_until_ms = now_ms + retry_after_ms
-    return endings.give_up(
-        context, job, step.reason, now_ms, step.refusal, retry_after_ms
-    )
-
-
-@follow.register
-def _(
-    step: claiming.MayHaveRun,
-    context: contexts.Context,
-    job: jobs.Job,
-    now_ms: int,
-) -> contexts.Effects:
-    job.unsafe.append(job.stage.name)
-    return endings.give_up(context, job, step.reason, now_ms)
-
-
-def _use(
+def use(
     context: contexts.Context,
     job: jobs.Job,
     tracked: directory.TrackedTarget,
     now_ms: int,
 ) -> contexts.Effects:
+    """Send the stage to a target, or claim it first where it must be."""
     if job.stage.is_repeatable:
         return calling.send(context, job, tracked, now_ms)
     if job.claim is None or job.claim.state is jobs.ClaimState.NONE:
@@ -344,7 +254,8 @@
     return outcomes.Answered(results, answer.stages)
 
 
-def _release_reserved(context: contexts.Context, job: jobs.Job) -> None:
+def release_reserved(context: contexts.Context, job: jobs.Job) -> None:
+    """Give back the slot kept for a job while it claims."""
     if job.reserved is not None:
         calling.release_slot(context, job.reserved.name)
         job.reserved = None
