--- a/bench/measure/baselines.py
+++ b/bench/measure/baselines.py
@@ -20,7 +20,7 @@
         self,
         candidates: list[directory.TrackedTarget],
         zone: str,
-        affinity: str,
+        prefix: str,
         now_ms: int,
     ) -> directory.TrackedTarget | None:
         """Return the next candidate in turn."""
@@ -36,7 +36,7 @@
         self,
         candidates: list[directory.TrackedTarget],
         zone: str,
-        affinity: str,
+        prefix: str,
         now_ms: int,
     ) -> directory.TrackedTarget | None:
         """Return the candidate with the fewest own calls."""
@@ -52,7 +52,7 @@
 
 
 _PLAIN = request_settings.RequestSettings(
-    is_admission_on=False, is_hedging_on=False
+    is_admission_on=False, is_hedging_on=False, is_ejection_on=False
 )
 _BLIND = attrs.evolve(_PLAIN, retry_ratio=4.0)
 _NO_ADMISSION = request_settings.RequestSettings(is_admission_on=False)
