Bring an accepted change into force without reading it back

Cause: a random walk found that a change accepted right before the store goes down is in force nowhere until it is back: the host that made it waits to read it from the change log. Change: that host applies the text it sent under the number it was given, when no change before it is missing; peers hear it as any other.

--- a/packages/coordination/src/godwitglade/coordination/spread.py
+++ b/packages/coordination/src/godwitglade/coordination/spread.py
@@ -92,6 +92,13 @@
             return []
         return self._fetch_missing(now_ms) or self._head.read()
 
+    def take_accepted(self, change: bodies.Change) -> Effects:
+        """Apply a change that the platform has just accepted.
+
+        It waits for the platform when changes before it are missing here.
+        """
+        return self._apply((change,))
+
     def bind(self, membership: memberships.Membership) -> None:
         """Learn the membership that carries the document number."""
         self._membership = membership
--- a/packages/decisions/src/godwitglade/decisions/host.py
+++ b/packages/decisions/src/godwitglade/decisions/host.py
@@ -16,6 +16,7 @@
 from godwitglade.common import events
 from godwitglade.coordination import bodies
 from godwitglade.coordination import change_results
+from godwitglade.coordination import change_rows
 from godwitglade.coordination import changes
 from godwitglade.coordination import claims
 from godwitglade.coordination import effects as shared_effects
@@ -127,6 +128,7 @@
         self.parts = parts
         self._in_force: dict[str, InForce] = {}
         self._parse_document = parse_document
+        self._changes_asked: dict[str, change_rows.ChangeRequest] = {}
         self._refused: dict[str, RefusedDocument] = {}
         self._survey = survey.Survey(parts.members, self._report)
         self._by_prefix = {
@@ -277,14 +279,18 @@
     def _(self, message: change_results.ChangeSettled, now_ms: int) -> Effects:
         result = message.result
         answer = effects.AnswerOperator(message.query_id, result)
+        request = self._changes_asked.pop(message.query_id, None)
         if not isinstance(result, change_results.ChangeAccepted):
             return [answer]
-        # The host that made a change need not wait for its next poll.
+        # The host that made a change need not wait for its next poll, nor
+        # for a store that has gone down since.
+        own = self._own_change(request, result)
         catch_up = self.parts.documents.catch_up_to(result.sequence, now_ms)
-        return [answer, *catch_up]
+        return [answer, *own, *catch_up]
 
     @_decide.register
     def _(self, message: messages.ChangeAsked, now_ms: int) -> Effects:
+        self._changes_asked[message.query_id] = message.request
         changes_part = self.parts.changes
         return changes_part.submit(message.query_id, message.request, now_ms)
 
@@ -342,6 +348,21 @@
             found = InForce(message.version, document.team)
             self._in_force[message.pipeline] = found
 
+    def _own_change(
+        self,
+        request: change_rows.ChangeRequest | None,
+        accepted: change_results.ChangeAccepted,
+    ) -> Effects:
+        if request is None:
+            return []
+        change = bodies.Change(
+            accepted.sequence,
+            accepted.pipeline,
+            accepted.version,
+            request.text,
+        )
+        return self.parts.documents.take_accepted(change)
+
     def _refuse_document(
         self,
         message: shared_messages.DocumentChanged,
