Test the transfer of documents page by page

Cause: no test had more documents than fit a page. Change: a host that starts while the platform is down takes 21 documents. Conclusion: ending the transfer after the first page fails the test.

--- a/tests/coordination/test_spread.py
+++ b/tests/coordination/test_spread.py
@@ -75,6 +75,19 @@
     assert node.versions == {'scans': 2}
 
 
+def test_many_documents_are_transferred_page_by_page():
+    made = make_fleet()
+    for number in range(20):
+        sequence = made.store.change(f'p{number}', 'text')
+    run_until_in_force(made, sequence)
+    made.store.is_down = True
+    made.stop('h4')
+    node = made.start('h4')
+    made.run(10_000, lambda: node.documents.is_ready)
+    assert len(node.documents.held()) == 21
+    assert node.documents.sequence == sequence
+
+
 def test_restart_of_all_hosts_with_platform_down_takes_the_snapshot():
     made = make_fleet()
     assert made.store.objects
