--- a/tests/daemon/test_daemon_tls.py
+++ b/tests/daemon/test_daemon_tls.py
@@ -58,11 +58,12 @@
     )
 
 
-@pytest.fixture
-def served(tmp_path):
-    certificates.write_pair(tmp_path, 'entry-1')
+@pytest.fixture(scope='module')
+def served(tmp_path_factory):
+    folder = tmp_path_factory.mktemp('served')
+    certificates.write_pair(folder, 'entry-1')
     env = make_environment()
-    found = settings.load_settings(write_settings(tmp_path), env.variables)
+    found = settings.load_settings(write_settings(folder), env.variables)
     daemon = assembly.assemble(found, env)
     daemon.servers.start()
     thread = threading.Thread(target=daemon.loop.run)
