Run a suspect as usual once another host cleared it

Change: it is then placed as any other request, or ends when quarantined. Conclusion: a test causes both.

--- a/packages/decisions/src/godwitglade/decisions/stages.py
+++ b/packages/decisions/src/godwitglade/decisions/stages.py
@@ -113,6 +113,11 @@
     """Send a suspect when its turn comes, then watch how it does."""
     if job.attempts:
         return _watch_suspect(context, job, now_ms)
+    if not suspects.must_wait(context, job, now_ms):
+        job.is_suspect = False
+        return place(context, job, now_ms)
+    if context.quarantine.ends_in_ms(job.request.fingerprint, now_ms):
+        return suspects.gate(context, job, now_ms)
     usable = {t.name: t for t in _candidates(context, job, now_ms)}
     lane = context.quarantine.lane(job.request.fingerprint, list(usable))
     if lane is None:
--- a/tests/decisions/test_policy.py
+++ b/tests/decisions/test_policy.py
@@ -295,6 +295,20 @@
     assert second.last_call.request_id == 'cleared'
 
 
+@pytest.mark.parametrize('kind, is_sent', [('strike', 1), ('quarantine', 0)])
+def test_suspect_that_another_host_judged_meanwhile(kind, is_sent):
+    made = one_stage(count=4)
+    made.send('r1', fingerprint='f')
+    made.advance(60)
+    made.fault(made.last_call, Fault.LOST, is_crash=True)
+    value = {'pipeline': rig.PIPELINE, 'reason': 'x', 'lapse_ms': 9_000}
+    sentence = value if kind == 'quarantine' else None
+    fact = coordination_effects.PublishFact(kind, 'f', sentence, 1)
+    learn(made, fact, 'host-1' if sentence is None else 'host-9')
+    made.advance(300)
+    assert len(made.calls) == 1 + is_sent
+
+
 def test_second_crash_after_quite_another_time_does_not_condemn():
     made = one_stage(count=4)
     made.send('unlucky', fingerprint='unlucky')
