Split the host: its parts, the versions in force, the routing

Change: parts.py joins the parts, in_force.py keeps versions in force and refused, host.py routes. Behaviour is unchanged. Conclusion: each module has one job.

--- a/packages/daemon/src/godwitglade/daemon/assembly.py
+++ b/packages/daemon/src/godwitglade/daemon/assembly.py
@@ -26,6 +26,7 @@
 from godwitglade.daemon import settings_types
 from godwitglade.daemon import tls
 from godwitglade.decisions import host as deciders
+from godwitglade.decisions import parts as host_parts
 from godwitglade.decisions import settings as request_settings
 from godwitglade.operators import app as operators_app
 from godwitglade.operators import parsing
@@ -168,7 +169,7 @@
     effector_: effector.Effector,
     logger: typing.Any,
 ) -> loops.Loop:
-    parts = deciders.make_parts(
+    parts = host_parts.make_parts(
         self_id,
         settings.peers.address,
         random.Random(env.rng.getrandbits(64)),
--- a/packages/daemon/src/godwitglade/daemon/views.py
+++ b/packages/daemon/src/godwitglade/daemon/views.py
@@ -15,7 +15,7 @@
     return tuple(
         gateway.DocumentView(
             document.pipeline,
-            host.team_of(document.pipeline),
+            host.in_force.team_of(document.pipeline),
             document.version,
             document.sequence,
             document.text,
@@ -38,10 +38,10 @@
             for member in host.parts.members.all_members()
             if member.host.name != self_id.name
         ),
-        documents=host.versions_in_force(),
+        documents=host.in_force.versions,
         refused=tuple(
             gateway.RefusedView(found.pipeline, found.version, found.reason)
-            for found in host.refused_documents
+            for found in host.in_force.refused
         ),
     )
 
--- a/packages/decisions/src/godwitglade/decisions/host.py
+++ b/packages/decisions/src/godwitglade/decisions/host.py
@@ -1,113 +1,31 @@
 """All decisions of one host: routes messages to the parts that decide.
 
->>> parts = host.make_parts(self_id, address, random.Random(1))
->>> decider = host.Host(self_id, parts, parse_document)
+>>> made = parts.make_parts(self_id, address, random.Random(1))
+>>> decider = host.Host(self_id, made, parse_document)
 >>> effects = decider.handle(message, now_ms)
 """
 
 import collections
 import functools
-import random
 import typing
 
-import attrs
-
-from godwitglade.common import errors
-from godwitglade.common import events
 from godwitglade.coordination import bodies
 from godwitglade.coordination import change_results
-from godwitglade.coordination import changes
-from godwitglade.coordination import claims
 from godwitglade.coordination import effects as shared_effects
-from godwitglade.coordination import facts
 from godwitglade.coordination import hosts
 from godwitglade.coordination import leases
-from godwitglade.coordination import membership
 from godwitglade.coordination import messages as shared_messages
-from godwitglade.coordination import spread
 from godwitglade.coordination import survey
-from godwitglade.decisions import documents
 from godwitglade.decisions import effects
-from godwitglade.decisions import listing
+from godwitglade.decisions import in_force
 from godwitglade.decisions import messages
-from godwitglade.decisions import orders
 from godwitglade.decisions import outcomes
-from godwitglade.decisions import requests
-from godwitglade.decisions import settings as request_settings
+from godwitglade.decisions import parts as host_parts
 from godwitglade.decisions import stopping
 
 NOT_READY_RETRY_MS = 2_000
 
 Effects = list[typing.Any]
-ParseDocument = typing.Callable[[str], documents.Document]
-
-
-@attrs.frozen
-class Parts:
-    """The deciding parts of a host, each free of I/O."""
-
-    members: membership.Membership
-    documents: spread.Documents
-    facts: facts.Facts
-    claims: claims.Claims
-    changes: changes.Changes
-    leases: leases.Leases
-    orders: orders.Orders
-    requests: requests.Requests
-    listing: listing.Listing
-    stopping: stopping.Stopping
-
-
-@attrs.frozen
-class InForce:
-    """The version of a document that requests are served by."""
-
-    version: int
-    team: str
-
-
-@attrs.frozen
-class RefusedDocument:
-    """A version that this host could not parse and has not in force."""
-
-    pipeline: str
-    version: int
-    reason: str
-
-
-def make_parts(
-    self_id: hosts.HostId,
-    address: str,
-    rng: random.Random,
-    settings: request_settings.RequestSettings,
-    wall_offset_ms: int = 0,
-    spill_zones: tuple[str, ...] = (),
-    drain_ms: int = 0,
-) -> Parts:
-    """Return the parts of a host, each with a random source of its own."""
-    seeds = (random.Random(rng.getrandbits(64)) for _ in iter(int, 1))
-    documents_ = spread.Documents(self_id, next(seeds))
-    facts_ = facts.Facts(self_id, next(seeds))
-    claims_ = claims.Claims(self_id, next(seeds), address, wall_offset_ms)
-    leases_ = leases.Leases(self_id, next(seeds))
-    members = membership.Membership(
-        self_id, address, next(seeds), (documents_, facts_)
-    )
-    orders_ = orders.Orders(
-        self_id, next(seeds), leases_, members.live, wall_offset_ms
-    )
-    return Parts(
-        members=members,
-        documents=documents_,
-        facts=facts_,
-        claims=claims_,
-        changes=changes.Changes(next(seeds)),
-        leases=leases_,
-        orders=orders_,
-        requests=requests.Requests(self_id, next(seeds), claims_, settings),
-        listing=listing.Listing(self_id.zone, spill_zones, next(seeds)),
-        stopping=stopping.Stopping(claims_, drain_ms),
-    )
 
 
 class Host:
@@ -120,14 +38,12 @@
     def __init__(
         self,
         self_id: hosts.HostId,
-        parts: Parts,
-        parse_document: ParseDocument,
+        parts: host_parts.Parts,
+        parse_document: in_force.ParseDocument,
     ) -> None:
         self.self_id = self_id
         self.parts = parts
-        self._in_force: dict[str, InForce] = {}
-        self._parse_document = parse_document
-        self._refused: dict[str, RefusedDocument] = {}
+        self.in_force = in_force.InForce(parse_document)
         self._survey = survey.Survey(parts.members, self._report)
         self._by_prefix = {
             'members': parts.members,
@@ -148,23 +64,6 @@
         is_serving = self.parts.stopping.phase is stopping.Phase.SERVING
         return self.parts.documents.is_ready and is_serving
 
-    @property
-    def refused_documents(self) -> tuple[RefusedDocument, ...]:
-        """Return the versions held that are not in force here."""
-        return tuple(self._refused.values())
-
-    def team_of(self, pipeline: str) -> str:
-        """Return the team of a pipeline in force, else an empty text."""
-        found = self._in_force.get(pipeline)
-        return '' if found is None else found.team
-
-    def versions_in_force(self) -> dict[str, int]:
-        """Return the version that requests are served by, by pipeline."""
-        return {
-            pipeline: found.version
-            for pipeline, found in sorted(self._in_force.items())
-        }
-
     def start(self, now_ms: int) -> Effects:
         """Begin every part; return their first effects."""
         parts = (
@@ -246,24 +145,7 @@
     def _(
         self, message: shared_messages.DocumentChanged, now_ms: int
     ) -> Effects:
-        document = None
-        self._refused.pop(message.pipeline, None)
-        if message.text is not None:
-            try:
-                document = self._parse_document(message.text)
-            except errors.CodedError as error:
-                return self._refuse_document(message, error)
-        self._note_in_force(message, document)
-        in_force = messages.DocumentsInForce({message.pipeline: document})
-        fields = {
-            'pipeline': message.pipeline,
-            'version': message.version,
-            'sequence': message.sequence,
-        }
-        return [
-            shared_effects.Deliver(in_force),
-            shared_effects.LogEvent(events.Event.DOCUMENT_IN_FORCE, fields),
-        ]
+        return self.in_force.take(message)
 
     @_decide.register
     def _(self, message: messages.HostListRead, now_ms: int) -> Effects:
@@ -332,30 +214,6 @@
             *self.parts.stopping.begin(now_ms),
         ]
 
-    def _note_in_force(
-        self,
-        message: shared_messages.DocumentChanged,
-        document: documents.Document | None,
-    ) -> None:
-        self._in_force.pop(message.pipeline, None)
-        if document is not None:
-            found = InForce(message.version, document.team)
-            self._in_force[message.pipeline] = found
-
-    def _refuse_document(
-        self,
-        message: shared_messages.DocumentChanged,
-        error: errors.CodedError,
-    ) -> Effects:
-        """Keep the earlier version in force and make the fault visible."""
-        refused = RefusedDocument(
-            message.pipeline, message.version, str(error)
-        )
-        self._refused[message.pipeline] = refused
-        fields = attrs.asdict(refused)
-        event = events.Event.DOCUMENT_REFUSED
-        return [shared_effects.LogEvent(event, fields)]
-
     def _finish(self, now_ms: int) -> Effects:
         if not self.parts.stopping.finish():
             return []
@@ -366,5 +224,5 @@
             self.self_id,
             self.parts.documents.sequence,
             self.is_ready,
-            tuple(sorted(self._refused)),
+            tuple(sorted(r.pipeline for r in self.in_force.refused)),
         )
--- /dev/null
+++ b/packages/decisions/src/godwitglade/decisions/parts.py
@@ -0,0 +1,76 @@
+"""The deciding parts of a host and how they are joined."""
+
+import random
+
+import attrs
+
+from godwitglade.coordination import changes
+from godwitglade.coordination import claims
+from godwitglade.coordination import facts
+from godwitglade.coordination import hosts
+from godwitglade.coordination import leases
+from godwitglade.coordination import membership
+from godwitglade.coordination import spread
+from godwitglade.decisions import listing
+from godwitglade.decisions import orders
+from godwitglade.decisions import requests
+from godwitglade.decisions import settings as request_settings
+from godwitglade.decisions import stopping
+
+
+@attrs.frozen
+class Parts:
+    """The deciding parts of a host, each free of I/O."""
+
+    members: membership.Membership
+    documents: spread.Documents
+    facts: facts.Facts
+    claims: claims.Claims
+    changes: changes.Changes
+    leases: leases.Leases
+    orders: orders.Orders
+    requests: requests.Requests
+    listing: listing.Listing
+    stopping: stopping.Stopping
+
+
+def make_parts(
+    self_id: hosts.HostId,
+    address: str,
+    rng: random.Random,
+    settings: request_settings.RequestSettings,
+    wall_offset_ms: int = 0,
+    spill_zones: tuple[str, ...] = (),
+    drain_ms: int = 0,
+) -> Parts:
+    """Return the parts of a host, each with a random source of its own.
+
+    ``address`` is that of the host's listener for peers; the other
+    arguments are those of the parts they are handed to.
+    """
+
+    def fork() -> random.Random:
+        return random.Random(rng.getrandbits(64))
+
+    documents = spread.Documents(self_id, fork())
+    facts_ = facts.Facts(self_id, fork())
+    claims_ = claims.Claims(self_id, fork(), address, wall_offset_ms)
+    leases_ = leases.Leases(self_id, fork())
+    members = membership.Membership(
+        self_id, address, fork(), (documents, facts_)
+    )
+    orders_ = orders.Orders(
+        self_id, fork(), leases_, members.live, wall_offset_ms
+    )
+    return Parts(
+        members=members,
+        documents=documents,
+        facts=facts_,
+        claims=claims_,
+        changes=changes.Changes(fork()),
+        leases=leases_,
+        orders=orders_,
+        requests=requests.Requests(self_id, fork(), claims_, settings),
+        listing=listing.Listing(self_id.zone, spill_zones, fork()),
+        stopping=stopping.Stopping(claims_, drain_ms),
+    )
--- a/proof/invariants.py
+++ b/proof/invariants.py
@@ -124,7 +124,7 @@
             if host.decider is None or host.is_paused:
                 continue
             in_force = host.decider.parts.requests.context.documents
-            refused = {r.pipeline for r in host.decider.refused_documents}
+            refused = {r.pipeline for r in host.decider.in_force.refused}
             for held in host.decider.parts.documents.held():
                 if held.pipeline in refused:
                     continue
--- a/proof/world.py
+++ b/proof/world.py
@@ -15,6 +15,7 @@
 from godwitglade.decisions import documents
 from godwitglade.decisions import host as host_module
 from godwitglade.decisions import messages
+from godwitglade.decisions import parts as host_parts
 from godwitglade.decisions import settings as request_settings
 from godwitglade.decisions import targets as target_types
 from godwitglade.operators import parsing
@@ -101,7 +102,7 @@
         host.incarnation += 1
         host.is_leaving = False
         self_id = hosts.HostId(name, host.zone, host.incarnation)
-        parts = host_module.make_parts(
+        parts = host_parts.make_parts(
             self_id,
             host.address,
             random.Random(f'{name}/{host.incarnation}/{self.random.random()}'),
