--- a/packages/decisions/src/godwitglade/decisions/requests.py
+++ b/packages/decisions/src/godwitglade/decisions/requests.py
@@ -16,6 +16,7 @@
 from godwitglade.decisions import admission
 from godwitglade.decisions import admitting
 from godwitglade.decisions import balance
+from godwitglade.decisions import claim_steps
 from godwitglade.decisions import claiming
 from godwitglade.decisions import context as contexts
 from godwitglade.decisions import endings
@@ -25,6 +26,7 @@
 from godwitglade.decisions import replies
 from godwitglade.decisions import settings as request_settings
 from godwitglade.decisions import stages
+from godwitglade.decisions import subsets
 from godwitglade.decisions import suspicion
 from godwitglade.decisions import upkeep
 
@@ -101,7 +103,7 @@
         if job is None:
             return released
         step = claiming.judge(message.verdict)
-        return stages.follow(step, self.context, job, now_ms)
+        return claim_steps.follow(step, self.context, job, now_ms)
 
     @handle.register
     def _(
@@ -113,7 +115,7 @@
         if job is None or job.is_answered:
             return []
         step = claiming.judge_look(message)
-        return stages.follow(step, self.context, job, now_ms)
+        return claim_steps.follow(step, self.context, job, now_ms)
 
     @handle.register
     def _(
@@ -155,7 +157,12 @@
     def _(
         self, message: messages.TargetsListed, now_ms: int
     ) -> contexts.Effects:
-        self.context.directory.replace(message.targets)
+        context = self.context
+        size = context.settings.subset_size
+        context.directory.replace(message.targets)
+        context.directory.narrow(
+            lambda pool: subsets.choose(context.host_id, pool, size)
+        )
         return upkeep.drain_all(self.context, now_ms)
 
     @handle.register
