--- a/bench/measure/callers.py
+++ b/bench/measure/callers.py
@@ -69,7 +69,7 @@
             stage.name: self._work(stage, mix, template, is_poison)
             for stage in document.stages
         }
-        self.world.tally.arrived(request, is_repeatable)
+        self.world.tally.arrived(request, document)
         entry = self.rng.choice(self.world.entries)
         self.world.arrive(entry, request, sizes)
 
--- a/bench/measure/tally.py
+++ b/bench/measure/tally.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from godwitglade.decisions import documents
 from godwitglade.decisions import effects
 from godwitglade.decisions import messages
 from godwitglade.decisions import outcomes
@@ -17,11 +18,16 @@
     """A request as its caller sees it; times in milliseconds."""
 
     request: messages.RequestArrived
-    is_repeatable: bool
+    at_most_once: frozenset[str]
     outcome: outcomes.Outcome | None = None
     answered_ms: float = 0.0
     text_length: int = 0
 
+    @property
+    def is_repeatable(self) -> bool:
+        """Tell whether every stage may be repeated."""
+        return not self.at_most_once
+
     @property
     def is_whole_in_time(self) -> bool:
         """Tell whether it was answered whole within its deadline."""
@@ -40,9 +46,12 @@
         self.cost_ms: collections.Counter = collections.Counter()
         self.runs: collections.Counter = collections.Counter()
 
-    def arrived(self, request, is_repeatable: bool) -> None:
-        """Note a request."""
-        self.asked[request.request_id] = Asked(request, is_repeatable)
+    def arrived(self, request, document: documents.Document) -> None:
+        """Note a request to a pipeline."""
+        at_most_once = frozenset(
+            stage.name for stage in document.stages if not stage.is_repeatable
+        )
+        self.asked[request.request_id] = Asked(request, at_most_once)
 
     def sent(self, call: effects.CallTarget) -> None:
         """Note an attempt."""
@@ -55,7 +64,7 @@
     def taken(self, call: effects.CallTarget) -> None:
         """Note a call that a target took in and will run."""
         self.ran.add(call.request_id)
-        if call.needs_fresh_connection:
+        if call.stage in self.asked[call.request_id].at_most_once:
             key = (call.request_id, call.stage)
             self.runs[key] += 1
             if self.runs[key] > 1:
