Send a caller all pieces that are ready in one write

Cause: a caller's thread that woke late wrote each piece by itself. Change: pieces behind the next one are joined into one event.

--- a/packages/callers/src/godwitglade/callers/app.py
+++ b/packages/callers/src/godwitglade/callers/app.py
@@ -133,13 +133,16 @@
         wait_ms: int,
     ) -> typing.Iterator[bytes]:
         is_settled = False
+        found = [event]
         try:
-            while isinstance(event, effects.SendPiece):
-                fields = {'offset': event.offset, 'text': event.text}
-                yield rendering.stream_event('piece', fields)
-                event = self._gateway.exchanges.wait(exchange, wait_ms)
+            while isinstance(found[-1], effects.SendPiece):
+                yield rendering.piece_event(found)
+                found = self._gateway.exchanges.wait_all(exchange, wait_ms)
+            *pieces, last = found
+            if pieces:
+                yield rendering.piece_event(pieces)
             is_settled = True
-            yield self._last_event(exchange, event)
+            yield self._last_event(exchange, last)
         finally:
             self._gateway.exchanges.close(exchange)
             if not is_settled:
--- a/packages/callers/src/godwitglade/callers/exchanges.py
+++ b/packages/callers/src/godwitglade/callers/exchanges.py
@@ -63,3 +63,15 @@
             return exchange.events.get(timeout=timeout_ms / 1_000)
         except queue.Empty:
             return None
+
+    def wait_all(
+        self, exchange: Exchange, timeout_ms: int
+    ) -> list[typing.Optional[CallerEvent]]:
+        """Return the next event and those that are there behind it.
+
+        The list holds just None when ``timeout_ms`` passed.
+        """
+        found = [self.wait(exchange, timeout_ms)]
+        while not exchange.events.empty():
+            found.append(exchange.events.get_nowait())
+        return found
--- a/packages/callers/src/godwitglade/callers/rendering.py
+++ b/packages/callers/src/godwitglade/callers/rendering.py
@@ -67,6 +67,12 @@
     return codec.to_json({'state': answer.state, 'outcome': fields})
 
 
+def piece_event(pieces: list[effects.SendPiece]) -> bytes:
+    """Return one server-sent event for pieces that follow each other."""
+    text = ''.join(piece.text for piece in pieces)
+    return stream_event('piece', {'offset': pieces[0].offset, 'text': text})
+
+
 def stream_event(kind: str, fields: typing.Any) -> bytes:
     """Return one server-sent event."""
     return b'event: %s\ndata: %s\n\n' % (kind.encode(), codec.to_json(fields))
