Measure the request path on real sockets

Cause: throughput and added latency through one daemon were not known. Change: streams begun at once and within 1 s; a section of figures.

--- a/bench/measure/daemon_path.py
+++ b/bench/measure/daemon_path.py
@@ -21,7 +21,7 @@
 POOL_TARGETS = 2
 #: 50 streams of 96 pieces a second are 4,800 pieces a second.
 PIECES_PER_S = 96
-STREAM_COUNTS = (10, 50)
+STREAM_COUNTS = (10, 25, 50)
 IN_FLIGHT_COUNTS = (1, 4, 16, 50)
 REQUEST_RATE = 40
 
@@ -91,7 +91,8 @@
             measure_idle(bench)
             measure_requests(bench, duration_s)
             measure_paced(bench, duration_s)
-            measure_streams(bench)
+            measure_streams(bench, 0)
+            measure_streams(bench, 1)
         finally:
             deployment.close()
 
@@ -233,18 +234,21 @@
     )
 
 
-def measure_streams(bench: Bench) -> None:
+def measure_streams(bench: Bench, spread_s: float) -> None:
     """Print streams, by streams at a time."""
-    print(f'\nStreams of {PIECES_PER_S} pieces/s each')
+    print(
+        f'\nStreams of {PIECES_PER_S} pieces/s each, begun within '
+        f'{spread_s:.0f} s'
+    )
     print(
         f'{"streams":>10}{"pieces/s":>10}{"first p95":>10}{"added":>8}'
         f'{"gap p50":>9}{"gap p95":>9}{"gap p99":>9}{"added p95":>10}'
         f'{"cpu":>7}{"us/piece":>9}{"MB":>7}{"broken":>8}'
     )
     for count in STREAM_COUNTS:
-        direct = path_load.run_streams(bench.stream_direct, count)
+        direct = path_load.run_streams(bench.stream_direct, count, spread_s)
         before = bench.usage()
-        via = path_load.run_streams(bench.stream, count)
+        via = path_load.run_streams(bench.stream, count, spread_s)
         after = bench.usage()
         print(_stream_row(count, direct, via, before, after))
 
--- a/bench/measure/path_load.py
+++ b/bench/measure/path_load.py
@@ -59,11 +59,16 @@
     return float(numpy.percentile(found, share)) if found else 0.0
 
 
-def run_streams(ask: Ask, count: int) -> list[Stream]:
-    """Read ``count`` streams at a time from LOAD_PROCESSES processes."""
+def run_streams(ask: Ask, count: int, spread_s: float) -> list[Stream]:
+    """Read ``count`` streams at a time, begun within ``spread_s``."""
     parts = _split(count)
     with _executor() as executor:
-        found = executor.map(_stream_part, itertools.repeat(ask), parts)
+        found = executor.map(
+            _stream_part,
+            itertools.repeat(ask),
+            parts,
+            itertools.repeat(spread_s),
+        )
         return [stream for part in found for stream in part]
 
 
@@ -107,14 +112,15 @@
     return Calls(times_ms, failed, duration_s)
 
 
-def _stream_part(ask: Ask, count: int) -> list[Stream]:
+def _stream_part(ask: Ask, count: int, spread_s: float) -> list[Stream]:
     pools = urllib3.PoolManager(maxsize=count, retries=False)
+
+    def read(number: int) -> Stream:
+        time.sleep(number * spread_s / count)
+        return _read_stream(pools, ask, number)
+
     with concurrent.futures.ThreadPoolExecutor(count) as executor:
-        return list(
-            executor.map(
-                lambda number: _read_stream(pools, ask, number), range(count)
-            )
-        )
+        return list(executor.map(read, range(count)))
 
 
 def _read_stream(pools: urllib3.PoolManager, ask: Ask, number: int) -> Stream:
