Write answers to sockets without a buffer in pure Python

Cause: the server's writer copies each chunk through a buffer written in Python; a streamed piece is one chunk. Change: connections write to their socket directly.

--- a/packages/daemon/src/godwitglade/daemon/connections.py
+++ b/packages/daemon/src/godwitglade/daemon/connections.py
@@ -51,6 +51,31 @@
         self.bytes_read = 0
 
 
+class DirectWriter:
+    """Writes to a socket without a buffer of its own.
+
+    The server writes whole chunks; its writer buffers each in pure Python.
+    """
+
+    def __init__(self, sock: socket.socket) -> None:
+        self._sock = sock
+        self.bytes_written = 0
+        self.closed = False
+
+    def write(self, content: bytes) -> int:
+        """Send all of ``content``; raises OSError."""
+        self._sock.sendall(content)
+        self.bytes_written += len(content)
+        return len(content)
+
+    def flush(self) -> None:
+        """Do nothing: nothing is held back."""
+
+    def close(self) -> None:
+        """Note the end; the connection closes the socket."""
+        self.closed = True
+
+
 class ClosingRequest(server.HTTPRequest):
     """A request whose connection closes after an unread body.
 
@@ -88,6 +113,7 @@
         super().__init__(http_server, sock, make_file)
         self._raw = BoundedIO(sock, self.clock)
         self.rfile = BoundedReader(self._raw, io.DEFAULT_BUFFER_SIZE)
+        self.wfile = DirectWriter(sock)
 
     def communicate(self) -> bool:
         """Serve one request; tell whether the connection stays open."""
