--- a/packages/daemon/src/godwitglade/daemon/core.py
+++ b/packages/daemon/src/godwitglade/daemon/core.py
@@ -71,6 +71,7 @@
     except OSError as error:
         fields = {'reason': str(error)}
         logs.log_event(daemon.logger, events.Event.CANNOT_BIND, fields)
+        daemon.effector.stop()
         return status.ExitStatus.CANNOT_BIND
     logs.log_event(daemon.logger, events.Event.STARTED, {})
     daemon.loop.run()
--- a/packages/daemon/src/godwitglade/daemon/servers.py
+++ b/packages/daemon/src/godwitglade/daemon/servers.py
@@ -42,9 +42,17 @@
         self._threads: list[threading.Thread] = []
 
     def start(self) -> None:
-        """Bind every listener, then serve; raises OSError."""
-        for server in self._servers:
-            server.prepare()
+        """Bind every listener, then serve.
+
+        Raises OSError when one cannot be bound; none is left open then.
+        """
+        for number, server in enumerate(self._servers):
+            try:
+                server.prepare()
+            except OSError:
+                self._servers = self._servers[:number]
+                self.stop()
+                raise
         self._threads = [
             threading.Thread(target=server.serve, daemon=True)
             for server in self._servers
