--- a/bench/lines.py
+++ b/bench/lines.py
@@ -56,7 +56,7 @@
         yield f'{part:14} {lines:6}'
     for name, lines in shares.by_package.items():
         yield f'  {name:12} {lines:6} {lines / shares.code:6.1%}'
-    yield f'tests to code: {shares.test_share:.1%}, below {TEST_LIMIT:.1%}'
+    yield f'tests to packages: {shares.test_share:.1%}, limit {TEST_LIMIT:.1%}'
     yield (
         'routing, limits, retries, membership, state and recovery: '
         f'{shares.policy_share:.1%}, at least {POLICY_FLOOR:.1%}'
