--- a/tests/decisions/rig.py
+++ b/tests/decisions/rig.py
@@ -248,3 +248,36 @@
         ]
         assert len(answers) == 1, answers
         return answers[0]
+
+
+def one_stage(count=3, name='host-1', **changes):
+    return Rig(
+        stage('find', **changes),
+        targets=pool('find', count),
+        name=name,
+    )
+
+
+def answer_many(made, count=12, after_ms=100):
+    """Let requests be answered so that times are measured."""
+    for number in range(count):
+        made.send(f'warm-{number}', deadline_ms=made.now_ms + 60_000)
+        made.advance(after_ms)
+        made.reply(made.last_call, load=targets.Load(1, 0, 8))
+
+
+def tracked(made, name):
+    return made.requests.context.directory.by_name[name]
+
+
+def facts(made, kind):
+    found = made.of(coordination_effects.PublishFact)
+    return [fact for fact in found if fact.kind == kind]
+
+
+def learn(made, fact, origin='host-9'):
+    return made.tell(
+        coordination_messages.FactLearned(
+            fact.kind, fact.key, fact.value, origin
+        )
+    )
