Tell when to come back after a claim that ran out of time

Cause: while the table drops connections, a claim cannot be settled; at the deadline the request was refused with retry_after_ms 0. Change: every refusal by a claim but that of a reused key names a time.

--- a/packages/decisions/src/godwitglade/decisions/claim_steps.py
+++ b/packages/decisions/src/godwitglade/decisions/claim_steps.py
@@ -85,10 +85,11 @@
     job: jobs.Job,
     now_ms: int,
 ) -> contexts.Effects:
-    retry_after_ms = 0
+    backoff_ms = context.settings.store_backoff_ms
     if step.reason == outcomes.Failure.STORE_UNAVAILABLE:
-        retry_after_ms = context.settings.store_backoff_ms
-        context.store_down_until_ms = now_ms + retry_after_ms
+        context.store_down_until_ms = now_ms + backoff_ms
+    is_final = step.refusal == outcomes.Refusal.KEY_REUSED
+    retry_after_ms = 0 if is_final else backoff_ms
     return endings.give_up(
         context, job, step.reason, now_ms, step.refusal, retry_after_ms
     )
--- a/tests/decisions/test_requests.py
+++ b/tests/decisions/test_requests.py
@@ -1,7 +1,9 @@
 """Requests: stages in order, replies matched, one true outcome."""
 
+import attrs
 import pytest
 
+from godwitglade.coordination import claim_messages
 from godwitglade.coordination import effects as coordination_effects
 from godwitglade.decisions import documents
 from godwitglade.decisions import effects
@@ -321,3 +323,29 @@
     assert second.target != first.target
     fresh = [c.needs_fresh_connection for c in (first, second)]
     assert fresh == [False, True]
+
+
+@pytest.mark.parametrize(
+    'verdict, reason, is_told_when',
+    [
+        (
+            claim_messages.NotRun(claim_messages.Reason.DEADLINE_PASSED),
+            'cannot_meet_deadline',
+            True,
+        ),
+        (
+            claim_messages.NotRun(claim_messages.Reason.STORE_UNAVAILABLE),
+            'store_unavailable',
+            True,
+        ),
+        (claim_messages.KeyReused(), 'idempotency_key_reused', False),
+    ],
+)
+def test_claim_refused_tells_when_to_come_back(verdict, reason, is_told_when):
+    made = rig.Rig(rig.stage('put', is_repeatable=False))
+    made.claims.is_held = True
+    made.send(idempotency_key='k')
+    (settled,) = made.claims.held
+    made.tell(attrs.evolve(settled, verdict=verdict))
+    assert made.outcome().reason == reason
+    assert (made.outcome().retry_after_ms > 0) == is_told_when
