--- a/packages/daemon/src/godwitglade/daemon/views.py
+++ b/packages/daemon/src/godwitglade/daemon/views.py
@@ -1,7 +1,5 @@
 """What operators see of a host; each function runs on the loop's thread."""
 
-import typing
-
 from godwitglade.coordination import members
 from godwitglade.decisions import host as hosts
 from godwitglade.operators import gateway
@@ -67,8 +65,3 @@
         heard_ago_ms=None if heard_ms is None else now_ms - heard_ms,
         refused=member.refused,
     )
-
-
-def ready(host: hosts.Host, _now_ms: int) -> typing.Any:
-    """Tell whether new requests are accepted."""
-    return host.is_ready
--- a/packages/peers/src/godwitglade/peers/app.py
+++ b/packages/peers/src/godwitglade/peers/app.py
@@ -7,6 +7,7 @@
 
 from godwitglade.common import codec as json_codec
 from godwitglade.common import errors as common_errors
+from godwitglade.common import web
 from godwitglade.coordination import messages
 from godwitglade.peers import client
 from godwitglade.peers import codec as codecs
@@ -17,7 +18,6 @@
 
 REPLY_TIMEOUT_MS = 2_000
 BODY_LIMIT_BYTES = 4 * 1024 * 1024
-JSON = 'application/json'
 
 
 @attrs.frozen
@@ -37,19 +37,7 @@
 
 def make_app(gateway: Gateway) -> cherrypy.Application:
     """Return the application; serve it with any WSGI server."""
-    config = {
-        '/': {
-            'request.process_request_body': False,
-            'request.show_tracebacks': False,
-            'tools.encode.on': False,
-            'tools.trailing_slash.on': False,
-        }
-    }
-    app = cherrypy.Application(Root(gateway), '', config)
-    # The structured log replaces CherryPy's access and error logs.
-    app.log.screen = False
-    app.log.access = _log_nothing
-    return app
+    return web.make_app(Root(gateway))
 
 
 class Root:
@@ -66,13 +54,12 @@
         try:
             return self._serve()
         except common_errors.CodedError as error:
-            cherrypy.response.status = error.http_status
-            cherrypy.response.headers['Content-Type'] = JSON
             fields = {'code': error.code, 'reason': str(error)}
-            return json_codec.to_json(fields)
+            body = json_codec.to_json(fields)
+            return web.answer(error.http_status, body)
 
     def _serve(self) -> bytes:
-        raw = _read_body()
+        raw = web.read_body(BODY_LIMIT_BYTES)
         headers = cherrypy.request.headers
         self._gateway.signer.check(
             headers.get(client.TIMESTAMP_HEADER, ''),
@@ -103,7 +90,7 @@
         raw = self._gateway.codec.encode(codecs.Envelope(body))
         timestamp_ms, signature = self._gateway.signer.sign(raw)
         headers = cherrypy.response.headers
-        headers['Content-Type'] = JSON
+        headers['Content-Type'] = web.JSON
         headers[client.TIMESTAMP_HEADER] = str(timestamp_ms)
         headers[client.SIGNATURE_HEADER] = signature
         self._count(raw, request_raw)
@@ -119,17 +106,3 @@
             sent + traffics.header_bytes(sent_headers),
             received + traffics.header_bytes(dict(cherrypy.request.headers)),
         )
-
-
-def _log_nothing() -> None:
-    return None
-
-
-def _read_body() -> bytes:
-    declared = cherrypy.request.headers.get('Content-Length', '0')
-    if declared.isdigit() and int(declared) > BODY_LIMIT_BYTES:
-        raise errors.MessageTooLargeError(BODY_LIMIT_BYTES)
-    body = cherrypy.request.rfile.read(BODY_LIMIT_BYTES + 1)
-    if len(body) > BODY_LIMIT_BYTES:
-        raise errors.MessageTooLargeError(BODY_LIMIT_BYTES)
-    return body
