Run routing on the users' platform: adapter, routing decisions, owners of stage pools

Cause: nothing of the product spoke the platform's wire. Change: packages/routing decides on routed requests free of I/O (documents, targets, knowledge, batching at the owner of a pool, placement, requests); platform/src/godwitglade/edge turns the platform's bytes into its messages. Ruled out: a role for control (the platform hands no host to it).

--- a/Makefile
+++ b/Makefile
@@ -2,23 +2,24 @@
 VENV ?= .venv
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.godwitglade-installed
-MEMBERS := common coordination decisions callers targets platform \
-	operators peers daemon command
-SOURCES := packages tests bench proof
+MEMBERS := common coordination decisions routing callers targets \
+	platform operators peers daemon command
+SOURCES := packages platform tests bench proof
 space := $(subst ,, )
 export PYTHONPATH := $(CURDIR):$(subst $(space),:,$(foreach \
-	m,$(MEMBERS),$(CURDIR)/packages/$(m)/src))
+	m,$(MEMBERS),$(CURDIR)/packages/$(m)/src)):$(CURDIR)/platform/src
 
 .PHONY: install test codestyle format demo measure model scenarios lines
 
 install: $(STAMP)
 
 $(STAMP): requirements-dev.txt constraints.txt \
-		$(foreach m,$(MEMBERS),packages/$(m)/pyproject.toml)
+		$(foreach m,$(MEMBERS),packages/$(m)/pyproject.toml) \
+		platform/pyproject.toml
 	test -x $(PYTHON) || python3 -m venv $(VENV)
 	$(PYTHON) -m pip install -q -c constraints.txt -r requirements-dev.txt
 	$(PYTHON) -m pip install -q -c constraints.txt --no-build-isolation \
-		$(foreach m,$(MEMBERS),-e packages/$(m))
+		$(foreach m,$(MEMBERS),-e packages/$(m)) -e platform
 	touch $(STAMP)
 
 test: install
--- a/packages/common/src/godwitglade/common/events.py
+++ b/packages/common/src/godwitglade/common/events.py
@@ -49,9 +49,54 @@
     REQUEST_SETTLED = Description(
         2001, logging.INFO, 'A request got its final outcome.'
     )
+    REQUEST_ADMITTED = Description(
+        2010, logging.INFO, 'A routed request was read and accepted.'
+    )
+    REQUEST_REFUSED = Description(
+        2011, logging.INFO, 'A routed request was turned away on arrival.'
+    )
+    REQUEST_SENT = Description(
+        2012, logging.INFO, 'A routed request is sent to a target.'
+    )
+    CALL_NOT_RUN = Description(
+        2013, logging.INFO, 'A target said that it did not run a request.'
+    )
+    CALL_FAILED = Description(
+        2014, logging.WARNING, 'A call of a routed request failed.'
+    )
+    STAGE_FAILED = Description(
+        2015, logging.INFO, 'A stage of a routed request was not done.'
+    )
+    REQUEST_ENDED = Description(
+        2016, logging.INFO, 'A routed request got its final outcome.'
+    )
+    LOGS_DROPPED = Description(
+        1012, logging.WARNING, 'Log lines were dropped: the queue was full.'
+    )
+    SETTINGS_RELOADED = Description(
+        1013, logging.INFO, 'The settings file was read again.'
+    )
     REPLY_DROPPED = Description(
         3001, logging.WARNING, 'A reply matched no attempt still awaited.'
     )
+    TARGET_SUSPENDED = Description(
+        3002, logging.WARNING, 'A target failed and gets nothing for a while.'
+    )
+    TARGET_CHANGED = Description(
+        3003, logging.INFO, 'A target joined, is leaving or is gone.'
+    )
+    BATCH_LOST = Description(
+        3004, logging.WARNING, 'A stage call got no whole answer.'
+    )
+    STORE_LOST = Description(
+        4001, logging.WARNING, 'The platform store does not answer.'
+    )
+    STORE_REGAINED = Description(
+        4002, logging.INFO, 'The platform store answers again.'
+    )
+    ROW_SKIPPED = Description(
+        4003, logging.WARNING, 'A row of the store could not be read.'
+    )
     DOCUMENT_IN_FORCE = Description(
         5001, logging.INFO, 'A document version is in force on this host.'
     )
@@ -74,6 +119,12 @@
         logging.ERROR,
         'A stored document has faults; the version before stays in force.',
     )
+    ROUTES_IN_FORCE = Description(
+        5007, logging.INFO, 'A version of the routes is in force here.'
+    )
+    OWNER_LOST = Description(
+        6001, logging.WARNING, 'The owner of a stage pool does not answer.'
+    )
     CLAIM_ROW_LOST = Description(
         7001, logging.ERROR, 'A held claim row was changed by another writer.'
     )
--- a/packages/daemon/src/godwitglade/daemon/servers.py
+++ b/packages/daemon/src/godwitglade/daemon/servers.py
@@ -4,6 +4,7 @@
 import typing
 
 import attrs
+from cheroot import server
 from cheroot import wsgi
 
 from godwitglade.daemon import connections
@@ -38,7 +39,7 @@
     """Starts and stops the listeners of a daemon."""
 
     def __init__(self, listeners: typing.Iterable[Listener]) -> None:
-        self._servers = [_make_server(listener) for listener in listeners]
+        self._servers = [make_server(listener) for listener in listeners]
         self._threads: list[threading.Thread] = []
 
     def start(self) -> None:
@@ -46,28 +47,29 @@
 
         Raises OSError when one cannot be bound; none is left open then.
         """
-        for number, server in enumerate(self._servers):
+        for number, bound in enumerate(self._servers):
             try:
-                server.prepare()
+                bound.prepare()
             except OSError:
                 self._servers = self._servers[:number]
                 self.stop()
                 raise
         self._threads = [
-            threading.Thread(target=server.serve, daemon=True)
-            for server in self._servers
+            threading.Thread(target=bound.serve, daemon=True)
+            for bound in self._servers
         ]
         for thread in self._threads:
             thread.start()
 
     def stop(self) -> None:
         """Finish answers being written, then close the listeners."""
-        for server in self._servers:
-            server.stop()
+        for bound in self._servers:
+            bound.stop()
 
 
-def _make_server(listener: Listener) -> wsgi.Server:
-    server = wsgi.Server(
+def make_server(listener: Listener) -> wsgi.Server:
+    """Return a server for a WSGI application, not yet bound."""
+    made = wsgi.Server(
         (listener.host, listener.port),
         listener.app,
         numthreads=listener.threads,
@@ -76,12 +78,35 @@
         timeout=IDLE_TIMEOUT_S,
         shutdown_timeout=STOP_TIMEOUT_S,
     )
-    server.max_request_header_size = MAX_HEADER_BYTES
-    server.ssl_adapter = listener.ssl_adapter
-    server.ConnectionClass = listener.connection_class
+    made.ssl_adapter = listener.ssl_adapter
+    return _configured(made, listener.connection_class)
+
+
+def make_gateway_server(
+    address: tuple[str, int],
+    gateway: type[server.Gateway],
+    threads: int,
+    connection_class: type = connections.BoundedConnection,
+    backlog: int = LISTEN_BACKLOG,
+) -> server.HTTPServer:
+    """Return a server whose requests ``gateway`` answers, not yet bound."""
+    made = server.HTTPServer(
+        address, gateway, minthreads=threads, server_name=SERVER_NAME
+    )
+    made.request_queue_size = backlog
+    made.timeout = IDLE_TIMEOUT_S
+    made.shutdown_timeout = STOP_TIMEOUT_S
+    return _configured(made, connection_class)
+
+
+def _configured(
+    made: server.HTTPServer, connection_class: type
+) -> server.HTTPServer:
+    made.max_request_header_size = MAX_HEADER_BYTES
+    made.ConnectionClass = connection_class
     # A reset connection of one client is no fault of the server.
-    server.error_log = _drop_log
-    return server
+    made.error_log = _drop_log
+    return made
 
 
 def _drop_log(*_args: typing.Any, **_kwargs: typing.Any) -> None:
--- /dev/null
+++ b/packages/routing/src/godwitglade/routing/bodies.py
@@ -0,0 +1,95 @@
+"""Messages between hosts about stage work.
+
+Times travel as what is left of them, since hosts share no clock.
+"""
+
+import enum
+
+import attrs
+
+
+class Ending(enum.Enum):
+    """How the work on a job ended."""
+
+    DONE = 'done'
+    LATE = 'late'
+    REFUSED = 'refused'
+    INPUT_GONE = 'input_gone'
+    FAILED = 'failed'
+    MOVED = 'moved'
+
+
+@attrs.frozen
+class JobAsked:
+    """All items of one stage of one request.
+
+    ``attempt_id`` is the caller's id of the request. Items of a stage
+    without predecessors are named by ``item_key``, the others take in
+    ``inputs``. ``due_left_ms`` is the time within which the stage has to
+    end for a timely answer, ``left_ms`` that for an answer at all.
+    """
+
+    job_id: str
+    attempt_id: str
+    pool: str
+    stage: int
+    count: int
+    result_bytes: int
+    rank: int
+    due_left_ms: int
+    left_ms: int
+    item_key: str = ''
+    inputs: tuple[str, ...] = ()
+
+
+@attrs.frozen
+class WorkAsked:
+    """Jobs for the pools that the receiver owns; ``address`` is ours."""
+
+    address: str
+    jobs: tuple[JobAsked, ...]
+
+
+@attrs.frozen
+class JobEnded:
+    """The result of a job.
+
+    ``zone`` is the data centre of the target that holds the results.
+    ``wait_ms`` is the time a new job of the pool would wait now.
+    """
+
+    job_id: str
+    ending: Ending
+    pool: str
+    handles: tuple[str, ...] = ()
+    zone: str = ''
+    wait_ms: int = 0
+
+
+@attrs.frozen
+class WorkEnded:
+    """Results for the host that asked."""
+
+    jobs: tuple[JobEnded, ...]
+
+
+@attrs.frozen
+class WorkReleased:
+    """Jobs whose results, made or not, nobody needs any more."""
+
+    job_ids: tuple[str, ...]
+
+
+@attrs.frozen
+class Received:
+    """The receiver has taken in a message; ``life`` is its incarnation."""
+
+    life: int
+
+
+KINDS: dict[str, type] = {
+    'work_asked': WorkAsked,
+    'work_ended': WorkEnded,
+    'work_released': WorkReleased,
+    'work_received': Received,
+}
--- /dev/null
+++ b/packages/routing/src/godwitglade/routing/documents.py
@@ -0,0 +1,157 @@
+"""The document of a routed deployment: routes, pools, limits, workspaces."""
+
+import enum
+import functools
+import typing
+
+import attrs
+
+
+class RequestKind(enum.Enum):
+    """What may be repeated of a request."""
+
+    IDEMPOTENT = 'idempotent'
+    AT_MOST_ONCE = 'at_most_once'
+    STREAM = 'stream'
+
+
+@attrs.frozen
+class Stage:
+    """Work done before a request can run.
+
+    ``after`` numbers the stages whose results this one takes in;
+    ``result_bytes`` is the approximate size of one result.
+    """
+
+    pool: str
+    after: tuple[int, ...] = ()
+    result_bytes: int = 0
+
+
+@attrs.frozen
+class WeightedPool:
+    """A pool and its share of a route's requests."""
+
+    name: str
+    weight: float = 1.0
+
+
+@attrs.frozen
+class Route:
+    """Where the requests of a host name and path prefix go.
+
+    ``rank`` orders routes by urgency, 0 first. ``objective_ms`` is the time
+    to a useful answer, ``timeout_ms`` the longest time a caller is kept
+    waiting, ``max_targets`` how many targets one request may be sent to.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: RequestKind
+    pools: tuple[WeightedPool, ...]
+    timeout_ms: int
+    objective_ms: int
+    rank: int = 0
+    max_targets: int = 1
+    stages: tuple[Stage, ...] = ()
+    is_open: bool = False
+    has_prompt: bool = False
+    is_resumable: bool = False
+
+    @property
+    def is_repeatable(self) -> bool:
+        """Tell whether a request of this route may run more than once."""
+        return self.kind is RequestKind.IDEMPOTENT or self.is_resumable
+
+
+@attrs.frozen
+class Batching:
+    """How the targets of a stage pool take items.
+
+    A call of ``n`` items takes about ``call_ms + n * item_ms``. Results
+    share ``room_bytes`` at their target until ``result_ttl_ms`` after their
+    call, unless they are freed.
+    """
+
+    max_items: int
+    call_ms: float
+    item_ms: float
+    room_bytes: int
+    result_ttl_ms: int
+    concurrency: int = 1
+
+
+@attrs.frozen
+class Engine:
+    """Capacity of a model engine: requests at once, tokens in memory."""
+
+    slots: int
+    memory_tokens: int
+
+
+@attrs.frozen
+class Pool:
+    """A group of like targets."""
+
+    name: str
+    max_connections: int = 1
+    batching: Batching | None = None
+    engine: Engine | None = None
+
+
+@attrs.frozen
+class Limits:
+    """What a caller may send and how long it may take."""
+
+    max_header_bytes: int = 16 * 1024
+    max_body_bytes: int = 4 * 1024 * 1024
+    header_timeout_ms: int = 3_000
+    idle_timeout_ms: int = 15_000
+
+
+@attrs.frozen
+class Workspace:
+    """A caller's account with its keys; ``rank`` overrides the route's."""
+
+    name: str
+    keys: tuple[str, ...] = attrs.field(default=(), repr=False)
+    rank: int | None = None
+
+
+@attrs.frozen(slots=False)
+class Document:
+    """One version of everything that operators decide."""
+
+    version: int
+    routes: tuple[Route, ...] = ()
+    pools: typing.Mapping[str, Pool] = attrs.Factory(dict)
+    limits: Limits = Limits()
+    workspaces: tuple[Workspace, ...] | None = None
+
+    def match(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix that begins ``path``."""
+        name = host.rpartition(':')[0] if ':' in host else host
+        routes = self._routes_by_host.get(name.lower(), ())
+        bare_path = path.partition('?')[0]
+        return next((r for r in routes if bare_path.startswith(r.prefix)), None)
+
+    def workspace_of(self, key: str) -> Workspace | None:
+        """Return the workspace that holds ``key``."""
+        return self._workspaces_by_key.get(key)
+
+    @functools.cached_property
+    def _routes_by_host(self) -> dict[str, list[Route]]:
+        by_length = sorted(self.routes, key=lambda r: -len(r.prefix))
+        found: dict[str, list[Route]] = {}
+        for route in by_length:
+            found.setdefault(route.host.lower(), []).append(route)
+        return found
+
+    @functools.cached_property
+    def _workspaces_by_key(self) -> dict[str, Workspace]:
+        return {
+            key: workspace
+            for workspace in self.workspaces or ()
+            for key in workspace.keys
+        }
--- /dev/null
+++ b/packages/routing/src/godwitglade/routing/messages.py
@@ -0,0 +1,197 @@
+"""Messages that the routing parts take in."""
+
+import attrs
+
+from godwitglade.routing import documents
+from godwitglade.routing import targets
+
+
+@attrs.frozen
+class PromptPart:
+    """A part of a prompt that other requests may share."""
+
+    name: str
+    tokens: int
+
+
+@attrs.frozen
+class Arrived:
+    """A caller's request, read whole at ``read_ms``.
+
+    ``request_id`` is this host's own, ``attempt_id`` the caller's.
+    ``budget_ms`` is the time that the caller will wait, None if it did not
+    say. ``item_counts`` has the number of items of each stage.
+    """
+
+    request_id: str
+    attempt_id: str
+    method: str
+    host: str
+    path: str
+    read_ms: int
+    key: str | None = attrs.field(default=None, repr=False)
+    budget_ms: int | None = None
+    item_counts: tuple[int, ...] = ()
+    item_key: str = ''
+    prompt: tuple[PromptPart, ...] = ()
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+
+
+@attrs.frozen
+class CallerLeft:
+    """The caller closed its connection before the answer was complete."""
+
+    request_id: str
+
+
+@attrs.frozen
+class Answered:
+    """The target's answer was passed on whole."""
+
+    request_id: str
+    call: int
+    status: int
+    load: targets.Load | None = None
+
+
+@attrs.frozen
+class StreamBegun:
+    """The first event of a stream was passed on."""
+
+    request_id: str
+    call: int
+    load: targets.Load | None = None
+
+
+@attrs.frozen
+class NotRun:
+    """The target said that it did not run the request.
+
+    ``is_input_gone`` tells that a stage result no longer exists,
+    ``is_misdirected`` that another target has the address.
+    """
+
+    request_id: str
+    call: int
+    status: int
+    is_input_gone: bool = False
+    is_misdirected: bool = False
+    load: targets.Load | None = None
+
+
+@attrs.frozen
+class NotSent:
+    """No connection to the target could be had; no byte was sent."""
+
+    request_id: str
+    call: int
+    detail: str
+
+
+@attrs.frozen
+class Lost:
+    """The request was sent and got no answer that is whole and its own."""
+
+    request_id: str
+    call: int
+    detail: str
+
+
+@attrs.frozen
+class Failed:
+    """The target ran the request and answered with a failure.
+
+    The answer is held back until it is relayed or another target is tried.
+    """
+
+    request_id: str
+    call: int
+    status: int
+    load: targets.Load | None = None
+
+
+@attrs.frozen
+class Broken:
+    """A stream ended before its end; ``has_begun`` if the caller saw any."""
+
+    request_id: str
+    call: int
+    has_begun: bool
+    detail: str
+
+
+@attrs.frozen
+class CallerLost:
+    """The answer could not be written to the caller."""
+
+    request_id: str
+
+
+@attrs.frozen
+class DocumentRead:
+    """The document as read, by a read that began at ``read_from_ms``."""
+
+    document: documents.Document
+    read_from_ms: int
+
+
+@attrs.frozen
+class TargetsRead:
+    """The whole list of targets as of a store version."""
+
+    listed: tuple[targets.Listed, ...]
+    version: int
+
+
+@attrs.frozen
+class TargetsChanged:
+    """Entries of the list of targets that changed."""
+
+    present: tuple[targets.Listed, ...]
+    removed: tuple[str, ...]
+    version: int
+
+
+@attrs.frozen
+class HostsRead:
+    """Hosts registered in the store: name, data centre, address."""
+
+    entries: tuple
+
+
+@attrs.frozen
+class StopAsked:
+    """The process is to stop in an orderly way."""
+
+
+@attrs.frozen
+class ItemResult:
+    """A result's ``handle``, or why there is none."""
+
+    handle: str = ''
+    failure: str = ''
+
+
+@attrs.frozen
+class BatchEnded:
+    """A stage call was answered item by item."""
+
+    call_id: str
+    results: tuple[ItemResult, ...]
+
+
+@attrs.frozen
+class BatchNotRun:
+    """A stage call was refused and did not run."""
+
+    call_id: str
+    is_misdirected: bool = False
+
+
+@attrs.frozen
+class BatchLost:
+    """A stage call got no whole answer."""
+
+    call_id: str
+    detail: str
--- /dev/null
+++ b/packages/routing/src/godwitglade/routing/pipeline.py
@@ -0,0 +1,90 @@
+"""Progress of one request through the stages before its target."""
+
+import itertools
+
+import attrs
+
+from godwitglade.routing import documents
+
+
+@attrs.define(eq=False)
+class Progress:
+    """Which stages are done, under way or still to come.
+
+    ``counts`` has the number of items of each stage; a stage without items
+    is left out. Raises ValueError when there are more counts than stages.
+    """
+
+    stages: tuple[documents.Stage, ...]
+    counts: tuple[int, ...]
+    started: set[int] = attrs.Factory(set)
+    handles: dict[int, tuple[str, ...]] = attrs.Factory(dict)
+    zones: dict[int, str] = attrs.Factory(dict)
+
+    def __attrs_post_init__(self) -> None:
+        if len(self.counts) > len(self.stages):
+            raise ValueError(
+                f'{len(self.counts)} counts for {len(self.stages)} stages'
+            )
+        missing = len(self.stages) - len(self.counts)
+        self.counts += (0,) * missing
+
+    @property
+    def is_complete(self) -> bool:
+        """Tell whether every stage with items is done."""
+        return all(n in self.handles for n in self._with_items())
+
+    def startable(self) -> list[int]:
+        """Return the stages whose predecessors are done."""
+        return [
+            number
+            for number in self._with_items()
+            if number not in self.started
+            and all(self._is_done(n) for n in self.stages[number].after)
+        ]
+
+    def inputs_of(self, number: int) -> tuple[str, ...]:
+        """Return the results that a stage takes in."""
+        after = self.stages[number].after
+        found = (self.handles.get(n, ()) for n in after)
+        return tuple(itertools.chain.from_iterable(found))
+
+    def results(self) -> tuple[str, ...]:
+        """Return the results of the stages that no other stage follows."""
+        followed = {n for stage in self.stages for n in stage.after}
+        found = (
+            handles
+            for number, handles in sorted(self.handles.items())
+            if number not in followed
+        )
+        return tuple(itertools.chain.from_iterable(found))
+
+    def largest_zone(self) -> str:
+        """Return the data centre that holds most of the results' bytes."""
+        followed = {n for stage in self.stages for n in stage.after}
+        sizes: dict[str, int] = {}
+        for number, zone in self.zones.items():
+            if number not in followed:
+                size = self.counts[number] * self.stages[number].result_bytes
+                sizes[zone] = sizes.get(zone, 0) + size
+        return max(sizes, key=lambda zone: sizes[zone], default='')
+
+    def later(self, number: int) -> list[int]:
+        """Return the stages with items that wait for a stage to end."""
+        found = {number}
+        for other in range(number + 1, len(self.stages)):
+            if found & set(self.stages[other].after):
+                found.add(other)
+        return [n for n in sorted(found - {number}) if self.counts[n]]
+
+    def restart(self) -> None:
+        """Forget everything done: results are gone."""
+        self.started.clear()
+        self.handles.clear()
+        self.zones.clear()
+
+    def _with_items(self) -> list[int]:
+        return [n for n, count in enumerate(self.counts) if count]
+
+    def _is_done(self, number: int) -> bool:
+        return not self.counts[number] or number in self.handles
--- /dev/null
+++ b/packages/routing/src/godwitglade/routing/requests.py
@@ -0,0 +1,684 @@
+"""The life of one request: matched, staged, sent, sent again, answered.
+
+Answers every load: what a caller is told about having run is derived here
+from the calls made, in one place. See docs/design/platform.md.
+"""
+
+import functools
+import math
+import random as randoms
+import typing
+
+import attrs
+
+from godwitglade.common import events
+from godwitglade.coordination import effects as shared_effects
+from godwitglade.coordination import messages as shared_messages
+from godwitglade.routing import bodies
+from godwitglade.routing import budget
+from godwitglade.routing import documents
+from godwitglade.routing import effects
+from godwitglade.routing import forecasts
+from godwitglade.routing import knowledge
+from godwitglade.routing import messages
+from godwitglade.routing import pipeline
+from godwitglade.routing import placement
+from godwitglade.routing import targets
+
+Effects = list[typing.Any]
+
+DEADLINE_TOKEN = 'requests:deadline:'
+PATIENCE_TOKEN = 'requests:patience:'
+
+#: Told to come back after this time when nothing better is known.
+RETRY_AFTER_MS = 500
+#: A shorter or longer pause helps no caller.
+MIN_RETRY_AFTER_MS = 100
+MAX_RETRY_AFTER_MS = 4_000
+#: A target with less time than this has no chance to answer.
+MIN_TIME_LEFT_MS = 20
+#: The final answer is written this long before the deadline.
+ANSWER_MARGIN_MS = 25
+#: Share of the time left for the first of two sends of a plain request.
+FIRST_SEND_SHARE = 0.6
+#: Times a request's stages are begun anew when results are gone.
+MAX_RESTARTS = 2
+
+
+@attrs.define(eq=False)
+class Request:
+    """A request in flight on this host.
+
+    ``has_run`` says that a target may have begun to work on it.
+    """
+
+    arrived: messages.Arrived
+    route: documents.Route
+    pool: str
+    workspace: documents.Workspace | None
+    deadline_ms: int
+    due_ms: int
+    progress: pipeline.Progress
+    calls: int = 0
+    sends: int = 0
+    restarts: int = 0
+    tried: set[str] = attrs.Factory(set)
+    target: targets.Target | None = None
+    sent_ms: int = 0
+    has_run: bool = False
+    has_begun: bool = False
+    jobs: dict[str, int] = attrs.Factory(dict)
+    spent_jobs: set[str] = attrs.Factory(set)
+
+    @property
+    def request_id(self) -> str:
+        """Return this host's id of the request."""
+        return self.arrived.request_id
+
+    @property
+    def rank(self) -> int:
+        """Return the urgency; a workspace's goes before the route's."""
+        if self.workspace is not None and self.workspace.rank is not None:
+            return self.workspace.rank
+        return self.route.rank
+
+    @property
+    def may_repeat(self) -> bool:
+        """Tell whether it may be sent to one more target after running."""
+        return self.route.is_repeatable and self.sends < self.route.max_targets
+
+
+@attrs.frozen
+class Bounds:
+    """The fleet-wide bounds on repeats."""
+
+    ratio: float = 0.2
+    allowance: float = 50.0
+    window_ms: int = 10_000
+
+
+class Requests:
+    """Every request in flight on this host."""
+
+    def __init__(
+        self,
+        zone: str,
+        knowledge_: knowledge.Knowledge,
+        directory: targets.Directory,
+        random: randoms.Random,
+        bounds: Bounds,
+        count_hosts: typing.Callable[[], int],
+    ) -> None:
+        self._zone = zone
+        self._knowledge = knowledge_
+        self._directory = directory
+        self._random = random
+        self._bounds = bounds
+        self._count_hosts = count_hosts
+        self._requests: dict[str, Request] = {}
+        self._by_job: dict[str, str] = {}
+        self._budgets: dict[str, budget.RepeatBudget] = {}
+        self.forecasts = forecasts.Forecasts()
+
+    def __len__(self) -> int:
+        return len(self._requests)
+
+    @functools.singledispatchmethod
+    def handle(self, message: typing.Any, now_ms: int) -> Effects:
+        """Take in a message; those of other parts are ignored."""
+        return []
+
+    @handle.register
+    def _(self, message: messages.Arrived, now_ms: int) -> Effects:
+        document = self._knowledge.document
+        if document is None:
+            return self._refuse_unknown(message, 'no_document')
+        route = document.match(message.host, message.path)
+        if route is None:
+            return self._reject(message, 404, 'no_route')
+        workspace = None
+        if document.workspaces is not None and not route.is_open:
+            workspace = document.workspace_of(message.key or '')
+            if not self._knowledge.may_accept_keys(now_ms):
+                return self._refuse_unknown(message, 'document_too_old')
+            if workspace is None:
+                return self._reject(message, 401, 'unknown_key')
+        try:
+            progress = pipeline.Progress(route.stages, message.item_counts)
+        except ValueError as error:
+            return self._reject(message, 400, str(error))
+        request = self._make(message, route, workspace, progress)
+        self._requests[request.request_id] = request
+        self._budget(request.pool).note_request(now_ms)
+        timer = shared_effects.StartTimer(
+            f'{DEADLINE_TOKEN}{request.request_id}',
+            request.deadline_ms - ANSWER_MARGIN_MS,
+        )
+        admitted = _log(
+            events.Event.REQUEST_ADMITTED,
+            request,
+            document_version=document.version,
+            document_age_ms=self._knowledge.age_ms(now_ms),
+            left_ms=request.deadline_ms - now_ms,
+        )
+        return [timer, admitted, *self._advance(request, now_ms)]
+
+    @handle.register
+    def _(self, message: shared_messages.TimerFired, now_ms: int) -> Effects:
+        if message.token.startswith(DEADLINE_TOKEN):
+            name = message.token.removeprefix(DEADLINE_TOKEN)
+            request = self._requests.get(name)
+            return [] if request is None else self._expire(request, now_ms)
+        if message.token.startswith(PATIENCE_TOKEN):
+            rest = message.token.removeprefix(PATIENCE_TOKEN)
+            name, _, call = rest.rpartition(':')
+            request = self._requests.get(name)
+            if request is not None and request.calls == int(call):
+                return self._lose_patience(request)
+        return []
+
+    @handle.register
+    def _(self, message: messages.CallerLeft, now_ms: int) -> Effects:
+        request = self._requests.get(message.request_id)
+        if request is None:
+            return []
+        ending = [effects.Abort(request.request_id)]
+        return self._finish(request, 'caller_left', ending, now_ms)
+
+    @handle.register
+    def _(self, message: messages.CallerLost, now_ms: int) -> Effects:
+        request = self._requests.get(message.request_id)
+        if request is None:
+            return []
+        return self._finish(request, 'caller_lost', [], now_ms)
+
+    @handle.register
+    def _(self, message: messages.Answered, now_ms: int) -> Effects:
+        request = self._current(message)
+        if request is None:
+            return []
+        placement.succeeded(request.target, message.load, now_ms)
+        if not request.has_begun:
+            self._note_begin(request, now_ms)
+        outcome = f'answered_{message.status}'
+        return self._finish(request, outcome, [], now_ms, is_done=True)
+
+    @handle.register
+    def _(self, message: messages.StreamBegun, now_ms: int) -> Effects:
+        request = self._current(message)
+        if request is None:
+            return []
+        request.has_begun = request.has_run = True
+        placement.succeeded(request.target, message.load, now_ms)
+        self._note_begin(request, now_ms)
+        return self._release(request)
+
+    @handle.register
+    def _(self, message: messages.NotRun, now_ms: int) -> Effects:
+        request = self._current(message)
+        if request is None:
+            return []
+        placement.heard(request.target, message.load, now_ms)
+        found = [
+            _log(
+                events.Event.CALL_NOT_RUN,
+                request,
+                target=request.target.name,
+                status=message.status,
+            )
+        ]
+        self._leave_target(request)
+        if message.is_misdirected:
+            found.append(effects.RefreshTargets())
+        if message.is_input_gone:
+            request.tried.clear()
+            return found + self._restart(request, now_ms)
+        return found + self._send_again(request, now_ms)
+
+    @handle.register
+    def _(self, message: messages.NotSent, now_ms: int) -> Effects:
+        request = self._current(message)
+        if request is None:
+            return []
+        found = self._note_failure(request, message.detail, True, now_ms)
+        self._leave_target(request)
+        request.sends -= 1
+        return found + self._send_again(request, now_ms)
+
+    @handle.register
+    def _(self, message: messages.Lost, now_ms: int) -> Effects:
+        request = self._current(message)
+        if request is None:
+            return []
+        request.has_run = True
+        found = self._note_failure(request, message.detail, False, now_ms)
+        self._leave_target(request)
+        if request.may_repeat:
+            return found + self._send_again(request, now_ms)
+        answer = effects.Answer(request.request_id, 502, 'no_answer')
+        return found + self._finish(request, 'lost', [answer], now_ms)
+
+    @handle.register
+    def _(self, message: messages.Failed, now_ms: int) -> Effects:
+        request = self._current(message)
+        if request is None:
+            return []
+        request.has_run = True
+        placement.heard(request.target, message.load, now_ms)
+        detail = f'status {message.status}'
+        found = self._note_failure(request, detail, False, now_ms)
+        self._leave_target(request)
+        if request.may_repeat:
+            return found + self._send_again(request, now_ms, has_answer=True)
+        held = [effects.RelayHeld(request.request_id)]
+        return found + self._finish(request, 'failed', held, now_ms)
+
+    @handle.register
+    def _(self, message: messages.Broken, now_ms: int) -> Effects:
+        request = self._current(message)
+        if request is None:
+            return []
+        request.has_run = True
+        found = self._note_failure(request, message.detail, False, now_ms)
+        self._leave_target(request)
+        if request.may_repeat:
+            return found + self._send_again(request, now_ms)
+        ending: Effects = [effects.Abort(request.request_id)]
+        if not message.has_begun:
+            ending = [effects.Answer(request.request_id, 502, 'broken')]
+        return found + self._finish(request, 'broken', ending, now_ms)
+
+    def job_ended(self, job: bodies.JobEnded, now_ms: int) -> Effects:
+        """Take in the end of a job that this host asked for."""
+        if job.ending in (bodies.Ending.DONE, bodies.Ending.REFUSED):
+            self.forecasts.told(job.pool, job.wait_ms, now_ms)
+        request = self._requests.get(self._by_job.get(job.job_id, ''))
+        if request is None or job.job_id not in request.jobs:
+            if job.ending is bodies.Ending.DONE:
+                return [effects.ReleaseJobs((job.job_id,))]
+            return []
+        stage = request.jobs[job.job_id]
+        if stage in request.progress.handles:
+            # The same result, told a second time.
+            return []
+        if job.ending is bodies.Ending.DONE:
+            return self._stage_done(request, stage, job, now_ms)
+        self._forget_job(request, job.job_id)
+        log = _log(
+            events.Event.STAGE_FAILED,
+            request,
+            stage=stage,
+            ending=job.ending.value,
+            wait_ms=job.wait_ms,
+        )
+        if job.ending is bodies.Ending.MOVED:
+            request.progress.started.discard(stage)
+            return [log, *self._advance(request, now_ms)]
+        if job.ending is bodies.Ending.INPUT_GONE:
+            return [log, *self._restart(request, now_ms)]
+        return [
+            log,
+            *self._refuse(request, job.ending.value, job.wait_ms, now_ms),
+        ]
+
+    def resubmit(self, job_id: str, now_ms: int) -> Effects:
+        """Ask again for a job whose owner does not answer."""
+        request = self._requests.get(self._by_job.get(job_id, ''))
+        if request is None or job_id not in request.jobs:
+            return []
+        stage = request.jobs[job_id]
+        self._forget_job(request, job_id)
+        request.progress.started.discard(stage)
+        return self._advance(request, now_ms)
+
+    def _make(
+        self,
+        message: messages.Arrived,
+        route: documents.Route,
+        workspace: documents.Workspace | None,
+        progress: pipeline.Progress,
+    ) -> Request:
+        budget_ms = route.timeout_ms
+        if message.budget_ms is not None:
+            budget_ms = min(budget_ms, message.budget_ms)
+        return Request(
+            arrived=message,
+            route=route,
+            pool=self._draw_pool(route),
+            workspace=workspace,
+            deadline_ms=message.read_ms + budget_ms,
+            due_ms=message.read_ms + min(budget_ms, route.objective_ms),
+            progress=progress,
+        )
+
+    def _draw_pool(self, route: documents.Route) -> str:
+        weights = [pool.weight for pool in route.pools]
+        names = [pool.name for pool in route.pools]
+        if not any(weights):
+            return names[0]
+        return self._random.choices(names, weights)[0]
+
+    def _advance(self, request: Request, now_ms: int) -> Effects:
+        """Start the stages that can start, or send the request."""
+        if request.progress.is_complete:
+            return self._send(request, now_ms)
+        found: Effects = []
+        for stage in request.progress.startable():
+            request.progress.started.add(stage)
+            job = self._job(request, stage, now_ms)
+            request.jobs[job.job_id] = stage
+            self._by_job[job.job_id] = request.request_id
+            found.append(effects.SubmitJob(job))
+        return found
+
+    def _job(
+        self, request: Request, stage: int, now_ms: int
+    ) -> bodies.JobAsked:
+        progress = request.progress
+        later_ms = self.forecasts.left_ms(
+            progress,
+            progress.later(stage),
+            self._knowledge.document.pools,
+            request.pool,
+            now_ms,
+        )
+        inputs = progress.inputs_of(stage)
+        number = len(request.jobs) + len(request.spent_jobs)
+        return bodies.JobAsked(
+            job_id=f'{request.request_id}/{stage}/{number}',
+            attempt_id=request.arrived.attempt_id,
+            pool=progress.stages[stage].pool,
+            stage=stage,
+            count=progress.counts[stage],
+            result_bytes=progress.stages[stage].result_bytes,
+            rank=request.rank,
+            due_left_ms=int(request.due_ms - now_ms - later_ms),
+            left_ms=int(request.deadline_ms - now_ms - later_ms),
+            item_key='' if inputs else request.arrived.item_key,
+            inputs=inputs,
+        )
+
+    def _stage_done(
+        self,
+        request: Request,
+        stage: int,
+        job: bodies.JobEnded,
+        now_ms: int,
+    ) -> Effects:
+        progress = request.progress
+        progress.handles[stage] = job.handles
+        progress.zones[stage] = job.zone
+        # The results that this stage took in are needed by no other one
+        # once all of their followers are done.
+        spent = [
+            job_id
+            for job_id, number in request.jobs.items()
+            if self._is_spent(progress, number)
+        ]
+        for job_id in spent:
+            self._forget_job(request, job_id)
+        found: Effects = [effects.ReleaseJobs(tuple(spent))] if spent else []
+        return found + self._advance(request, now_ms)
+
+    def _is_spent(self, progress: pipeline.Progress, number: int) -> bool:
+        followers = [
+            n
+            for n, stage in enumerate(progress.stages)
+            if number in stage.after and progress.counts[n]
+        ]
+        return bool(followers) and all(
+            n in progress.handles for n in followers
+        )
+
+    def _forget_job(self, request: Request, job_id: str) -> None:
+        request.jobs.pop(job_id, None)
+        request.spent_jobs.add(job_id)
+        self._by_job.pop(job_id, None)
+
+    def _release(self, request: Request) -> Effects:
+        """Give up the results of the request's jobs."""
+        job_ids = tuple(request.jobs)
+        for job_id in job_ids:
+            self._forget_job(request, job_id)
+        return [effects.ReleaseJobs(job_ids)] if job_ids else []
+
+    def _restart(self, request: Request, now_ms: int) -> Effects:
+        request.restarts += 1
+        if request.restarts > MAX_RESTARTS:
+            return self._refuse(request, 'inputs_gone', 0, now_ms)
+        found = self._release(request)
+        request.progress.restart()
+        return found + self._advance(request, now_ms)
+
+    def _send(
+        self, request: Request, now_ms: int, has_answer: bool = False
+    ) -> Effects:
+        left_ms = request.deadline_ms - ANSWER_MARGIN_MS - now_ms
+        if left_ms < MIN_TIME_LEFT_MS:
+            return self._expire(request, now_ms)
+        target = self._choose(request, now_ms)
+        if target is None:
+            return self._no_target(request, has_answer, now_ms)
+        request.calls += 1
+        request.sends += 1
+        request.tried.add(target.name)
+        request.target = target
+        request.sent_ms = now_ms
+        target.in_flight += 1
+        forward = effects.Forward(
+            request_id=request.request_id,
+            call=request.calls,
+            target=target.listed,
+            timeout_ms=left_ms,
+            workspace=request.workspace and request.workspace.name,
+            inputs=request.progress.results(),
+            may_repeat=request.may_repeat,
+            is_stream=request.route.kind is documents.RequestKind.STREAM,
+            needs_new_connection=not request.route.is_repeatable,
+        )
+        sent = _log(
+            events.Event.REQUEST_SENT,
+            request,
+            target=target.name,
+            fullness=round(placement.fullness(target, now_ms), 2),
+            load_age_ms=now_ms - target.load_ms if target.load else None,
+            list_version=self._directory.version,
+        )
+        return [forward, sent, *self._patience(request, left_ms, now_ms)]
+
+    def _patience(
+        self, request: Request, left_ms: int, now_ms: int
+    ) -> Effects:
+        """Keep time for a second send of a plain, repeatable request."""
+        is_plain = request.route.kind is documents.RequestKind.IDEMPOTENT
+        if not (is_plain and request.may_repeat):
+            return []
+        token = f'{PATIENCE_TOKEN}{request.request_id}:{request.calls}'
+        due_ms = now_ms + int(FIRST_SEND_SHARE * left_ms)
+        return [shared_effects.StartTimer(token, due_ms)]
+
+    def _lose_patience(self, request: Request) -> Effects:
+        if request.target is None:
+            return []
+        return [effects.CancelCall(request.request_id, request.calls)]
+
+    def _choose(self, request: Request, now_ms: int) -> targets.Target | None:
+        usable = self._directory.usable(request.pool, now_ms)
+        affinity = ''
+        if request.route.has_prompt:
+            affinity = placement.affinity_of(request.arrived.prompt)
+            affinity = affinity or request.arrived.attempt_id
+        wish = placement.Wish(
+            request.progress.largest_zone() or self._zone,
+            affinity,
+            frozenset(request.tried),
+        )
+        return placement.choose(
+            usable, wish, self._zone, self._random, now_ms
+        )
+
+    def _send_again(
+        self, request: Request, now_ms: int, has_answer: bool = False
+    ) -> Effects:
+        is_spent = request.sends >= request.route.max_targets
+        hosts = self._count_hosts()
+        if is_spent or not self._budget(request.pool).spend(hosts, now_ms):
+            return self._no_target(request, has_answer, now_ms)
+        return self._send(request, now_ms, has_answer)
+
+    def _no_target(
+        self, request: Request, has_answer: bool, now_ms: int
+    ) -> Effects:
+        if has_answer:
+            held = [effects.RelayHeld(request.request_id)]
+            return self._finish(request, 'failed', held, now_ms)
+        return self._refuse(request, 'no_target', RETRY_AFTER_MS, now_ms)
+
+    def _refuse(
+        self, request: Request, reason: str, wait_ms: int, now_ms: int
+    ) -> Effects:
+        """End a request that was given up; truthful about having run."""
+        if request.has_begun:
+            ending: Effects = [effects.Abort(request.request_id)]
+        elif request.has_run:
+            ending = [effects.Answer(request.request_id, 502, reason)]
+        else:
+            after_ms = _retry_after_ms(wait_ms or RETRY_AFTER_MS)
+            ending = [
+                effects.Answer(request.request_id, 503, reason, after_ms)
+            ]
+        return self._finish(request, reason, ending, now_ms)
+
+    def _expire(self, request: Request, now_ms: int) -> Effects:
+        if request.has_begun:
+            ending: Effects = [effects.Abort(request.request_id)]
+        elif request.has_run or request.target is not None:
+            ending = [effects.Answer(request.request_id, 504, 'deadline')]
+        else:
+            ending = [
+                effects.Answer(
+                    request.request_id, 503, 'deadline', RETRY_AFTER_MS
+                )
+            ]
+        return self._finish(request, 'deadline', ending, now_ms)
+
+    def _finish(
+        self,
+        request: Request,
+        outcome: str,
+        ending: Effects,
+        now_ms: int,
+        is_done: bool = False,
+    ) -> Effects:
+        """End a request; cancel what is still under way for it."""
+        del self._requests[request.request_id]
+        cancelled: Effects = []
+        if request.target is not None and not is_done:
+            cancelled = [effects.CancelCall(request.request_id, request.calls)]
+        target = request.target
+        self._leave_target(request)
+        log = _log(
+            events.Event.REQUEST_ENDED,
+            request,
+            outcome=outcome,
+            may_have_run=request.has_run,
+            sends=request.sends,
+            target=target.name if target is not None else None,
+            elapsed_ms=now_ms - request.arrived.read_ms,
+        )
+        timing = shared_effects.Timing(
+            f'request.{outcome}', now_ms - request.arrived.read_ms
+        )
+        freed = self._release(request)
+        return [*ending, *cancelled, *freed, log, timing]
+
+    def _refuse_unknown(
+        self, message: messages.Arrived, reason: str
+    ) -> Effects:
+        answer = effects.Answer(
+            message.request_id, 503, reason, RETRY_AFTER_MS
+        )
+        return [answer, _refused(message, 503, reason)]
+
+    def _reject(
+        self, message: messages.Arrived, status: int, reason: str
+    ) -> Effects:
+        answer = effects.Answer(message.request_id, status, reason)
+        return [answer, _refused(message, status, reason)]
+
+    def _current(self, message: typing.Any) -> Request | None:
+        """Return the request whose present call the message is about."""
+        request = self._requests.get(message.request_id)
+        is_current = request is not None and request.calls == message.call
+        return request if is_current else None
+
+    def _leave_target(self, request: Request) -> None:
+        if request.target is not None:
+            request.target.in_flight -= 1
+            request.target = None
+
+    def _note_failure(
+        self,
+        request: Request,
+        detail: str,
+        is_unreachable: bool,
+        now_ms: int,
+    ) -> Effects:
+        target = request.target
+        found = [
+            _log(
+                events.Event.CALL_FAILED,
+                request,
+                target=target.name,
+                detail=detail,
+                after_ms=now_ms - request.sent_ms,
+            )
+        ]
+        if placement.failed(target, is_unreachable, now_ms):
+            found.append(
+                shared_effects.LogEvent(
+                    events.Event.TARGET_SUSPENDED,
+                    {
+                        'target': target.name,
+                        'failures': target.failures,
+                        'for_ms': target.suspended_until_ms - now_ms,
+                    },
+                )
+            )
+        return found
+
+    def _note_begin(self, request: Request, now_ms: int) -> None:
+        self.forecasts.begun(request.pool, now_ms - request.sent_ms)
+
+    def _budget(self, pool: str) -> budget.RepeatBudget:
+        if pool not in self._budgets:
+            bounds = self._bounds
+            self._budgets[pool] = budget.RepeatBudget(
+                bounds.ratio, bounds.allowance, bounds.window_ms
+            )
+        return self._budgets[pool]
+
+
+def _retry_after_ms(wait_ms: float) -> int:
+    return math.ceil(min(MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, wait_ms)))
+
+
+def _log(
+    event: events.Event, request: Request, **fields: typing.Any
+) -> shared_effects.LogEvent:
+    known = {
+        'request': request.arrived.attempt_id,
+        'route': request.route.name,
+    }
+    return shared_effects.LogEvent(event, known | fields)
+
+
+def _refused(
+    message: messages.Arrived, status: int, reason: str
+) -> shared_effects.LogEvent:
+    fields = {
+        'request': message.attempt_id,
+        'status': status,
+        'reason': reason,
+    }
+    return shared_effects.LogEvent(events.Event.REQUEST_REFUSED, fields)
--- /dev/null
+++ b/packages/routing/src/godwitglade/routing/stopping.py
@@ -0,0 +1,32 @@
+"""A planned stop: take no new callers, end what is here, then go.
+
+Answers rolling restarts: the process leaves early, so that the fleet is
+short of it for as little time as possible.
+"""
+
+import attrs
+
+#: Callers may still arrive until the balancer has seen two answers that say
+#: not ready, one second apart, and new connections are on their way.
+LINGER_MS = 2_300
+
+
+@attrs.define(eq=False)
+class Stopping:
+    """When the process may end; ``limit_ms`` bounds the whole stop."""
+
+    limit_ms: int
+    asked_ms: int | None = None
+
+    @property
+    def is_asked(self) -> bool:
+        """Tell whether the process is about to stop."""
+        return self.asked_ms is not None
+
+    def may_end(self, is_idle: bool, now_ms: int) -> bool:
+        """Tell whether the process may end now."""
+        if self.asked_ms is None:
+            return False
+        elapsed_ms = now_ms - self.asked_ms
+        is_over = elapsed_ms >= self.limit_ms
+        return is_over or (is_idle and elapsed_ms >= LINGER_MS)
--- a/packages/targets/src/godwitglade/targets/connections.py
+++ b/packages/targets/src/godwitglade/targets/connections.py
@@ -8,6 +8,7 @@
 import socket
 import struct
 import threading
+import typing
 
 from urllib3 import connection as urllib3_connection
 from urllib3 import response as urllib3_response
@@ -51,11 +52,20 @@
         self.mark_heard()
 
     def send(
-        self, method: str, path: str, body: bytes | None, timeout_ms: int
+        self,
+        method: str,
+        path: str,
+        body: bytes | None,
+        timeout_ms: int,
+        headers: typing.Mapping[str, str] | None = None,
     ) -> None:
-        """Send a request whole; raises OSError."""
+        """Send a request whole; raises OSError.
+
+        Without ``headers`` a body is sent as JSON.
+        """
         self.limit_wait(timeout_ms)
-        headers = {'Content-Type': 'application/json'} if body else {}
+        if headers is None:
+            headers = {'Content-Type': 'application/json'} if body else {}
         self._http.request(
             method,
             path,
--- a/packages/targets/src/godwitglade/targets/exchange.py
+++ b/packages/targets/src/godwitglade/targets/exchange.py
@@ -85,10 +85,11 @@
     path: str,
     body: bytes | None,
     budget: Budget,
+    headers: typing.Mapping[str, str] | None = None,
 ) -> None:
     """Send a request; a fault leaves open how much of it has left."""
     try:
-        connection.send(method, path, body, budget.wait_ms())
+        connection.send(method, path, body, budget.wait_ms(), headers)
     except WIRE_ERRORS as error:
         raise _translate(error, budget) from error
 
