--- a/packages/common/src/godwitglade/common/events.py
+++ b/packages/common/src/godwitglade/common/events.py
@@ -88,6 +88,9 @@
     BATCH_LOST = Description(
         3004, logging.WARNING, 'A stage call got no whole answer.'
     )
+    BATCH_SENT = Description(
+        3005, logging.INFO, 'A stage call is sent to a target.'
+    )
     STORE_LOST = Description(
         4001, logging.WARNING, 'The platform store does not answer.'
     )
--- a/packages/routing/src/godwitglade/routing/host.py
+++ b/packages/routing/src/godwitglade/routing/host.py
@@ -76,7 +76,7 @@
     known = knowledge.Knowledge(settings.revoke_ms)
     directory = targets.Directory()
     requests_ = requests.Requests(
-        self_id.zone,
+        self_id,
         known,
         directory,
         fork(),
--- a/packages/routing/src/godwitglade/routing/requests.py
+++ b/packages/routing/src/godwitglade/routing/requests.py
@@ -13,6 +13,7 @@
 
 from godwitglade.common import events
 from godwitglade.coordination import effects as shared_effects
+from godwitglade.coordination import hosts
 from godwitglade.coordination import messages as shared_messages
 from godwitglade.routing import bodies
 from godwitglade.routing import budget
@@ -102,14 +103,15 @@
 
     def __init__(
         self,
-        zone: str,
+        self_id: hosts.HostId,
         knowledge_: knowledge.Knowledge,
         directory: targets.Directory,
         random: randoms.Random,
         bounds: Bounds,
         count_hosts: typing.Callable[[], int],
     ) -> None:
-        self._zone = zone
+        self._self_id = self_id
+        self._zone = self_id.zone
         self._knowledge = knowledge_
         self._directory = directory
         self._random = random
@@ -385,7 +387,7 @@
         inputs = progress.inputs_of(stage)
         number = len(request.jobs) + len(request.spent_jobs)
         return bodies.JobAsked(
-            job_id=f'{request.request_id}/{stage}/{number}',
+            job_id=f'{self._self_id}/{request.request_id}/{stage}/{number}',
             attempt_id=request.arrived.attempt_id,
             pool=progress.stages[stage].pool,
             stage=stage,
--- a/packages/routing/src/godwitglade/routing/work.py
+++ b/packages/routing/src/godwitglade/routing/work.py
@@ -283,7 +283,8 @@
         return self._settle(batcher.dispatch(pool, now_ms), now_ms)
 
     def _settle(self, found: Effects, now_ms: int) -> Effects:
-        """Report the ends of jobs among ``found``; return the rest."""
+        """Report the ends of jobs among ``found``; log and return the rest."""
+        found += [_log_call(e) for e in found if _is_call(e)]
         ended = [e for e in found if isinstance(e, effects.EndJob)]
         rest = [e for e in found if not isinstance(e, effects.EndJob)]
         if not ended:
@@ -431,5 +432,20 @@
     return attrs.evolve(job, wait_ms=max(0, waits.get(job.pool, 0)))
 
 
+def _is_call(effect: typing.Any) -> bool:
+    return isinstance(effect, effects.RunBatch)
+
+
+def _log_call(effect: effects.RunBatch) -> shared_effects.LogEvent:
+    requests = dict.fromkeys(item.attempt_id for item in effect.items)
+    fields = {
+        'call': effect.call_id,
+        'target': effect.target.name,
+        'items': len(effect.items),
+        'requests': list(requests),
+    }
+    return shared_effects.LogEvent(events.Event.BATCH_SENT, fields)
+
+
 def _ignore(*_args: typing.Any) -> Effects:
     return []
