Test routing decisions; let heavy inputs wait for a target near them

Change: a job whose inputs are heavy waits for a target in their data centre while it can still be in time there. Tests for the parts of routing. Ruled out: placing of model requests (log: all sent in the results' centre).

--- a/packages/routing/src/godwitglade/routing/batching.py
+++ b/packages/routing/src/godwitglade/routing/batching.py
@@ -41,6 +41,9 @@
 SLOWNESS_HALF_LIFE_MS = 3_000
 #: A lane is left idle when another ends the work this much earlier.
 WORTH_WAITING_MS = 100
+#: Inputs of a job as large as this are not moved to another data centre
+#: while the job can still be in time at a target near them.
+HEAVY_INPUT_BYTES = 200_000
 #: Share of the room planned with; sizes of results are approximate.
 ROOM_SHARE = 0.95
 #: Calls a late job may have before it on each lane and still wait.
@@ -315,7 +318,10 @@
         limit_bytes = ROOM_SHARE * self.batching.room_bytes
         room_bytes = limit_bytes - lane.used_bytes(now_ms)
         chosen: list[tuple[_Waiting, int]] = []
+        soonest_ms = self._soonest_by_zone(pool, now_ms)
         for entry in self._in_order(slowness, now_ms):
+            if self._waits_for_zone(entry, target, soonest_ms, now_ms):
+                continue
             size = entry.job.asked.result_bytes
             left = self.batching.max_items - len(chosen)
             if size:
@@ -333,6 +339,34 @@
             return []
         return chosen
 
+    def _soonest_by_zone(
+        self, pool: list[targets.Target], now_ms: int
+    ) -> dict[str, float]:
+        """Return when the first target of each data centre gets free."""
+        found: dict[str, float] = {}
+        for target in pool:
+            zone = target.listed.zone
+            ready_ms = self._ready_ms(self._lane(target), now_ms)
+            found[zone] = min(ready_ms, found.get(zone, math.inf))
+        return found
+
+    def _waits_for_zone(
+        self,
+        entry: _Waiting,
+        target: targets.Target,
+        soonest_ms: dict[str, float],
+        now_ms: int,
+    ) -> bool:
+        """Tell whether a job does better to wait for a target near by."""
+        asked = entry.job.asked
+        heavy = asked.input_bytes * asked.count >= HEAVY_INPUT_BYTES
+        is_near = asked.zone in ('', target.listed.zone)
+        if is_near or not heavy or asked.zone not in soonest_ms:
+            return False
+        need_ms = self._estimate_ms(self.batching.max_items, 1.0)
+        end_ms = soonest_ms[asked.zone] + need_ms
+        return end_ms <= entry.job.due_ms
+
     def _fits_empty(self, entry: _Waiting) -> bool:
         """Tell whether the job's items fit a target without results."""
         count = len(entry.pending)
--- a/packages/routing/src/godwitglade/routing/bodies.py
+++ b/packages/routing/src/godwitglade/routing/bodies.py
@@ -27,6 +27,8 @@
     without predecessors are named by ``item_key``, the others take in
     ``inputs``. ``due_left_ms`` is the time within which the stage has to
     end for a timely answer, ``left_ms`` that for an answer at all.
+    ``zone`` holds most of the inputs, of which each item takes in about
+    ``input_bytes``.
     """
 
     job_id: str
@@ -40,6 +42,8 @@
     left_ms: int
     item_key: str = ''
     inputs: tuple[str, ...] = ()
+    zone: str = ''
+    input_bytes: int = 0
 
 
 @attrs.frozen
--- a/packages/routing/src/godwitglade/routing/pipeline.py
+++ b/packages/routing/src/godwitglade/routing/pipeline.py
@@ -1,6 +1,7 @@
 """Progress of one request through the stages before its target."""
 
 import itertools
+import typing
 
 import attrs
 
@@ -59,15 +60,18 @@
         )
         return tuple(itertools.chain.from_iterable(found))
 
-    def largest_zone(self) -> str:
+    def zone_of_results(self) -> str:
         """Return the data centre that holds most of the results' bytes."""
         followed = {n for stage in self.stages for n in stage.after}
-        sizes: dict[str, int] = {}
-        for number, zone in self.zones.items():
-            if number not in followed:
-                size = self.counts[number] * self.stages[number].result_bytes
-                sizes[zone] = sizes.get(zone, 0) + size
-        return max(sizes, key=lambda zone: sizes[zone], default='')
+        return self._zone_of(n for n in self.zones if n not in followed)
+
+    def zone_of_inputs(self, number: int) -> str:
+        """Return the data centre that holds most of a stage's inputs."""
+        return self._zone_of(self.stages[number].after)
+
+    def input_bytes(self, number: int) -> int:
+        """Return the size of what each item of a stage takes in."""
+        return sum(self._size(n) for n in self.stages[number].after)
 
     def later(self, number: int) -> list[int]:
         """Return the stages with items that wait for a stage to end."""
@@ -83,6 +87,16 @@
         self.handles.clear()
         self.zones.clear()
 
+    def _size(self, number: int) -> int:
+        return self.counts[number] * self.stages[number].result_bytes
+
+    def _zone_of(self, numbers: typing.Iterable[int]) -> str:
+        sizes: dict[str, int] = {}
+        for number in numbers:
+            zone = self.zones.get(number, '')
+            sizes[zone] = sizes.get(zone, 0) + self._size(number)
+        return max(sizes, key=lambda zone: sizes[zone], default='')
+
     def _with_items(self) -> list[int]:
         return [n for n, count in enumerate(self.counts) if count]
 
--- a/packages/routing/src/godwitglade/routing/requests.py
+++ b/packages/routing/src/godwitglade/routing/requests.py
@@ -398,6 +398,8 @@
             left_ms=int(request.deadline_ms - now_ms - later_ms),
             item_key='' if inputs else request.arrived.item_key,
             inputs=inputs,
+            zone=progress.zone_of_inputs(stage),
+            input_bytes=progress.input_bytes(stage),
         )
 
     def _stage_done(
@@ -511,7 +513,7 @@
             affinity = placement.affinity_of(request.arrived.prompt)
             affinity = affinity or request.arrived.attempt_id
         wish = placement.Wish(
-            request.progress.largest_zone() or self._zone,
+            request.progress.zone_of_results() or self._zone,
             affinity,
             frozenset(request.tried),
         )
--- /dev/null
+++ b/tests/routing/test_batching.py
@@ -0,0 +1,238 @@
+"""Calls of a stage pool: who shares one, who waits, who is turned away."""
+
+import pytest
+
+from godwitglade.routing import batching
+from godwitglade.routing import bodies
+from godwitglade.routing import effects
+from godwitglade.routing import messages
+from tests.routing import builders
+
+Ending = bodies.Ending
+
+
+def make_batcher(**fields):
+    return batching.Batcher('encode', builders.traits(**fields), 'encode|')
+
+
+def submit(batcher, pool, now_ms, *jobs):
+    found = []
+    for job in jobs:
+        found += batcher.submit(job, pool, now_ms)
+    return found + batcher.dispatch(pool, now_ms)
+
+
+def calls(found):
+    return [e for e in found if isinstance(e, effects.RunBatch)]
+
+
+def ends(found):
+    return [
+        (e.job.job_id, e.job.ending)
+        for e in found
+        if isinstance(e, effects.EndJob)
+    ]
+
+
+def freed(found):
+    return [
+        h
+        for e in found
+        if isinstance(e, effects.FreeResults)
+        for h in e.handles
+    ]
+
+
+def answer(batcher, call, now_ms, prefix='h'):
+    results = tuple(
+        messages.ItemResult(f'{prefix}{n}') for n in range(len(call.items))
+    )
+    return batcher.ended(messages.BatchEnded(call.call_id, results), now_ms)
+
+
+def attempts(call):
+    return sorted({item.attempt_id for item in call.items})
+
+
+def test_jobs_that_wait_share_the_next_call():
+    batcher, pool = make_batcher(), [builders.target('t1')]
+    first = calls(submit(batcher, pool, 0, builders.job('j1')))[0]
+    waiting = [builders.job(f'j{n}', 2) for n in range(2, 6)]
+    assert not calls(submit(batcher, pool, 10, *waiting))
+    answer(batcher, first, 210)
+    second = calls(batcher.dispatch(pool, 210))[0]
+    assert len(second.items) == 8
+
+
+def test_items_of_a_job_stay_in_one_call():
+    batcher, pool = make_batcher(), [builders.target('t1')]
+    first = calls(submit(batcher, pool, 0, builders.job('j1', 6)))[0]
+    submit(batcher, pool, 1, builders.job('j2', 6), builders.job('j3', 6))
+    answer(batcher, first, 260)
+    second = calls(batcher.dispatch(pool, 260))[0]
+    assert attempts(second) == ['a-j2']
+
+
+def test_ended_job_tells_its_results_in_order():
+    batcher, pool = make_batcher(), [builders.target('t1', zone='z2')]
+    call = calls(submit(batcher, pool, 0, builders.job('j1', 3)))[0]
+    found = answer(batcher, call, 230)
+    assert ends(found) == [('j1', Ending.DONE)]
+    assert found[0].job.handles == ('h0', 'h1', 'h2')
+    assert found[0].job.zone == 'z2'
+
+
+@pytest.mark.parametrize(
+    ('due_ms', 'deadline_ms', 'is_refused'),
+    [
+        (1_000, 5_000, False),
+        (1_000, 150, True),
+    ],
+    ids=['in time', 'cannot end before its deadline'],
+)
+def test_hopeless_job_is_turned_away_at_once(due_ms, deadline_ms, is_refused):
+    batcher, pool = make_batcher(), [builders.target('t1')]
+    job = builders.job('j1', 1, due_ms, deadline_ms)
+    found = submit(batcher, pool, 0, job)
+    assert (ends(found) == [('j1', Ending.REFUSED)]) is is_refused
+    assert bool(calls(found)) is not is_refused
+
+
+def test_refused_job_is_told_how_long_the_queue_is():
+    batcher, pool = make_batcher(), [builders.target('t1')]
+    jobs = [builders.job(f'j{n}', 10, 9_000, 9_000) for n in range(6)]
+    submit(batcher, pool, 0, *jobs)
+    found = submit(batcher, pool, 0, builders.job('late', 1, 300, 400))
+    assert ends(found) == [('late', Ending.REFUSED)]
+    assert found[0].job.wait_ms >= 5 * 300
+
+
+def test_jobs_still_in_time_go_before_late_ones():
+    batcher, pool = make_batcher(), [builders.target('t1')]
+    first = calls(submit(batcher, pool, 0, builders.job('j0', 10)))[0]
+    submit(
+        batcher,
+        pool,
+        1,
+        builders.job('late', 6, 100, 5_000),
+        builders.job('timely', 6, 900, 5_000),
+    )
+    answer(batcher, first, 300)
+    second = calls(batcher.dispatch(pool, 300))[0]
+    assert attempts(second) == ['a-timely']
+
+
+def test_call_takes_no_more_results_than_there_is_room_for():
+    batcher, pool = make_batcher(), [builders.target('t1')]
+    big = [builders.job(f'j{n}', 2, result_bytes=2_000) for n in range(3)]
+    first = calls(submit(batcher, pool, 0, *big))[0]
+    assert attempts(first) == ['a-j0', 'a-j1']
+    answer(batcher, first, 240)
+    assert not calls(batcher.dispatch(pool, 240))
+    batcher.release(['j0'], 250)
+    assert attempts(calls(batcher.dispatch(pool, 250))[0]) == ['a-j2']
+
+
+def test_released_results_are_freed_and_make_room():
+    batcher, pool = make_batcher(), [builders.target('t1')]
+    job = builders.job('j1', 4, result_bytes=2_000)
+    call = calls(submit(batcher, pool, 0, job))[0]
+    answer(batcher, call, 240)
+    waiting = builders.job('j2', 4, result_bytes=2_000)
+    assert not calls(submit(batcher, pool, 241, waiting))
+    assert freed(batcher.release(['j1'], 300)) == ['h0', 'h1', 'h2', 'h3']
+    assert len(calls(batcher.dispatch(pool, 300))[0].items) == 4
+
+
+def test_results_of_a_job_released_while_it_ran_are_freed():
+    batcher, pool = make_batcher(), [builders.target('t1')]
+    call = calls(submit(batcher, pool, 0, builders.job('j1', 2)))[0]
+    batcher.release(['j1'], 100)
+    found = answer(batcher, call, 220)
+    assert freed(found) == ['h0', 'h1']
+    assert not ends(found)
+
+
+def test_lost_call_is_repeated_at_another_target():
+    batcher = make_batcher()
+    pool = [builders.target('t1'), builders.target('t2')]
+    call = calls(submit(batcher, pool, 0, builders.job('j1', 2)))[0]
+    batcher.lost(messages.BatchLost(call.call_id, 'reset'), 50)
+    again = calls(batcher.dispatch(pool, 50))[0]
+    assert again.target.name != call.target.name
+    assert ends(answer(batcher, again, 270)) == [('j1', Ending.DONE)]
+
+
+def test_job_fails_after_some_tries():
+    batcher = make_batcher()
+    pool = [builders.target(f't{n}') for n in range(5)]
+    found = submit(batcher, pool, 0, builders.job('j1'))
+    for _ in range(batching.MAX_TRIES):
+        call = calls(found)[0]
+        found = batcher.lost(messages.BatchLost(call.call_id, 'reset'), 10)
+        found += batcher.dispatch(pool, 10)
+    assert ends(found) == [('j1', Ending.FAILED)]
+
+
+def test_overdue_call_is_repeated_and_the_later_result_freed():
+    batcher = make_batcher()
+    pool = [builders.target('t1'), builders.target('t2')]
+    first = calls(submit(batcher, pool, 0, builders.job('j1')))[0]
+    batcher.tick(1_000)
+    second = calls(batcher.dispatch(pool, 1_000))[0]
+    assert second.target.name != first.target.name
+    assert ends(answer(batcher, second, 1_210)) == [('j1', Ending.DONE)]
+    late = answer(batcher, first, 1_300, prefix='late')
+    assert freed(late) == ['late0']
+
+
+def test_slow_target_is_left_idle_for_one_that_ends_earlier():
+    batcher = make_batcher()
+    pool = [builders.target('slow'), builders.target('t2')]
+    jobs = [builders.job(f'j{n}', 10, 9_000, 9_000) for n in range(4)]
+    for call in calls(submit(batcher, pool, 0, *jobs[:2])):
+        took_ms = 1_500 if call.target.name == 'slow' else 300
+        answer(batcher, call, took_ms)
+    busy = submit(batcher, pool, 1_600, jobs[2])
+    assert [call.target.name for call in calls(busy)] == ['t2']
+    assert not calls(submit(batcher, pool, 1_610, jobs[3]))
+
+
+@pytest.mark.parametrize(
+    ('due_ms', 'zones'),
+    [(5_000, []), (400, ['z2'])],
+    ids=['time to wait for it', 'no time to wait for it'],
+)
+def test_job_with_heavy_inputs_waits_for_a_target_near_them(due_ms, zones):
+    batcher = make_batcher()
+    near, far = builders.target('t1', zone='z1'), builders.target('t2')
+    far.listed = builders.listed('t2', zone='z2')
+    submit(batcher, [near], 0, builders.job('j1'))
+    heavy = builders.job(
+        'j2', 2, due_ms, 9_000, inputs=('h',), zone='z1', input_bytes=10**6
+    )
+    found = calls(submit(batcher, [near, far], 10, heavy))
+    assert [call.target.zone for call in found] == zones
+
+
+def test_burst_is_carried_in_few_full_calls():
+    """Items of many requests meet in calls; all end in time."""
+    batcher = make_batcher(item_ms=16.0)
+    pool = [builders.target(f't{n}') for n in range(3)]
+    running, done, made = {}, {}, 0
+    for now_ms in range(0, 3_000, 10):
+        for call_id in [c for c, (end, _) in running.items() if end <= now_ms]:
+            _, call = running.pop(call_id)
+            for job_id, _ in ends(answer(batcher, call, now_ms, call_id)):
+                done[job_id] = now_ms
+                batcher.release([job_id], now_ms)
+        jobs = []
+        if now_ms < 2_000 and now_ms % 40 == 0:
+            jobs = [builders.job(f'j{now_ms}', 2, now_ms + 700, now_ms + 3_000)]
+        for call in calls(submit(batcher, pool, now_ms, *jobs)):
+            made += 1
+            end_ms = now_ms + 200 + 16 * len(call.items)
+            running[call.call_id] = (end_ms, call)
+    assert len(done) == 50
+    assert all(at_ms - int(name[1:]) <= 700 for name, at_ms in done.items())
+    assert made <= 25
