--- /dev/null
+++ b/bench/standins/edge_platform.py
@@ -0,0 +1,392 @@
+"""Stand-ins for the users' platform: its store, and targets that list there.
+
+They speak the platform's wire, as far as the edge program uses it, and
+misbehave on demand. One thread serves each connection.
+"""
+
+import base64
+import http.client
+import io
+import itertools
+import socket
+import socketserver
+import struct
+import threading
+import time
+import typing
+import urllib.parse
+
+import attrs
+
+from godwitglade.common import codec
+
+FEED_POLL_S = 0.01
+_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
+
+
+@attrs.frozen
+class Request:
+    """One request as it came in."""
+
+    method: str
+    path: str
+    query: dict[str, str]
+    headers: typing.Mapping[str, str]
+    body: bytes
+
+    @property
+    def attempt_id(self) -> str:
+        """Return the caller's id of the request."""
+        return self.headers.get('X-Attempt-Id', '')
+
+
+class Server:
+    """Serves ``answer(request) -> bytes | iterable of bytes`` on loopback.
+
+    An answer of None resets the connection; what is yielded is sent as it
+    comes, and the connection ends after it unless the answer is bytes.
+    """
+
+    def __init__(self) -> None:
+        self.requests: list[Request] = []
+        self.connections = 0
+        self._server = _Listener(('127.0.0.1', 0), self)
+        host, port = self._server.server_address
+        self.address = f'{host}:{port}'
+        thread = threading.Thread(
+            target=self._server.serve_forever, args=(0.02,), daemon=True
+        )
+        thread.start()
+
+    def answer(self, request: Request) -> typing.Any:
+        """Return the answer's bytes."""
+        raise NotImplementedError
+
+    def stop(self) -> None:
+        """Stop listening."""
+        self._server.shutdown()
+        self._server.server_close()
+
+
+class _Listener(socketserver.ThreadingTCPServer):
+    daemon_threads = True
+    allow_reuse_address = True
+    request_queue_size = 128
+
+    def __init__(self, address: tuple[str, int], owner: Server) -> None:
+        self.owner = owner
+        super().__init__(address, _Handler)
+
+
+class _Handler(socketserver.StreamRequestHandler):
+    server: _Listener
+
+    def handle(self) -> None:
+        owner = self.server.owner
+        owner.connections += 1
+        self.connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        try:
+            while (request := read_request(self.rfile)) is not None:
+                owner.requests.append(request)
+                if not self._send(owner.answer(request)):
+                    return
+        except OSError:
+            # The other side went first.
+            return
+
+    def _send(self, answer: typing.Any) -> bool:
+        if answer is None:
+            self.connection.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+            )
+            return False
+        if isinstance(answer, bytes):
+            self.wfile.write(answer)
+            return True
+        for part in answer:
+            self.wfile.write(part)
+        return False
+
+
+def read_request(rfile: typing.BinaryIO) -> Request | None:
+    """Return the next request of a connection, None at its end."""
+    line = rfile.readline()
+    if not line:
+        return None
+    method, target, _ = line.decode('latin-1').split(' ', 2)
+    headers = http.client.parse_headers(rfile)
+    body = rfile.read(int(headers.get('Content-Length', 0)))
+    path, _, query = target.partition('?')
+    found = dict(urllib.parse.parse_qsl(query))
+    return Request(method, path, found, headers, body)
+
+
+def response(status: int, headers: dict[str, str], body: bytes = b'') -> bytes:
+    """Return a response with a length."""
+    lines = [f'HTTP/1.1 {status} {http.client.responses[status]}']
+    lines += [f'{name}: {value}' for name, value in headers.items()]
+    lines.append(f'Content-Length: {len(body)}')
+    return '\r\n'.join([*lines, '', '']).encode('latin-1') + body
+
+
+class Store(Server):
+    """Rows with versions; ``is_down`` has every call answered 503."""
+
+    def __init__(self) -> None:
+        self._rows: dict[tuple[str, str], dict[str, typing.Any]] = {}
+        self._version = 0
+        self._oldest = 0
+        self.is_down = False
+        super().__init__()
+
+    def put(self, table: str, key: str, value: typing.Any) -> None:
+        """Write a row as the operator or a target does."""
+        raw = value if isinstance(value, bytes) else codec.to_json(value)
+        self._write(table, key, base64.b64encode(raw).decode())
+
+    def drop(self, table: str, key: str) -> None:
+        """Remove a row."""
+        self._version += 1
+        row = {'table': table, 'part': '', 'key': key, 'deleted': True}
+        self._rows[table, key] = row | {'schemaVersion': self._version}
+
+    def forget_history(self) -> None:
+        """Drop the history: feeds that ask for it get 410."""
+        self._version += 1
+        self._oldest = self._version
+
+    def answer(self, request: Request) -> bytes:
+        """Answer one call."""
+        if self.is_down:
+            return response(503, {})
+        if request.path == '/api/rows-get':
+            rows = [
+                row
+                for row in self._of(request.query['table'], 0)
+                if 'deleted' not in row
+            ]
+            return self._rendered(sorted(rows, key=lambda r: r['key']))
+        if request.path == '/api/rows-feed':
+            return self._feed(request.query)
+        for row in codec.parse_json(request.body)['write']:
+            self._write(row['table'], row['key'], row['value'])
+        return self._rendered([])
+
+    def _write(self, table: str, key: str, value: str) -> None:
+        self._version += 1
+        self._rows[table, key] = {
+            'table': table,
+            'part': '',
+            'key': key,
+            'value': value,
+            'schemaVersion': self._version,
+        }
+
+    def _feed(self, query: dict[str, str]) -> bytes:
+        after = int(query['after'])
+        if after < self._oldest:
+            return response(410, {})
+        until_s = time.monotonic() + int(query['waitMs']) / 1_000
+        while not (rows := self._of(query['table'], after)):
+            if time.monotonic() >= until_s:
+                break
+            time.sleep(FEED_POLL_S)
+        return self._rendered(rows)
+
+    def _of(self, table: str, after: int) -> list[dict[str, typing.Any]]:
+        rows = [r for r in list(self._rows.values()) if r['table'] == table]
+        newer = [row for row in rows if row['schemaVersion'] > after]
+        return sorted(newer, key=lambda row: row['schemaVersion'])
+
+    def _rendered(self, rows: list[dict[str, typing.Any]]) -> bytes:
+        plain = {
+            'rows': rows,
+            'hasMore': False,
+            'schemaVersion': self._version,
+            'nowMs': 0,
+        }
+        headers = {'Content-Type': 'application/json'}
+        return response(200, headers, codec.to_json(plain))
+
+
+class Target(Server):
+    """A target; ``behaviours`` are used in turn, the last one for good."""
+
+    def __init__(self, name: str, pool: str, zone: str = 'z1') -> None:
+        self.name = name
+        self.pool = pool
+        self.zone = zone
+        self.behaviours: list[str] = ['ok']
+        self.freed: list[str] = []
+        self._numbers = itertools.count()
+        super().__init__()
+
+    @property
+    def runs(self) -> list[Request]:
+        """Return the callers' requests that came in."""
+        own = ('/api/stage-run', '/api/stage-free')
+        return [r for r in self.requests if r.path not in own]
+
+    def entry(self, **fields: typing.Any) -> dict[str, typing.Any]:
+        """Return the target's entry in the store."""
+        return {
+            'service': self.pool,
+            'address': self.address,
+            'zone': self.zone,
+            'version': 'v1',
+            'slots': 4,
+            'state': 'ready',
+            'coldRemainingMs': 0,
+            'sequence': 1,
+            'born': 1_700_000_000_000,
+            **fields,
+        }
+
+    def answer(self, request: Request) -> typing.Any:
+        """Answer one call as the present behaviour has it."""
+        if request.path == '/api/stage-run':
+            return self._run_stage(request)
+        if request.path == '/api/stage-free':
+            self.freed += codec.parse_json(request.body)['handles']
+            return response(200, {}, b'{}')
+        behaviour = self.behaviours[0]
+        if len(self.behaviours) > 1:
+            self.behaviours.pop(0)
+        return BEHAVIOURS[behaviour](self, request)
+
+    def headers(self, request: Request) -> dict[str, str]:
+        """Return the headers of a proper answer."""
+        return {
+            'X-Attempt-Id': request.attempt_id,
+            'X-Server-Signature': f'signed-{self.name}',
+            'X-Instance-Load': '1,0,4',
+        }
+
+    def _run_stage(self, request: Request) -> bytes:
+        entries = codec.parse_json(request.body)['entries']
+        made = [
+            {'handle': f'{self.address}/{next(self._numbers)}'}
+            for _ in entries
+        ]
+        return response(200, {}, codec.to_json({'entries': made}))
+
+
+def _ok(target: Target, request: Request) -> bytes:
+    return response(200, target.headers(request), b'whole')
+
+
+def _error(target: Target, request: Request) -> bytes:
+    return response(500, target.headers(request), b'failed')
+
+
+def _not_run(target: Target, request: Request) -> bytes:
+    return response(503, {'X-Not-Executed': '1'})
+
+
+def _busy_after_run(target: Target, request: Request) -> bytes:
+    return response(503, target.headers(request))
+
+
+def _misdirected(target: Target, request: Request) -> bytes:
+    return response(421, {'X-Instance-Id': 'other'})
+
+
+def _foreign(target: Target, request: Request) -> bytes:
+    headers = target.headers(request) | {'X-Attempt-Id': 'foreign'}
+    return response(200, headers, b'whole')
+
+
+def _unsigned(target: Target, request: Request) -> bytes:
+    headers = {'X-Attempt-Id': request.attempt_id}
+    return response(200, headers, b'whole')
+
+
+def _encoded(target: Target, request: Request) -> bytes:
+    headers = target.headers(request) | {'Content-Encoding': 'gzip'}
+    return response(200, headers, b'whole')
+
+
+def _extra(target: Target, request: Request) -> bytes:
+    return _ok(target, request) + _foreign(target, request)
+
+
+def _short(target: Target, request: Request) -> typing.Iterator[bytes]:
+    yield _ok(target, request)[:-2]
+
+
+def _garbage(target: Target, request: Request) -> typing.Iterator[bytes]:
+    yield b'\x00\x01 no answer\r\n\r\n'
+
+
+def _reset(target: Target, request: Request) -> None:
+    return None
+
+
+def _silent(target: Target, request: Request) -> typing.Iterator[bytes]:
+    time.sleep(3)
+    yield b''
+
+
+def _head_of_stream(target: Target, request: Request) -> bytes:
+    headers = target.headers(request) | {'Content-Type': 'text/event-stream'}
+    lines = [f'{name}: {value}' for name, value in headers.items()]
+    head = ['HTTP/1.1 200 OK', *lines, 'Transfer-Encoding: chunked', '', '']
+    return '\r\n'.join(head).encode('latin-1')
+
+
+def _chunk(content: bytes) -> bytes:
+    return b'%x\r\n%b\r\n' % (len(content), content)
+
+
+def event(number: int) -> bytes:
+    """Return one event of a stream."""
+    return b'id: %d\ndata: piece %d\n\n' % (number, number)
+
+
+def _stream(target: Target, request: Request) -> typing.Iterator[bytes]:
+    first = int(request.headers.get('Last-Event-Id') or 0) + 1
+    yield _head_of_stream(target, request)
+    for number in range(first, 7):
+        yield _chunk(event(number))
+    yield b'0\r\n\r\n'
+
+
+def _stream_cut(target: Target, request: Request) -> typing.Iterator[bytes]:
+    yield _head_of_stream(target, request)
+    yield _chunk(event(1) + event(2))
+    yield _chunk(event(3)[:9])
+
+
+def _stream_slow(target: Target, request: Request) -> typing.Iterator[bytes]:
+    yield _head_of_stream(target, request)
+    for number in range(1, 100):
+        yield _chunk(event(number))
+        time.sleep(0.05)
+
+
+BEHAVIOURS: dict[str, typing.Callable[[Target, Request], typing.Any]] = {
+    'ok': _ok,
+    'error': _error,
+    'not_run': _not_run,
+    'busy_after_run': _busy_after_run,
+    'misdirected': _misdirected,
+    'foreign': _foreign,
+    'unsigned': _unsigned,
+    'encoded': _encoded,
+    'extra': _extra,
+    'short': _short,
+    'garbage': _garbage,
+    'reset': _reset,
+    'silent': _silent,
+    'stream': _stream,
+    'stream_cut': _stream_cut,
+    'stream_slow': _stream_slow,
+}
+
+
+def read_response(raw: bytes) -> tuple[int, dict[str, str], bytes]:
+    """Return status, headers and the undecoded body of a response."""
+    rfile = io.BytesIO(raw)
+    status = int(rfile.readline().split(b' ')[1])
+    headers = http.client.parse_headers(rfile)
+    return status, dict(headers.items()), rfile.read()
--- a/platform/src/godwitglade/edge/exchanges.py
+++ b/packages/callers/src/godwitglade/callers/routed.py
@@ -1,4 +1,4 @@
-"""Requests whose threads wait for the loop's orders."""
+"""Routed requests, whose threads wait for the loop's orders."""
 
 import itertools
 import queue
--- a/packages/common/src/godwitglade/common/events.py
+++ b/packages/common/src/godwitglade/common/events.py
@@ -91,6 +91,9 @@
     BATCH_SENT = Description(
         3005, logging.INFO, 'A stage call is sent to a target.'
     )
+    FREE_FAILED = Description(
+        3006, logging.WARNING, 'A target could not be told to free results.'
+    )
     STORE_LOST = Description(
         4001, logging.WARNING, 'The platform store does not answer.'
     )
--- a/platform/src/godwitglade/edge/metrics.py
+++ b/packages/daemon/src/godwitglade/daemon/metrics.py
@@ -8,7 +8,6 @@
 from godwitglade.common import clock as clocks
 from godwitglade.common import events
 
-PORT = 9464
 PATH = b'/metrics'
 #: Bounds in seconds, from a plain call to the longest stream.
 BUCKETS_S = (0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0, 24.0)
--- a/platform/src/godwitglade/edge/effector.py
+++ b/packages/daemon/src/godwitglade/daemon/routing_effector.py
@@ -5,17 +5,16 @@
 
 import attrs
 
+from godwitglade.callers import routed
+from godwitglade.common import events
 from godwitglade.coordination import effects as shared_effects
 from godwitglade.daemon import logs
+from godwitglade.daemon import metrics
 from godwitglade.daemon import pools
-from godwitglade.edge import exchanges
-from godwitglade.edge import forwarding
-from godwitglade.edge import metrics
-from godwitglade.edge import stage_calls
-from godwitglade.edge import store
 from godwitglade.peers import client as peer_client
 from godwitglade.peers import replies
 from godwitglade.routing import effects
+from godwitglade.targets import forwarding
 
 #: Threads for messages to other hosts, of which a silent one holds one.
 PEER_THREADS = 24
@@ -24,16 +23,29 @@
 FREE_THREADS = 4
 
 
+class StageClient(typing.Protocol):
+    """Speaks the wire of stage targets; blocks."""
+
+    def run(self, effect: effects.RunBatch) -> typing.Any:
+        """Make a stage call; return its end as a message."""
+
+    def free(self, effect: effects.FreeResults) -> str | None:
+        """Let targets forget results; return what failed."""
+
+
 @attrs.frozen
 class Clients:
-    """What effects are carried out with."""
+    """What effects are carried out with.
+
+    ``refresh_targets`` has the list of targets read soon.
+    """
 
     forwarder: forwarding.Forwarder
-    stages: stage_calls.StageClient
+    stages: StageClient
     peers: peer_client.Client
     peer_replies: replies.Replies
-    exchanges: exchanges.Exchanges
-    targets: store.Follower
+    exchanges: routed.Exchanges
+    refresh_targets: typing.Callable[[], None]
 
 
 class Effector:
@@ -70,6 +82,13 @@
     ) -> None:
         self.post(function(effect))
 
+    def _free(self, effect: effects.FreeResults) -> None:
+        failure = self._clients.stages.free(effect)
+        if failure is not None:
+            # The targets forget the results by themselves a little later.
+            fields = {'reason': failure, 'results': len(effect.handles)}
+            logs.log_event(self._logger, events.Event.FREE_FAILED, fields)
+
     @carry_out.register(effects.Forward)
     @carry_out.register(effects.RelayHeld)
     @carry_out.register(effects.Answer)
@@ -89,11 +108,11 @@
 
     @carry_out.register
     def _(self, effect: effects.FreeResults) -> None:
-        self._frees.submit(self._clients.stages.free, effect)
+        self._frees.submit(self._free, effect)
 
     @carry_out.register
     def _(self, effect: effects.RefreshTargets) -> None:
-        self._clients.targets.read_now()
+        self._clients.refresh_targets()
 
     @carry_out.register
     def _(self, effect: effects.ForgetTargets) -> None:
--- a/packages/routing/src/godwitglade/routing/batching.py
+++ b/packages/routing/src/godwitglade/routing/batching.py
@@ -167,9 +167,7 @@
         is_deep = wait_ms > LATE_DEPTH * full_ms
         if end_ms > job.deadline_ms or (end_ms > job.due_ms and is_deep):
             return [self._end(job, bodies.Ending.REFUSED, wait_ms)]
-        entry = _Waiting(
-            job, next(self._numbers), set(range(job.asked.count))
-        )
+        entry = _Waiting(job, next(self._numbers), set(range(job.asked.count)))
         self._waiting[job.asked.job_id] = entry
         return []
 
--- a/packages/routing/src/godwitglade/routing/documents.py
+++ b/packages/routing/src/godwitglade/routing/documents.py
@@ -134,7 +134,9 @@
         name = host.rpartition(':')[0] if ':' in host else host
         routes = self._routes_by_host.get(name.lower(), ())
         bare_path = path.partition('?')[0]
-        return next((r for r in routes if bare_path.startswith(r.prefix)), None)
+        return next(
+            (r for r in routes if bare_path.startswith(r.prefix)), None
+        )
 
     def workspace_of(self, key: str) -> Workspace | None:
         """Return the workspace that holds ``key``."""
--- a/packages/routing/src/godwitglade/routing/knowledge.py
+++ b/packages/routing/src/godwitglade/routing/knowledge.py
@@ -27,9 +27,7 @@
     document: documents.Document | None = None
     confirmed_ms: int | None = None
 
-    def take(
-        self, document: documents.Document, read_from_ms: int
-    ) -> bool:
+    def take(self, document: documents.Document, read_from_ms: int) -> bool:
         """Take in a document read; tell whether it is a newer one."""
         held = self.document
         if held is not None and document.version < held.version:
--- a/packages/routing/src/godwitglade/routing/requests.py
+++ b/packages/routing/src/godwitglade/routing/requests.py
@@ -517,9 +517,7 @@
             affinity,
             frozenset(request.tried),
         )
-        return placement.choose(
-            usable, wish, self._zone, self._random, now_ms
-        )
+        return placement.choose(usable, wish, self._zone, self._random, now_ms)
 
     def _send_again(
         self, request: Request, now_ms: int, has_answer: bool = False
--- a/packages/routing/src/godwitglade/routing/work.py
+++ b/packages/routing/src/godwitglade/routing/work.py
@@ -290,14 +290,10 @@
         if not ended:
             return rest
         waits = {
-            name: batcher.wait_ms(
-                self._directory.usable(name, now_ms), now_ms
-            )
+            name: batcher.wait_ms(self._directory.usable(name, now_ms), now_ms)
             for name, batcher in self._batchers.items()
         }
-        told = [
-            attrs.evolve(e, job=_with_wait(e.job, waits)) for e in ended
-        ]
+        told = [attrs.evolve(e, job=_with_wait(e.job, waits)) for e in ended]
         return rest + self.end(told, now_ms)
 
     def _batcher(self, name: str) -> batching.Batcher | None:
@@ -424,9 +420,7 @@
         return [shared_effects.StartTimer(TICK_TOKEN, due_ms)]
 
 
-def _with_wait(
-    job: bodies.JobEnded, waits: dict[str, int]
-) -> bodies.JobEnded:
+def _with_wait(job: bodies.JobEnded, waits: dict[str, int]) -> bodies.JobEnded:
     if job.wait_ms:
         return job
     return attrs.evolve(job, wait_ms=max(0, waits.get(job.pool, 0)))
--- a/platform/src/godwitglade/edge/forwarding.py
+++ b/packages/targets/src/godwitglade/targets/forwarding.py
@@ -1,4 +1,7 @@
-"""Sends a caller's request to a target and passes the answer back."""
+"""Sends a caller's request to a target and passes the answer back.
+
+The wire's own headers are read and written by a `Wire`.
+"""
 
 import typing
 
@@ -6,19 +9,17 @@
 from urllib3 import response as urllib3_response
 
 from godwitglade.common import clock as clocks
-from godwitglade.edge import events
-from godwitglade.edge import headers
 from godwitglade.routing import effects
 from godwitglade.routing import messages
+from godwitglade.routing import targets
 from godwitglade.targets import attempts
 from godwitglade.targets import connections
+from godwitglade.targets import events
 from godwitglade.targets import exchange
 from godwitglade.targets import faults
 
-EVENT_STREAM = 'text/event-stream'
+#: Statuses that promise that nothing was run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
-MISDIRECTED = 421
-INPUT_GONE = 409
 
 
 class Caller(typing.Protocol):
@@ -65,6 +66,42 @@
     held: Held | None = None
 
 
+@attrs.frozen
+class Verdict:
+    """What the head of an answer says.
+
+    ``is_foreign`` tells that it belongs to another request, ``is_not_run``
+    that the target did not run the request, ``is_own`` that a success is
+    the whole and proper answer to this request.
+    """
+
+    is_foreign: bool = False
+    is_not_run: bool = False
+    is_misdirected: bool = False
+    is_input_gone: bool = False
+    is_own: bool = True
+    load: targets.Load | None = None
+
+
+class Wire(typing.Protocol):
+    """The headers that callers and targets use."""
+
+    def target_headers(
+        self, sending: Sending, order: effects.Forward, left_ms: int
+    ) -> dict[str, str]:
+        """Return the headers to send to a target."""
+
+    def judge(
+        self, attempt_id: str, status: int, found: typing.Mapping[str, str]
+    ) -> Verdict:
+        """Return what the head of an answer says."""
+
+    def passed_back(
+        self, found: typing.Iterable[tuple[str, str]]
+    ) -> list[tuple[str, str]]:
+        """Return the headers of an answer that the caller gets."""
+
+
 class CallerGoneError(Exception):
     """The caller's connection failed while it was written to."""
 
@@ -83,9 +120,11 @@
     def __init__(
         self,
         clock: clocks.Clock,
+        wire: Wire,
         post: typing.Callable[[typing.Any], None],
     ) -> None:
         self._clock = clock
+        self._wire = wire
         self._post = post
         self._attempts = attempts.Attempts()
         self._pools: dict[str, connections.Connections] = {}
@@ -168,7 +207,9 @@
             incoming.path,
             incoming.body,
             call.budget,
-            _target_headers(call),
+            self._wire.target_headers(
+                call.sending, call.order, call.budget.wait_ms()
+            ),
         )
         response = exchange.receive(call.connection, call.budget)
         message, is_whole = self._judge(call, response)
@@ -183,33 +224,34 @@
         self, call: _Call, response: urllib3_response.HTTPResponse
     ) -> tuple[typing.Any, bool]:
         """Return the message for an answer, and whether it was read whole."""
-        found = response.headers
         ids = (call.order.request_id, call.order.call)
-        load = headers.load(found.get(headers.LOAD))
-        echoed = found.get(headers.ATTEMPT_ID)
-        if echoed not in (None, call.sending.incoming.attempt_id):
+        status = response.status
+        verdict = self._wire.judge(
+            call.sending.incoming.attempt_id, status, response.headers
+        )
+        if verdict.is_foreign:
             return messages.Lost(*ids, 'answer to another request'), False
-        if response.status == MISDIRECTED or headers.NOT_RUN in found:
-            body = self._read(call, response)
+        if verdict.is_not_run:
+            self._read(call, response)
             message = messages.NotRun(
                 *ids,
-                response.status,
-                is_input_gone=response.status == INPUT_GONE,
-                is_misdirected=response.status == MISDIRECTED,
-                load=load,
+                status,
+                is_input_gone=verdict.is_input_gone,
+                is_misdirected=verdict.is_misdirected,
+                load=verdict.load,
             )
-            return message, body is not None
-        is_success = 200 <= response.status < 300
-        if is_success and not _is_own(call, found):
+            return message, True
+        is_success = 200 <= status < 300
+        if is_success and not verdict.is_own:
             return messages.Lost(*ids, 'answer that is not whole'), False
         if is_success and call.order.is_stream:
-            return self._relay_stream(call, response, load)
-        body = self._read(call, response)
+            return self._relay_stream(call, response, verdict.load)
+        held = self._held(response, self._read(call, response))
         if is_success:
-            self._relay(call, _held(response, body))
-            return messages.Answered(*ids, response.status, load), True
-        call.sending.held = _held(response, body)
-        return messages.Failed(*ids, response.status, load), True
+            relay(call.sending.caller, held)
+            return messages.Answered(*ids, status, verdict.load), True
+        call.sending.held = held
+        return messages.Failed(*ids, status, verdict.load), True
 
     def _read(
         self, call: _Call, response: urllib3_response.HTTPResponse
@@ -217,8 +259,27 @@
         reply = exchange.read_reply(call.connection, response, call.budget)
         return reply.content
 
-    def _relay(self, call: _Call, held: Held) -> None:
-        relay(call.sending.caller, held)
+    def _held(
+        self, response: urllib3_response.HTTPResponse, body: bytes
+    ) -> Held:
+        """Return an answer to pass on.
+
+        A status that promises that nothing was run must not be passed on
+        without the target's word for it.
+        """
+        if response.status in NOT_RUN_STATUSES:
+            return Held('502 Bad Gateway', [], b'')
+        found = self._wire.passed_back(response.headers.iteritems())
+        return Held(_status_line(response), found, body)
+
+    def _begin(
+        self, caller: Caller, response: urllib3_response.HTTPResponse
+    ) -> None:
+        found = self._wire.passed_back(response.headers.iteritems())
+        try:
+            caller.begin(_status_line(response), found, None)
+        except OSError as error:
+            raise CallerGoneError() from error
 
     def _relay_stream(
         self,
@@ -240,7 +301,7 @@
             if not whole:
                 continue
             if not caller.has_begun:
-                _begin(caller, response)
+                self._begin(caller, response)
             _write(caller, whole)
             if not has_told:
                 has_told = True
@@ -248,7 +309,7 @@
         if not reader.is_clean:
             raise _lost('the stream ended within an event')
         if not caller.has_begun:
-            _begin(caller, response)
+            self._begin(caller, response)
         return messages.Answered(*ids, response.status, load), True
 
 
@@ -263,17 +324,6 @@
         raise CallerGoneError() from error
 
 
-def _begin(caller: Caller, response: urllib3_response.HTTPResponse) -> None:
-    try:
-        caller.begin(
-            _status_line(response),
-            headers.passed_back(response.headers.iteritems()),
-            None,
-        )
-    except OSError as error:
-        raise CallerGoneError() from error
-
-
 def _write(caller: Caller, chunk: bytes) -> None:
     try:
         caller.write(chunk)
@@ -281,45 +331,10 @@
         raise CallerGoneError() from error
 
 
-def _is_own(call: _Call, found: typing.Mapping[str, str]) -> bool:
-    """Tell whether a success is the answer to the call's request."""
-    is_echoed = found.get(headers.ATTEMPT_ID) == (
-        call.sending.incoming.attempt_id
-    )
-    is_signed = headers.SIGNATURE in found
-    return is_echoed and is_signed and 'Content-Encoding' not in found
-
-
-def _held(response: urllib3_response.HTTPResponse, body: bytes) -> Held:
-    """Return an answer to pass on.
-
-    A status that promises that nothing was run must not be passed on
-    without the target's word for it.
-    """
-    found = headers.passed_back(response.headers.iteritems())
-    if response.status in NOT_RUN_STATUSES:
-        return Held('502 Bad Gateway', [], b'')
-    return Held(_status_line(response), found, body)
-
-
 def _status_line(response: urllib3_response.HTTPResponse) -> str:
     return f'{response.status} {response.reason or "Unknown"}'
 
 
-def _target_headers(call: _Call) -> dict[str, str]:
-    order = call.order
-    found = dict(call.sending.incoming.headers)
-    found[headers.DEADLINE] = str(max(1, call.budget.wait_ms()))
-    found[headers.EXPECT_TARGET] = order.target.name
-    if order.workspace is not None:
-        found[headers.WORKSPACE] = order.workspace
-    if order.inputs:
-        found[headers.INPUTS] = ','.join(order.inputs)
-    if call.sending.caller.has_begun:
-        found[headers.LAST_EVENT_ID] = call.sending.reader.last_id
-    return found
-
-
 def _fault_message(
     sending: Sending, order: effects.Forward, error: faults.CallFaultError
 ) -> typing.Any:
--- /dev/null
+++ b/tests/edge/deployment.py
@@ -0,0 +1,204 @@
+"""An edge process in this process, before a store and some targets."""
+
+import http.client
+import random
+import socket
+import threading
+import time
+
+from bench.standins import edge_platform
+from godwitglade.common import clock as clocks
+from godwitglade.daemon import context
+from godwitglade.edge import assembly
+from godwitglade.edge import settings
+from godwitglade.routing import host
+from godwitglade.routing import messages
+
+HOST = 'desk.example'
+WAIT_S = 5.0
+
+
+def free_ports(count):
+    """Return ports that nobody listens on."""
+    sockets = [socket.socket() for _ in range(count)]
+    for one in sockets:
+        one.bind(('127.0.0.1', 0))
+    ports = [one.getsockname()[1] for one in sockets]
+    for one in sockets:
+        one.close()
+    return ports
+
+
+def route(name, kind, prefix, pool, **fields):
+    """Return a route as the operator writes it."""
+    return {
+        'name': name,
+        'host': HOST,
+        'prefix': prefix,
+        'routeKind': kind,
+        'timeoutMs': 1_500,
+        'goalMs': 400,
+        'priority': 0,
+        'service': pool,
+        'attempts': 2,
+        'stages': [],
+        'anonymous': False,
+        'sticky': False,
+        'resumable': False,
+        **fields,
+    }
+
+
+STAGED = [{'service': 'encode', 'after': [], 'length': 100}]
+STREAM = {'sticky': True, 'gapGoalMs': 200}
+ROUTES = [
+    route('once', 'non_idempotent', '/once/', 'app'),
+    route('read', 'idempotent', '/read/', 'app'),
+    route('open', 'idempotent', '/open/', 'app', anonymous=True),
+    route('stream', 'streaming', '/stream/', 'engine', **STREAM),
+    route(
+        'resume', 'streaming', '/resume/', 'engine', resumable=True, **STREAM
+    ),
+    route('staged', 'streaming', '/staged/', 'engine', stages=STAGED),
+]
+BATCHING = {
+    'slots': 1,
+    'queue': 2,
+    'batch': 4,
+    'callMs': 5.0,
+    'itemMs': 1.0,
+    'headroomMb': 1.0,
+    'handleTtlS': 4.0,
+    'linkMbps': 100,
+}
+
+
+def document(version=1, keys=('key-1',), routes=ROUTES):
+    """Return a document as the operator writes it."""
+    pools = [
+        {'name': 'app', 'healthPath': '/healthz', 'maxConnections': 9},
+        {
+            'name': 'engine',
+            'healthPath': '/healthz',
+            'maxConnections': 9,
+            'engine': {'slots': 4, 'kvCapacityTokens': 1_000},
+        },
+        {'name': 'encode', 'maxConnections': 9, 'segments': BATCHING},
+    ]
+    return {
+        'version': version,
+        'routes': list(routes),
+        'services': pools,
+        'limits': {
+            'maxHeaderBytes': 16_384,
+            'maxBodyBytes': 10_000,
+            'headerTimeoutMs': 3_000,
+            'idleTimeoutMs': 15_000,
+        },
+        'tenants': [{'name': 'desk', 'apiKeys': list(keys), 'priority': 1}],
+    }
+
+
+class Deployment:
+    """A store, two targets of each pool, and an edge process."""
+
+    def __init__(self, revoke_ms=None):
+        self.store = edge_platform.Store()
+        self.targets = [
+            edge_platform.Target(f'{pool}-{n}', pool)
+            for pool in ('app', 'engine', 'encode')
+            for n in (1, 2)
+        ]
+        for target in self.targets:
+            self.store.put('servers', target.name, target.entry())
+        self.store.put('op', 'config', document())
+        ports = free_ports(4)
+        addresses = [f'127.0.0.1:{port}' for port in ports]
+        self.address, self.ready_address = addresses[:2]
+        found = settings.Settings(
+            host='h1',
+            zone='z1',
+            ip='127.0.0.1',
+            callers_address=self.address,
+            ready_address=self.ready_address,
+            store_address=self.store.address,
+            peer_ports=(ports[2], ports[2]),
+            heartbeat_ms=1_000,
+            bounds=host.Settings(revoke_ms=revoke_ms),
+            metrics_port=ports[3],
+        )
+        self.lines = _Lines()
+        env = context.Environment(
+            stdout=self.lines, clock=clocks.Clock(), rng=random.Random(1)
+        )
+        self.process = assembly.assemble(found, env)
+        for server in self.process.servers:
+            server.prepare()
+        runs = [server.serve for server in self.process.servers]
+        threads = [threading.Thread(target=r, daemon=True) for r in runs]
+        loop = threading.Thread(target=self.process.loop.run, daemon=True)
+        for thread in [*threads, loop, *self.process.threads]:
+            thread.start()
+        self.wait_for(lambda: self.is_ready() and self.knows_all_targets())
+
+    def knows_all_targets(self):
+        directory = self.process.loop.host.parts.directory
+        return len(directory) == len(self.targets)
+
+    def target(self, name):
+        return next(t for t in self.targets if t.name == name)
+
+    def behave(self, pool, *behaviours):
+        """Have all targets of a pool follow one list of behaviours."""
+        shared = list(behaviours)
+        for target in self.targets:
+            if target.pool == pool:
+                target.behaviours = shared
+
+    def runs(self, pool):
+        return [r for t in self.targets if t.pool == pool for r in t.runs]
+
+    def is_ready(self):
+        connection = http.client.HTTPConnection(self.ready_address)
+        connection.request('GET', '/api/readyz')
+        return connection.getresponse().status == 200
+
+    def wait_for(self, check):
+        until = time.monotonic() + WAIT_S
+        while not check():
+            assert time.monotonic() < until, 'waited in vain'
+            time.sleep(0.02)
+
+    def ask(self, path, method='POST', body=b'{}', key='key-1', **headers):
+        """Send one request; return the response with its body."""
+        connection = http.client.HTTPConnection(self.address, timeout=WAIT_S)
+        found = {'Host': HOST, 'X-Attempt-Id': 'a1', 'X-Deadline-Ms': '1500'}
+        if key is not None:
+            found['Authorization'] = f'Bearer {key}'
+        found |= {n.replace('_', '-'): v for n, v in headers.items()}
+        connection.request(method, path, body, found)
+        response = connection.getresponse()
+        response.content = response.read()
+        return response
+
+    def stop(self):
+        self.process.loop.post(messages.StopAsked())
+        for server in self.process.servers:
+            server.stop()
+        self.process.loop.stop()
+        for target in self.targets:
+            target.stop()
+        self.store.stop()
+
+
+class _Lines:
+    """Keeps what is logged."""
+
+    def __init__(self):
+        self.text = ''
+
+    def write(self, text):
+        self.text += text
+
+    def flush(self):
+        pass
--- a/tests/routing/test_batching.py
+++ b/tests/routing/test_batching.py
@@ -228,7 +228,9 @@
                 batcher.release([job_id], now_ms)
         jobs = []
         if now_ms < 2_000 and now_ms % 40 == 0:
-            jobs = [builders.job(f'j{now_ms}', 2, now_ms + 700, now_ms + 3_000)]
+            jobs = [
+                builders.job(f'j{now_ms}', 2, now_ms + 700, now_ms + 3_000)
+            ]
         for call in calls(submit(batcher, pool, now_ms, *jobs)):
             made += 1
             end_ms = now_ms + 200 + 16 * len(call.items)
--- a/tests/routing/test_requests.py
+++ b/tests/routing/test_requests.py
@@ -32,9 +32,7 @@
         found = builders.document(*routes, pools=pools, **fields)
         self.known.take(found, 0)
         self.directory = targets.Directory()
-        listed = [
-            builders.listed(f't{n}', 'app') for n in range(target_count)
-        ]
+        listed = [builders.listed(f't{n}', 'app') for n in range(target_count)]
         self.directory.replace(listed, 1, 0)
         self.requests = requests.Requests(
             SELF,
@@ -193,9 +191,7 @@
 )
 def test_keys_pass_only_while_the_document_is_young(key, now_ms, told):
     workspace = documents.Workspace('desk', ('good',))
-    rig = Rig(
-        ROUTES['at_most_once'], workspaces=(workspace,), revoke_ms=5_000
-    )
+    rig = Rig(ROUTES['at_most_once'], workspaces=(workspace,), revoke_ms=5_000)
     assert status(rig.arrive(now_ms, key=key)) == told
 
 
