Free large inputs once the next stage has fetched them

Change: the owner tells when all items of a job are in calls; 60 ms later its inputs are freed. The wait told for admission follows the pace of late when the queue is held up. Ruled out: the targets' speed (calls ran as estimated).

--- a/packages/routing/src/godwitglade/routing/batching.py
+++ b/packages/routing/src/godwitglade/routing/batching.py
@@ -7,6 +7,7 @@
 away at once.
 """
 
+import collections
 import itertools
 import math
 import typing
@@ -46,6 +47,11 @@
 HEAVY_INPUT_BYTES = 200_000
 #: Share of the room planned with; sizes of results are approximate.
 ROOM_SHARE = 0.95
+#: Time over which the pace of dispatched items is measured.
+PACE_MS = 1_500
+#: A job that waited this long shows that something but the calls' time
+#: holds the queue up, such as room for results.
+HELD_UP_MS = 400
 #: Calls a late job may have before it on each lane and still wait.
 LATE_DEPTH = 2.0
 
@@ -67,6 +73,8 @@
     job: Job
     number: int
     pending: set[int]
+    queued_ms: int
+    has_begun: bool = False
     made: dict[int, str] = attrs.Factory(dict)
     tries: int = 0
     zone: str = ''
@@ -136,6 +144,9 @@
         self._calls: dict[str, _Call] = {}
         self._lanes: dict[str, _Lane] = {}
         self._held: dict[str, tuple[tuple[str, ...], int]] = {}
+        self._dispatched: collections.deque[tuple[int, int]] = (
+            collections.deque()
+        )
 
     @property
     def is_idle(self) -> bool:
@@ -152,7 +163,18 @@
         slots = len(lanes) * self.batching.concurrency
         rounds = items // (self.batching.max_items * slots)
         soonest_ms = min(self._ready_ms(lane, now_ms) for lane in lanes)
-        return math.ceil(soonest_ms - now_ms + rounds * full_ms)
+        wait_ms = soonest_ms - now_ms + rounds * full_ms
+        return math.ceil(max(wait_ms, self._held_up_ms(items, now_ms)))
+
+    def _held_up_ms(self, items: int, now_ms: int) -> float:
+        """Return the wait by the pace of late, 0 if the queue moves on."""
+        while self._dispatched and self._dispatched[0][0] < now_ms - PACE_MS:
+            self._dispatched.popleft()
+        waiting = [e.queued_ms for e in self._waiting.values() if e.pending]
+        if not waiting or now_ms - min(waiting) < HELD_UP_MS:
+            return 0.0
+        sent = sum(count for _, count in self._dispatched)
+        return items * PACE_MS / max(1, sent)
 
     def submit(
         self, job: Job, pool: list[targets.Target], now_ms: int
@@ -167,7 +189,8 @@
         is_deep = wait_ms > LATE_DEPTH * full_ms
         if end_ms > job.deadline_ms or (end_ms > job.due_ms and is_deep):
             return [self._end(job, bodies.Ending.REFUSED, wait_ms)]
-        entry = _Waiting(job, next(self._numbers), set(range(job.asked.count)))
+        items = set(range(job.asked.count))
+        entry = _Waiting(job, next(self._numbers), items, now_ms)
         self._waiting[job.asked.job_id] = entry
         return []
 
@@ -204,6 +227,7 @@
             chosen = self._choose(target, pool, now_ms)
             if chosen:
                 found.append(self._call(target, chosen, now_ms))
+                found += self._begin(chosen)
         return found
 
     def ended(
@@ -419,12 +443,28 @@
         lane.calls += 1
         lane.reserved_bytes += reserved
         lane.free_ms = now_ms + estimate_ms * slowness
+        self._dispatched.append((now_ms, len(chosen)))
         for entry, index in chosen:
             entry.pending.discard(index)
         items = tuple(_item(entry, index, now_ms) for entry, index in chosen)
         timeout_ms = int(TIMEOUT_FACTOR * estimate_ms)
         return effects.RunBatch(call_id, target.listed, items, timeout_ms)
 
+    def _begin(
+        self, chosen: list[tuple[_Waiting, int]]
+    ) -> list[effects.BeginJob]:
+        """Return word of the jobs whose items are all in calls now."""
+        begun = {
+            entry.job.asked.job_id: entry.job.origin
+            for entry, _ in chosen
+            if entry.job.asked.inputs
+            and not entry.pending
+            and not entry.has_begun
+        }
+        for entry, _ in chosen:
+            entry.has_begun |= not entry.pending
+        return [effects.BeginJob(o, job_id) for job_id, o in begun.items()]
+
     def _close(self, call: _Call, now_ms: int) -> _Lane:
         lane = self._lane(call.target)
         lane.calls -= 1
--- a/packages/routing/src/godwitglade/routing/bodies.py
+++ b/packages/routing/src/godwitglade/routing/bodies.py
@@ -72,9 +72,13 @@
 
 @attrs.frozen
 class WorkEnded:
-    """Results for the host that asked."""
+    """Results for the host that asked.
 
-    jobs: tuple[JobEnded, ...]
+    ``begun`` names jobs whose items are all in calls now.
+    """
+
+    jobs: tuple[JobEnded, ...] = ()
+    begun: tuple[str, ...] = ()
 
 
 @attrs.frozen
--- a/packages/routing/src/godwitglade/routing/effects.py
+++ b/packages/routing/src/godwitglade/routing/effects.py
@@ -114,6 +114,14 @@
     job: bodies.JobEnded
 
 
+@attrs.frozen
+class BeginJob:
+    """Tell the host that asked for a job that its items are in calls."""
+
+    origin: str
+    job_id: str
+
+
 @attrs.frozen
 class RefreshTargets:
     """Read the list of targets now: what is held has proved wrong."""
--- a/packages/routing/src/godwitglade/routing/host.py
+++ b/packages/routing/src/godwitglade/routing/host.py
@@ -85,6 +85,7 @@
     )
     work_ = work.Work(self_id, address, members, known, directory)
     work_.report = requests_.job_ended
+    work_.begun = requests_.job_begun
     work_.resubmit = requests_.resubmit
     stops = stopping.Stopping(settings.stop_limit_ms)
     return Parts(members, known, directory, requests_, work_, stops)
--- a/packages/routing/src/godwitglade/routing/requests.py
+++ b/packages/routing/src/godwitglade/routing/requests.py
@@ -30,6 +30,7 @@
 
 DEADLINE_TOKEN = 'requests:deadline:'
 PATIENCE_TOKEN = 'requests:patience:'
+FETCHED_TOKEN = 'requests:fetched:'
 
 #: Told to come back after this time when nothing better is known.
 RETRY_AFTER_MS = 500
@@ -42,6 +43,11 @@
 ANSWER_MARGIN_MS = 25
 #: Share of the time left for the first of two sends of a plain request.
 FIRST_SEND_SHARE = 0.6
+#: Within this time of its start a call has fetched its inputs.
+FETCH_MS = 60
+#: Inputs as large as this are freed once they are fetched, not only once
+#: the call has ended: room for results binds.
+EARLY_FREE_BYTES = 100_000
 #: Times a request's stages are begun anew when results are gone.
 MAX_RESTARTS = 2
 
@@ -70,6 +76,7 @@
     has_begun: bool = False
     jobs: dict[str, int] = attrs.Factory(dict)
     spent_jobs: set[str] = attrs.Factory(set)
+    fetched: set[int] = attrs.Factory(set)
 
     @property
     def request_id(self) -> str:
@@ -177,6 +184,10 @@
             request = self._requests.get(name)
             if request is not None and request.calls == int(call):
                 return self._lose_patience(request)
+        if message.token.startswith(FETCHED_TOKEN):
+            return self._inputs_fetched(
+                message.token.removeprefix(FETCHED_TOKEN)
+            )
         return []
 
     @handle.register
@@ -323,6 +334,24 @@
             *self._refuse(request, job.ending.value, job.wait_ms, now_ms),
         ]
 
+    def job_begun(self, job_id: str, now_ms: int) -> Effects:
+        """Take in that all items of a job are in calls."""
+        request = self._requests.get(self._by_job.get(job_id, ''))
+        if request is None or job_id not in request.jobs:
+            return []
+        size = request.progress.input_bytes(request.jobs[job_id])
+        if size < EARLY_FREE_BYTES:
+            return []
+        token = f'{FETCHED_TOKEN}{job_id}'
+        return [shared_effects.StartTimer(token, now_ms + FETCH_MS)]
+
+    def _inputs_fetched(self, job_id: str) -> Effects:
+        request = self._requests.get(self._by_job.get(job_id, ''))
+        if request is None or job_id not in request.jobs:
+            return []
+        request.fetched.add(request.jobs[job_id])
+        return self._release_spent(request)
+
     def resubmit(self, job_id: str, now_ms: int) -> Effects:
         """Ask again for a job whose owner does not answer."""
         request = self._requests.get(self._by_job.get(job_id, ''))
@@ -412,27 +441,29 @@
         progress = request.progress
         progress.handles[stage] = job.handles
         progress.zones[stage] = job.zone
-        # The results that this stage took in are needed by no other one
-        # once all of their followers are done.
+        found = self._release_spent(request)
+        return found + self._advance(request, now_ms)
+
+    def _release_spent(self, request: Request) -> Effects:
+        """Give up results that all stages after them have taken in."""
         spent = [
             job_id
             for job_id, number in request.jobs.items()
-            if self._is_spent(progress, number)
+            if self._is_spent(request, number)
         ]
         for job_id in spent:
             self._forget_job(request, job_id)
-        found: Effects = [effects.ReleaseJobs(tuple(spent))] if spent else []
-        return found + self._advance(request, now_ms)
+        return [effects.ReleaseJobs(tuple(spent))] if spent else []
 
-    def _is_spent(self, progress: pipeline.Progress, number: int) -> bool:
+    def _is_spent(self, request: Request, number: int) -> bool:
+        progress = request.progress
+        taken = request.fetched | progress.handles.keys()
         followers = [
             n
             for n, stage in enumerate(progress.stages)
             if number in stage.after and progress.counts[n]
         ]
-        return bool(followers) and all(
-            n in progress.handles for n in followers
-        )
+        return bool(followers) and taken.issuperset(followers)
 
     def _forget_job(self, request: Request, job_id: str) -> None:
         request.jobs.pop(job_id, None)
@@ -452,6 +483,7 @@
             return self._refuse(request, 'inputs_gone', 0, now_ms)
         found = self._release(request)
         request.progress.restart()
+        request.fetched.clear()
         return found + self._advance(request, now_ms)
 
     def _send(
--- a/packages/routing/src/godwitglade/routing/work.py
+++ b/packages/routing/src/godwitglade/routing/work.py
@@ -66,8 +66,9 @@
 class Work:
     """Jobs this host asks for, and the pools that it owns.
 
-    ``report`` takes in the end of a job that this host asked for, and
-    ``resubmit`` the id of one whose owner is lost.
+    ``report`` takes in the end of a job that this host asked for, ``begun``
+    the id of one whose items are in calls, and ``resubmit`` that of one
+    whose owner is lost.
     """
 
     def __init__(
@@ -92,6 +93,7 @@
         self._reports: dict[str, _Report] = {}
         self._is_ticking = False
         self.report: typing.Callable[..., Effects] = _ignore
+        self.begun: typing.Callable[..., Effects] = _ignore
         self.resubmit: typing.Callable[..., Effects] = _ignore
 
     @property
@@ -217,6 +219,22 @@
                 found.append(self._send_report(_Report(origin, body, 1)))
         return found
 
+    def _tell_begun(
+        self, begun: list[effects.BeginJob], now_ms: int
+    ) -> Effects:
+        found: Effects = []
+        by_origin: dict[str, list[str]] = {}
+        for effect in begun:
+            by_origin.setdefault(effect.origin, []).append(effect.job_id)
+        for origin, job_ids in by_origin.items():
+            if origin == self._self_id.name:
+                for job_id in job_ids:
+                    found += self.begun(job_id, now_ms)
+            else:
+                body = bodies.WorkEnded(begun=tuple(job_ids))
+                found.append(self._send_report(_Report(origin, body, 1)))
+        return found
+
     def hand_over(self, now_ms: int) -> Effects:
         """Give waiting jobs back: this host is about to stop."""
         moved = [e for b in self._batchers.values() for e in b.give_up()]
@@ -239,6 +257,8 @@
                 owner.heard_ms = now_ms
                 owner.jobs.pop(job.job_id, None)
             found += self.report(job, now_ms)
+        for job_id in body.begun:
+            found += self.begun(job_id, now_ms)
         return found
 
     def _accept(
@@ -286,7 +306,10 @@
         """Report the ends of jobs among ``found``; log and return the rest."""
         found += [_log_call(e) for e in found if _is_call(e)]
         ended = [e for e in found if isinstance(e, effects.EndJob)]
-        rest = [e for e in found if not isinstance(e, effects.EndJob)]
+        begun = [e for e in found if isinstance(e, effects.BeginJob)]
+        told = (effects.EndJob, effects.BeginJob)
+        rest = [e for e in found if not isinstance(e, told)]
+        rest += self._tell_begun(begun, now_ms)
         if not ended:
             return rest
         waits = {
--- a/tests/edge/deployment.py
+++ b/tests/edge/deployment.py
@@ -133,6 +133,8 @@
         )
         self.process = assembly.assemble(found, env)
         for server in self.process.servers:
+            server.shutdown_timeout = 0.05
+            server.expiration_interval = 0.05
             server.prepare()
         runs = [server.serve for server in self.process.servers]
         threads = [threading.Thread(target=r, daemon=True) for r in runs]
--- a/tests/routing/test_batching.py
+++ b/tests/routing/test_batching.py
@@ -238,3 +238,24 @@
     assert len(done) == 50
     assert all(at_ms - int(name[1:]) <= 700 for name, at_ms in done.items())
     assert made <= 25
+
+
+def test_job_with_inputs_tells_when_all_its_items_are_in_calls():
+    batcher, pool = make_batcher(), [builders.target('t1')]
+    job = builders.job('j1', 14, inputs=('h',))
+    found = submit(batcher, pool, 0, job)
+    assert not [e for e in found if isinstance(e, effects.BeginJob)]
+    answer(batcher, calls(found)[0], 300)
+    found = batcher.dispatch(pool, 300)
+    assert effects.BeginJob('h1', 'j1') in found
+
+
+def test_wait_is_told_by_the_pace_when_room_holds_the_queue_up():
+    batcher, pool = make_batcher(), [builders.target('t1')]
+    big = [
+        builders.job(f'j{n}', 4, 9_000, 9_000, result_bytes=2_000)
+        for n in range(4)
+    ]
+    call = calls(submit(batcher, pool, 0, *big))[0]
+    answer(batcher, call, 240)
+    assert batcher.wait_ms(pool, 1_000) >= 3 * 1_000
--- a/tests/routing/test_requests.py
+++ b/tests/routing/test_requests.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from godwitglade.coordination import effects as shared_effects
 from godwitglade.coordination import hosts
 from godwitglade.coordination import messages as shared_messages
 from godwitglade.routing import bodies
@@ -285,3 +286,30 @@
         assert one(found, effects.Answer).retry_after_ms == 700
     else:
         assert one(found, effects.SubmitJob).job.job_id != first.job_id
+
+
+@pytest.mark.parametrize(
+    ('result_bytes', 'is_freed_early'), [(60_000, True), (1_000, False)]
+)
+def test_large_inputs_are_freed_once_they_are_fetched(
+    result_bytes, is_freed_early
+):
+    stages = (
+        documents.Stage('encode', result_bytes=result_bytes),
+        documents.Stage('encode', (0,), 10),
+    )
+    rig = Rig(builders.route(stages=stages))
+    found = rig.arrive(item_counts=(2, 1), item_key='k')
+    first = one(found, effects.SubmitJob).job
+    found = rig.requests.job_ended(ended(first, handles=('a', 'b')), 300)
+    second = one(found, effects.SubmitJob).job
+    timer = one(
+        rig.requests.job_begun(second.job_id, 310),
+        shared_effects.StartTimer,
+    )
+    assert bool(timer) is is_freed_early
+    if timer:
+        fired = shared_messages.TimerFired(timer.token)
+        released = one(rig.handle(fired, timer.due_ms), effects.ReleaseJobs)
+        assert released.job_ids == (first.job_id,)
+        assert timer.due_ms >= 310 + requests.FETCH_MS
