Free inputs early only where the turn is sure; refuse by all stages' waits

Late requests were admitted while a later stage was full. After a restart of all, each host took itself for the owner. Change: an owner tells of begun jobs only where it has had the target to itself; begun jobs are not repeated; waits follow the room for results; arrivals count the waits of all stages; owners are chosen among registered hosts; a host that stops hands jobs on and is passed over. Tests first failed. Ruled out: pace of late as the measure of the wait (it refused with waits of 72 s on an idle pool).

--- a/packages/routing/src/godwitglade/routing/batching.py
+++ b/packages/routing/src/godwitglade/routing/batching.py
@@ -7,7 +7,6 @@
 away at once.
 """
 
-import collections
 import itertools
 import math
 import typing
@@ -47,13 +46,16 @@
 HEAVY_INPUT_BYTES = 200_000
 #: Share of the room planned with; sizes of results are approximate.
 ROOM_SHARE = 0.95
-#: Time over which the pace of dispatched items is measured.
-PACE_MS = 1_500
-#: A job that waited this long shows that something but the calls' time
-#: holds the queue up, such as room for results.
-HELD_UP_MS = 400
-#: Calls a late job may have before it on each lane and still wait.
-LATE_DEPTH = 2.0
+#: Gain of a new sample in the time for which results take up room.
+HOLD_GAIN = 0.1
+#: A target that another host called within this time may be busy when a
+#: call of ours arrives, so that its inputs are fetched later.
+CONTENDED_MS = 1_500
+#: A call that took this many times as long as expected waited its turn.
+CONTENDED_FACTOR = 1.4
+#: Full calls of all stages together that may be ahead of a job which would
+#: end late and still waits.
+LATE_DEPTH = 1.0
 
 
 @attrs.frozen
@@ -90,6 +92,15 @@
     is_overdue: bool = False
 
 
+@attrs.frozen
+class _Result:
+    """A result at its target; its room was taken at ``since_ms``."""
+
+    size_bytes: int
+    since_ms: int
+    end_ms: int
+
+
 @attrs.define(eq=False)
 class _Lane:
     """What the owner knows of one target."""
@@ -101,14 +112,15 @@
     paused_until_ms: int = 0
     pause_ms: int = FIRST_PAUSE_MS
     reserved_bytes: int = 0
-    results: dict[str, tuple[int, int]] = attrs.Factory(dict)
+    contended_ms: int | None = None
+    results: dict[str, _Result] = attrs.Factory(dict)
 
     def used_bytes(self, now_ms: int) -> int:
         """Return the room taken by results and by calls under way."""
-        expired = [h for h, (_, end) in self.results.items() if end <= now_ms]
+        expired = [h for h, r in self.results.items() if r.end_ms <= now_ms]
         for handle in expired:
             del self.results[handle]
-        held = sum(size for size, _ in self.results.values())
+        held = sum(result.size_bytes for result in self.results.values())
         return held + self.reserved_bytes
 
     def current_slowness(self, now_ms: int) -> float:
@@ -144,9 +156,8 @@
         self._calls: dict[str, _Call] = {}
         self._lanes: dict[str, _Lane] = {}
         self._held: dict[str, tuple[tuple[str, ...], int]] = {}
-        self._dispatched: collections.deque[tuple[int, int]] = (
-            collections.deque()
-        )
+        full_ms = self._estimate_ms(batching.max_items, 1.0)
+        self._hold_ms = 2 * full_ms
 
     @property
     def is_idle(self) -> bool:
@@ -159,22 +170,28 @@
         if not lanes:
             return self.batching.result_ttl_ms
         items = sum(len(entry.pending) for entry in self._waiting.values())
-        full_ms = self._estimate_ms(self.batching.max_items, 1.0)
         slots = len(lanes) * self.batching.concurrency
-        rounds = items // (self.batching.max_items * slots)
+        each_ms = self._per_item_ms(now_ms) / slots
         soonest_ms = min(self._ready_ms(lane, now_ms) for lane in lanes)
-        wait_ms = soonest_ms - now_ms + rounds * full_ms
-        return math.ceil(max(wait_ms, self._held_up_ms(items, now_ms)))
-
-    def _held_up_ms(self, items: int, now_ms: int) -> float:
-        """Return the wait by the pace of late, 0 if the queue moves on."""
-        while self._dispatched and self._dispatched[0][0] < now_ms - PACE_MS:
-            self._dispatched.popleft()
-        waiting = [e.queued_ms for e in self._waiting.values() if e.pending]
-        if not waiting or now_ms - min(waiting) < HELD_UP_MS:
-            return 0.0
-        sent = sum(count for _, count in self._dispatched)
-        return items * PACE_MS / max(1, sent)
+        # A call that is not full is about to be made in any case.
+        behind = max(0, items - self.batching.max_items * slots + 1)
+        return math.ceil(soonest_ms - now_ms + behind * each_ms)
+
+    def _per_item_ms(self, now_ms: int) -> float:
+        """Return the time that a busy target takes for each item.
+
+        It is bound by the calls' time or by the room for results.
+        """
+        batching = self.batching
+        full_ms = self._estimate_ms(batching.max_items, 1.0)
+        by_time_ms = full_ms / batching.max_items
+        pending = [(e, len(e.pending)) for e in self._waiting.values()]
+        count = sum(n for _, n in pending)
+        size = sum(e.job.asked.result_bytes * n for e, n in pending)
+        if not count or not size:
+            return by_time_ms
+        held = ROOM_SHARE * batching.room_bytes / (size / count)
+        return max(by_time_ms, self._hold_ms / max(1.0, held))
 
     def submit(
         self, job: Job, pool: list[targets.Target], now_ms: int
@@ -186,7 +203,9 @@
         own_ms = self._estimate_ms(job.asked.count, 1.0)
         end_ms = now_ms + wait_ms + own_ms
         full_ms = self._estimate_ms(self.batching.max_items, 1.0)
-        is_deep = wait_ms > LATE_DEPTH * full_ms
+        ahead_ms = wait_ms + job.asked.later_wait_ms
+        # Work that went into earlier stages is not thrown away for that.
+        is_deep = not job.asked.inputs and ahead_ms > LATE_DEPTH * full_ms
         if end_ms > job.deadline_ms or (end_ms > job.due_ms and is_deep):
             return [self._end(job, bodies.Ending.REFUSED, wait_ms)]
         items = set(range(job.asked.count))
@@ -205,7 +224,7 @@
                 entry.pending.clear()
                 handles += entry.made.values()
             handles += self._held.pop(job_id, ((), 0))[0]
-        return self._free(handles)
+        return self._free(handles, now_ms)
 
     def give_up(self) -> list[effects.EndJob]:
         """Hand waiting jobs back: this host is about to stop."""
@@ -227,7 +246,8 @@
             chosen = self._choose(target, pool, now_ms)
             if chosen:
                 found.append(self._call(target, chosen, now_ms))
-                found += self._begin(chosen)
+                if self._is_its_turn(target, now_ms):
+                    found += self._begin(chosen)
         return found
 
     def ended(
@@ -236,9 +256,13 @@
         """Take in the results of a call."""
         call = self._calls.pop(message.call_id, None)
         if call is None:
-            return self._free([r.handle for r in message.results if r.handle])
+            made = [r.handle for r in message.results if r.handle]
+            return self._free(made, now_ms)
         lane = self._close(call, now_ms)
         lane.pause_ms = FIRST_PAUSE_MS
+        expected_ms = call.estimate_ms * lane.current_slowness(now_ms)
+        if now_ms - call.sent_ms > CONTENDED_FACTOR * expected_ms:
+            lane.contended_ms = now_ms
         lane.sample((now_ms - call.sent_ms) / call.estimate_ms, now_ms)
         found: list[typing.Any] = []
         unused: list[str] = []
@@ -250,13 +274,15 @@
             found += self._item_ended(
                 call, entry, index, result, unused, now_ms
             )
-        return found + self._free(unused)
+        return found + self._free(unused, now_ms)
 
     def not_run(self, message: messages.BatchNotRun, now_ms: int) -> None:
         """Queue the items of a refused call again."""
         call = self._calls.pop(message.call_id, None)
         if call is not None:
-            self._close(call, now_ms).pause(now_ms)
+            lane = self._close(call, now_ms)
+            lane.pause(now_ms)
+            lane.contended_ms = now_ms
             self._requeue(call)
 
     def lost(
@@ -275,7 +301,7 @@
             effect
             for entry in entries.values()
             if entry.tries >= MAX_TRIES
-            for effect in self._fail(entry, bodies.Ending.FAILED)
+            for effect in self._fail(entry, bodies.Ending.FAILED, now_ms)
         ]
 
     def tick(self, now_ms: int) -> None:
@@ -287,7 +313,8 @@
             call.is_overdue = True
             lane = self._lane(call.target)
             lane.sample((now_ms - call.sent_ms) / call.estimate_ms, now_ms)
-            self._requeue(call)
+            # Inputs of a job that has begun may be gone.
+            self._requeue(call, lambda entry: not entry.has_begun)
         expired = [j for j, (_, end) in self._held.items() if end <= now_ms]
         for job_id in expired:
             del self._held[job_id]
@@ -325,7 +352,7 @@
         return [
             effect
             for entry in hopeless
-            for effect in self._fail(entry, bodies.Ending.LATE)
+            for effect in self._fail(entry, bodies.Ending.LATE, now_ms)
         ]
 
     def _choose(
@@ -443,13 +470,21 @@
         lane.calls += 1
         lane.reserved_bytes += reserved
         lane.free_ms = now_ms + estimate_ms * slowness
-        self._dispatched.append((now_ms, len(chosen)))
         for entry, index in chosen:
             entry.pending.discard(index)
         items = tuple(_item(entry, index, now_ms) for entry, index in chosen)
         timeout_ms = int(TIMEOUT_FACTOR * estimate_ms)
         return effects.RunBatch(call_id, target.listed, items, timeout_ms)
 
+    def _is_its_turn(self, target: targets.Target, now_ms: int) -> bool:
+        """Tell whether a call sent now begins at once."""
+        lane = self._lane(target)
+        if lane.contended_ms is None:
+            # The host that owned the pool before may still have calls here.
+            lane.contended_ms = now_ms
+        quiet_ms = now_ms - lane.contended_ms
+        return lane.calls == 1 and quiet_ms >= CONTENDED_MS
+
     def _begin(
         self, chosen: list[tuple[_Waiting, int]]
     ) -> list[effects.BeginJob]:
@@ -462,7 +497,7 @@
             and not entry.has_begun
         }
         for entry, _ in chosen:
-            entry.has_begun |= not entry.pending
+            entry.has_begun |= entry.job.asked.job_id in begun
         return [effects.BeginJob(o, job_id) for job_id, o in begun.items()]
 
     def _close(self, call: _Call, now_ms: int) -> _Lane:
@@ -488,14 +523,14 @@
         if not self._is_wanted(entry):
             return []
         if result.failure == 'gone':
-            return self._fail(entry, bodies.Ending.INPUT_GONE)
+            return self._fail(entry, bodies.Ending.INPUT_GONE, now_ms)
         if result.failure == 'late':
-            return self._fail(entry, bodies.Ending.LATE)
+            return self._fail(entry, bodies.Ending.LATE, now_ms)
         entry.tries += result.failure != 'room'
         if result.failure == 'room':
             self._lane(call.target).pause(now_ms)
         if entry.tries >= MAX_TRIES:
-            return self._fail(entry, bodies.Ending.FAILED)
+            return self._fail(entry, bodies.Ending.FAILED, now_ms)
         if index not in entry.made:
             entry.pending.add(index)
         return []
@@ -511,7 +546,8 @@
     ) -> list[effects.EndJob]:
         size = entry.job.asked.result_bytes
         end_ms = now_ms + self.batching.result_ttl_ms
-        self._lane(call.target).results[handle] = (size, end_ms)
+        result = _Result(size, call.sent_ms, end_ms)
+        self._lane(call.target).results[handle] = result
         if not self._is_wanted(entry) or index in entry.made:
             unused.append(handle)
             return []
@@ -543,19 +579,24 @@
             for other, _ in call.entries
         )
 
-    def _requeue(self, call: _Call) -> None:
+    def _requeue(
+        self,
+        call: _Call,
+        condition: typing.Callable[[_Waiting], bool] = lambda entry: True,
+    ) -> None:
         for entry, index in call.entries:
-            if self._is_wanted(entry) and index not in entry.made:
+            is_open = self._is_wanted(entry) and index not in entry.made
+            if is_open and condition(entry):
                 entry.pending.add(index)
 
     def _fail(
-        self, entry: _Waiting, ending: bodies.Ending
+        self, entry: _Waiting, ending: bodies.Ending, now_ms: int
     ) -> list[typing.Any]:
         if not self._is_wanted(entry):
             return []
         del self._waiting[entry.job.asked.job_id]
         entry.pending.clear()
-        freed = self._free(list(entry.made.values()))
+        freed = self._free(list(entry.made.values()), now_ms)
         return [self._end(entry.job, ending, 0), *freed]
 
     def _end(
@@ -566,12 +607,16 @@
         )
         return effects.EndJob(job.origin, ended)
 
-    def _free(self, handles: list[str]) -> list[effects.FreeResults]:
+    def _free(
+        self, handles: list[str], now_ms: int
+    ) -> list[effects.FreeResults]:
         if not handles:
             return []
-        for lane in self._lanes.values():
-            for handle in handles:
-                lane.results.pop(handle, None)
+        for lane, handle in itertools.product(self._lanes.values(), handles):
+            result = lane.results.pop(handle, None)
+            if result is not None:
+                held_ms = now_ms - result.since_ms
+                self._hold_ms += HOLD_GAIN * (held_ms - self._hold_ms)
         return [effects.FreeResults(tuple(handles))]
 
 
--- a/packages/routing/src/godwitglade/routing/bodies.py
+++ b/packages/routing/src/godwitglade/routing/bodies.py
@@ -28,7 +28,8 @@
     ``inputs``. ``due_left_ms`` is the time within which the stage has to
     end for a timely answer, ``left_ms`` that for an answer at all.
     ``zone`` holds most of the inputs, of which each item takes in about
-    ``input_bytes``.
+    ``input_bytes``. ``later_wait_ms`` is the time that the request would
+    wait in the queues of later stages.
     """
 
     job_id: str
@@ -44,6 +45,7 @@
     inputs: tuple[str, ...] = ()
     zone: str = ''
     input_bytes: int = 0
+    later_wait_ms: int = 0
 
 
 @attrs.frozen
--- a/packages/routing/src/godwitglade/routing/forecasts.py
+++ b/packages/routing/src/godwitglade/routing/forecasts.py
@@ -58,6 +58,14 @@
             total_ms += batching.call_ms + count * batching.item_ms
         return total_ms
 
+    def waits_ms(
+        self, progress: pipeline.Progress, numbers: list[int], now_ms: int
+    ) -> int:
+        """Return the time to wait in the queues of some stages."""
+        return sum(
+            self.wait_ms(progress.stages[n].pool, now_ms) for n in numbers
+        )
+
     def left_ms(
         self,
         progress: pipeline.Progress,
@@ -71,8 +79,6 @@
         ``numbers`` are the stages still to come, ``pool`` the one that
         answers.
         """
-        waits_ms = sum(
-            self.wait_ms(progress.stages[n].pool, now_ms) for n in numbers
-        )
+        waits_ms = self.waits_ms(progress, numbers, now_ms)
         calls_ms = self.stages_ms(progress, numbers, pools)
         return waits_ms + calls_ms + self.begin_ms(pool)
--- a/packages/routing/src/godwitglade/routing/host.py
+++ b/packages/routing/src/godwitglade/routing/host.py
@@ -199,6 +199,7 @@
 
     @_decide.register
     def _(self, message: messages.HostsRead, now_ms: int) -> Effects:
+        self.parts.work.listed(message.entries)
         return self.parts.members.listed(message.entries, now_ms)
 
     @_decide.register
--- a/packages/routing/src/godwitglade/routing/requests.py
+++ b/packages/routing/src/godwitglade/routing/requests.py
@@ -429,6 +429,9 @@
             inputs=inputs,
             zone=progress.zone_of_inputs(stage),
             input_bytes=progress.input_bytes(stage),
+            later_wait_ms=self.forecasts.waits_ms(
+                progress, progress.later(stage), now_ms
+            ),
         )
 
     def _stage_done(
--- a/tests/routing/test_batching.py
+++ b/tests/routing/test_batching.py
@@ -240,22 +240,71 @@
     assert made <= 25
 
 
-def test_job_with_inputs_tells_when_all_its_items_are_in_calls():
-    batcher, pool = make_batcher(), [builders.target('t1')]
-    job = builders.job('j1', 14, inputs=('h',))
-    found = submit(batcher, pool, 0, job)
-    assert not [e for e in found if isinstance(e, effects.BeginJob)]
-    answer(batcher, calls(found)[0], 300)
-    found = batcher.dispatch(pool, 300)
-    assert effects.BeginJob('h1', 'j1') in found
+def begun(found):
+    return [e.job_id for e in found if isinstance(e, effects.BeginJob)]
+
+
+def quiet_batcher(pool):
+    """Return a batcher that has long had its target to itself."""
+    batcher = make_batcher()
+    for at_ms in (0, 3_000):
+        job = builders.job(f'warm{at_ms}', 1, 9_000, 9_000)
+        call = calls(submit(batcher, pool, at_ms, job))[0]
+        answer(batcher, call, at_ms + 210)
+    return batcher
 
 
-def test_wait_is_told_by_the_pace_when_room_holds_the_queue_up():
+def test_job_with_inputs_tells_when_all_its_items_are_in_calls():
+    pool = [builders.target('t1')]
+    batcher = quiet_batcher(pool)
+    job = builders.job('j1', 14, 9_000, 9_000, inputs=('h',))
+    found = submit(batcher, pool, 4_000, job)
+    assert not begun(found)
+    answer(batcher, calls(found)[0], 4_300)
+    assert begun(batcher.dispatch(pool, 4_300)) == ['j1']
+
+
+@pytest.mark.parametrize('how', ['refused', 'slow'])
+def test_nothing_is_told_while_another_host_calls_the_target(how):
+    pool = [builders.target('t1')]
+    batcher = quiet_batcher(pool)
+    job = builders.job('j0', 1, 9_000, 9_000)
+    call = calls(submit(batcher, pool, 4_000, job))[0]
+    if how == 'refused':
+        batcher.not_run(messages.BatchNotRun(call.call_id), 4_010)
+        call = calls(batcher.dispatch(pool, 4_400))[0]
+        answer(batcher, call, 4_610)
+    else:
+        answer(batcher, call, 4_500)
+    job = builders.job('j1', 1, 9_000, 9_000, inputs=('h',))
+    assert not begun(submit(batcher, pool, 4_700, job))
+
+
+def test_call_that_has_begun_with_inputs_is_not_repeated():
+    pool = [builders.target('t1')]
+    batcher = quiet_batcher(pool)
+    job = builders.job('j1', 1, 9_000, 9_000, inputs=('h',))
+    assert begun(submit(batcher, pool, 4_000, job)) == ['j1']
+    batcher.tick(6_000)
+    both = [*pool, builders.target('t2')]
+    assert not calls(batcher.dispatch(both, 6_000))
+
+
+def test_wait_is_told_by_the_room_when_it_holds_the_queue_up():
     batcher, pool = make_batcher(), [builders.target('t1')]
     big = [
         builders.job(f'j{n}', 4, 9_000, 9_000, result_bytes=2_000)
-        for n in range(4)
+        for n in range(8)
     ]
     call = calls(submit(batcher, pool, 0, *big))[0]
     answer(batcher, call, 240)
-    assert batcher.wait_ms(pool, 1_000) >= 3 * 1_000
+    # Room for four items at once, each held for some 600 ms.
+    assert batcher.wait_ms(pool, 300) > 2_000
+
+
+def test_late_job_is_refused_when_later_stages_are_full():
+    batcher, pool = make_batcher(), [builders.target('t1')]
+    job = builders.job('j1', 1, 100, 5_000, later_wait_ms=900)
+    assert ends(submit(batcher, pool, 0, job)) == [('j1', Ending.REFUSED)]
+    job = builders.job('j2', 1, 100, 5_000, later_wait_ms=900, inputs=('h',))
+    assert not ends(submit(batcher, pool, 0, job))
