Queue log lines, read settings again, and split what had grown

Change: a bounded queue writes logs and counts what it drops; the file is looked at each second and on SIGHUP; lanes, filling, staging, owners and request are modules of their own. Engines are chosen by affinity alone when the results they need are light.

--- a/packages/daemon/src/godwitglade/daemon/logs.py
+++ b/packages/daemon/src/godwitglade/daemon/logs.py
@@ -1,11 +1,13 @@
 """Structured logs of numbered events, one JSON object a line."""
 
+import io
 import logging
 import typing
 
 import structlog
 
 from godwitglade.common import events
+from godwitglade.daemon import log_queue
 
 
 def make_logger(
@@ -39,3 +41,18 @@
         number=events.number_of(event),
         **fields,
     )
+
+
+def make_queued_logger(
+    stream: typing.TextIO, level: str, host: str, zone: str
+) -> tuple[structlog.typing.FilteringBoundLogger, log_queue.LogQueue]:
+    """Return a logger that never blocks, and the queue it writes to."""
+
+    def render_dropped(count: int) -> str:
+        text = io.StringIO()
+        direct = make_logger(text, level, host, zone)
+        log_event(direct, events.Event.LOGS_DROPPED, {'lines': count})
+        return text.getvalue()
+
+    queued = log_queue.LogQueue(stream, render_dropped)
+    return make_logger(queued, level, host, zone), queued
--- a/packages/routing/src/godwitglade/routing/batching.py
+++ b/packages/routing/src/godwitglade/routing/batching.py
@@ -16,6 +16,8 @@
 from godwitglade.routing import bodies
 from godwitglade.routing import documents
 from godwitglade.routing import effects
+from godwitglade.routing import filling
+from godwitglade.routing import lanes
 from godwitglade.routing import messages
 from godwitglade.routing import targets
 
@@ -29,119 +31,21 @@
 TIMEOUT_FACTOR = 8.0
 #: Times an item is tried before its job fails.
 MAX_TRIES = 3
-#: First pause of a target that failed or refused a call; doubles each time.
-FIRST_PAUSE_MS = 150
-LONGEST_PAUSE_MS = 2_000
-#: Gain of a new sample in a target's slowness.
-SLOWNESS_GAIN = 0.4
-#: Bounds of a target's slowness against the pool's figures.
-MIN_SLOWNESS = 0.5
-MAX_SLOWNESS = 12.0
-#: A target's slowness without new samples falls by half in this time.
-SLOWNESS_HALF_LIFE_MS = 3_000
-#: A lane is left idle when another ends the work this much earlier.
-WORTH_WAITING_MS = 100
-#: Inputs of a job as large as this are not moved to another data centre
-#: while the job can still be in time at a target near them.
-HEAVY_INPUT_BYTES = 200_000
-#: Share of the room planned with; sizes of results are approximate.
-ROOM_SHARE = 0.95
-#: Gain of a new sample in the time for which results take up room.
-HOLD_GAIN = 0.1
-#: A target that another host called within this time may be busy when a
-#: call of ours arrives, so that its inputs are fetched later.
-CONTENDED_MS = 1_500
-#: A call that took this many times as long as expected waited its turn.
-CONTENDED_FACTOR = 1.4
 #: Full calls of all stages together that may be ahead of a job which would
 #: end late and still waits.
 LATE_DEPTH = 1.0
 
 
-@attrs.frozen
-class Job:
-    """A job with its times on this host's clock."""
-
-    asked: bodies.JobAsked
-    origin: str
-    due_ms: int
-    deadline_ms: int
-
-
-@attrs.define(eq=False)
-class _Waiting:
-    """A job whose items are not all made."""
-
-    job: Job
-    number: int
-    pending: set[int]
-    queued_ms: int
-    has_begun: bool = False
-    made: dict[int, str] = attrs.Factory(dict)
-    tries: int = 0
-    zone: str = ''
-
-
 @attrs.define(eq=False)
 class _Call:
     target: targets.Target
-    entries: list[tuple[_Waiting, int]]
+    entries: list[tuple[filling.Waiting, int]]
     sent_ms: int
     estimate_ms: float
     reserved_bytes: int
     is_overdue: bool = False
 
 
-@attrs.frozen
-class _Result:
-    """A result at its target; its room was taken at ``since_ms``."""
-
-    size_bytes: int
-    since_ms: int
-    end_ms: int
-
-
-@attrs.define(eq=False)
-class _Lane:
-    """What the owner knows of one target."""
-
-    calls: int = 0
-    free_ms: float = 0.0
-    slowness: float = 1.0
-    sampled_ms: int = 0
-    paused_until_ms: int = 0
-    pause_ms: int = FIRST_PAUSE_MS
-    reserved_bytes: int = 0
-    contended_ms: int | None = None
-    results: dict[str, _Result] = attrs.Factory(dict)
-
-    def used_bytes(self, now_ms: int) -> int:
-        """Return the room taken by results and by calls under way."""
-        expired = [h for h, r in self.results.items() if r.end_ms <= now_ms]
-        for handle in expired:
-            del self.results[handle]
-        held = sum(result.size_bytes for result in self.results.values())
-        return held + self.reserved_bytes
-
-    def current_slowness(self, now_ms: int) -> float:
-        """Return the slowness, fading towards 1 without new samples."""
-        age_ms = max(0, now_ms - self.sampled_ms)
-        fading = 0.5 ** (age_ms / SLOWNESS_HALF_LIFE_MS)
-        return 1.0 + (self.slowness - 1.0) * fading
-
-    def sample(self, ratio: float, now_ms: int) -> None:
-        """Take in the time of a call over its estimate."""
-        known = self.current_slowness(now_ms)
-        mixed = known + SLOWNESS_GAIN * (ratio - known)
-        self.slowness = min(MAX_SLOWNESS, max(MIN_SLOWNESS, mixed))
-        self.sampled_ms = now_ms
-
-    def pause(self, now_ms: int) -> None:
-        """Send nothing for a while, longer each time in a row."""
-        self.paused_until_ms = now_ms + self.pause_ms
-        self.pause_ms = min(LONGEST_PAUSE_MS, 2 * self.pause_ms)
-
-
 class Batcher:
     """The queue of one pool and the calls made from it."""
 
@@ -149,15 +53,22 @@
         self, name: str, batching: documents.Batching, prefix: str
     ) -> None:
         self.name = name
-        self.batching = batching
         self._prefix = prefix
         self._numbers = itertools.count(1)
-        self._waiting: dict[str, _Waiting] = {}
+        self._waiting: dict[str, filling.Waiting] = {}
         self._calls: dict[str, _Call] = {}
-        self._lanes: dict[str, _Lane] = {}
+        self._lanes = lanes.Lanes(batching)
+        self._filler = filling.Filler(self._lanes)
         self._held: dict[str, tuple[tuple[str, ...], int]] = {}
-        full_ms = self._estimate_ms(batching.max_items, 1.0)
-        self._hold_ms = 2 * full_ms
+
+    @property
+    def batching(self) -> documents.Batching:
+        """Return how the pool's targets take items."""
+        return self._lanes.batching
+
+    @batching.setter
+    def batching(self, batching: documents.Batching) -> None:
+        self._lanes.batching = batching
 
     @property
     def is_idle(self) -> bool:
@@ -166,50 +77,35 @@
 
     def wait_ms(self, pool: list[targets.Target], now_ms: int) -> int:
         """Return the time that a new job would wait for its call."""
-        lanes = [self._lane(target) for target in pool]
-        if not lanes:
+        if not pool:
             return self.batching.result_ttl_ms
-        items = sum(len(entry.pending) for entry in self._waiting.values())
-        slots = len(lanes) * self.batching.concurrency
-        each_ms = self._per_item_ms(now_ms) / slots
-        soonest_ms = min(self._ready_ms(lane, now_ms) for lane in lanes)
+        pending = [(e, len(e.pending)) for e in self._waiting.values()]
+        items = sum(count for _, count in pending)
+        size = sum(e.job.asked.result_bytes * n for e, n in pending)
+        slots = len(pool) * self.batching.concurrency
+        each_ms = self._lanes.per_item_ms(size / max(1, items)) / slots
+        soonest_ms = min(self._lanes.ready_ms(t, now_ms) for t in pool)
         # A call that is not full is about to be made in any case.
         behind = max(0, items - self.batching.max_items * slots + 1)
         return math.ceil(soonest_ms - now_ms + behind * each_ms)
 
-    def _per_item_ms(self, now_ms: int) -> float:
-        """Return the time that a busy target takes for each item.
-
-        It is bound by the calls' time or by the room for results.
-        """
-        batching = self.batching
-        full_ms = self._estimate_ms(batching.max_items, 1.0)
-        by_time_ms = full_ms / batching.max_items
-        pending = [(e, len(e.pending)) for e in self._waiting.values()]
-        count = sum(n for _, n in pending)
-        size = sum(e.job.asked.result_bytes * n for e, n in pending)
-        if not count or not size:
-            return by_time_ms
-        held = ROOM_SHARE * batching.room_bytes / (size / count)
-        return max(by_time_ms, self._hold_ms / max(1.0, held))
-
     def submit(
-        self, job: Job, pool: list[targets.Target], now_ms: int
+        self, job: filling.Job, pool: list[targets.Target], now_ms: int
     ) -> list[typing.Any]:
         """Queue a job, or turn it away when it would end too late."""
         if job.asked.job_id in self._waiting:
             return []
         wait_ms = self.wait_ms(pool, now_ms)
-        own_ms = self._estimate_ms(job.asked.count, 1.0)
+        own_ms = self._lanes.estimate_ms(job.asked.count)
         end_ms = now_ms + wait_ms + own_ms
-        full_ms = self._estimate_ms(self.batching.max_items, 1.0)
+        full_ms = self._lanes.estimate_ms(self.batching.max_items)
         ahead_ms = wait_ms + job.asked.later_wait_ms
         # Work that went into earlier stages is not thrown away for that.
         is_deep = not job.asked.inputs and ahead_ms > LATE_DEPTH * full_ms
         if end_ms > job.deadline_ms or (end_ms > job.due_ms and is_deep):
             return [self._end(job, bodies.Ending.REFUSED, wait_ms)]
         items = set(range(job.asked.count))
-        entry = _Waiting(job, next(self._numbers), items, now_ms)
+        entry = filling.Waiting(job, next(self._numbers), items, now_ms)
         self._waiting[job.asked.job_id] = entry
         return []
 
@@ -238,15 +134,17 @@
     ) -> list[typing.Any]:
         """Return calls for the targets that are free, and jobs given up."""
         found: list[typing.Any] = self._expire(pool, now_ms)
-        free = [t for t in pool if self._is_free(t, now_ms)]
-        free.sort(key=lambda t: self._lane(t).current_slowness(now_ms))
+        free = [t for t in pool if self._lanes.is_free(t, now_ms)]
+        free.sort(key=lambda t: self._lanes.of(t).current_slowness(now_ms))
         for target in free:
             if not any(e.pending for e in self._waiting.values()):
                 break
-            chosen = self._choose(target, pool, now_ms)
+            chosen = self._filler.choose(
+                self._waiting.values(), target, pool, now_ms
+            )
             if chosen:
                 found.append(self._call(target, chosen, now_ms))
-                if self._is_its_turn(target, now_ms):
+                if self._lanes.of(target).is_exclusive(now_ms):
                     found += self._begin(chosen)
         return found
 
@@ -259,11 +157,7 @@
             made = [r.handle for r in message.results if r.handle]
             return self._free(made, now_ms)
         lane = self._close(call, now_ms)
-        lane.pause_ms = FIRST_PAUSE_MS
-        expected_ms = call.estimate_ms * lane.current_slowness(now_ms)
-        if now_ms - call.sent_ms > CONTENDED_FACTOR * expected_ms:
-            lane.contended_ms = now_ms
-        lane.sample((now_ms - call.sent_ms) / call.estimate_ms, now_ms)
+        lane.finish(call.sent_ms, call.estimate_ms, now_ms)
         found: list[typing.Any] = []
         unused: list[str] = []
         for (entry, index), result in itertools.zip_longest(
@@ -311,7 +205,7 @@
             if call.is_overdue or now_ms - call.sent_ms <= limit_ms:
                 continue
             call.is_overdue = True
-            lane = self._lane(call.target)
+            lane = self._lanes.of(call.target)
             lane.sample((now_ms - call.sent_ms) / call.estimate_ms, now_ms)
             # Inputs of a job that has begun may be gone.
             self._requeue(call, lambda entry: not entry.has_begun)
@@ -319,31 +213,11 @@
         for job_id in expired:
             del self._held[job_id]
 
-    def _lane(self, target: targets.Target) -> _Lane:
-        key = f'{target.name}@{target.listed.started_ms}'
-        return self._lanes.setdefault(key, _Lane())
-
-    def _estimate_ms(self, items: int, slowness: float) -> float:
-        batching = self.batching
-        items = min(items, batching.max_items)
-        return (batching.call_ms + items * batching.item_ms) * slowness
-
-    def _ready_ms(self, lane: _Lane, now_ms: int) -> float:
-        busy_ms = 0.0
-        if lane.calls >= self.batching.concurrency:
-            busy_ms = lane.free_ms
-        return max(now_ms, busy_ms, lane.paused_until_ms)
-
-    def _is_free(self, target: targets.Target, now_ms: int) -> bool:
-        lane = self._lane(target)
-        has_slot = lane.calls < self.batching.concurrency
-        return has_slot and now_ms >= lane.paused_until_ms
-
     def _expire(
         self, pool: list[targets.Target], now_ms: int
     ) -> list[effects.EndJob]:
         """Give up jobs that cannot end before their deadline."""
-        least_ms = self._estimate_ms(1, 1.0)
+        least_ms = self._lanes.estimate_ms(1)
         hopeless = [
             entry
             for entry in self._waiting.values()
@@ -355,114 +229,15 @@
             for effect in self._fail(entry, bodies.Ending.LATE, now_ms)
         ]
 
-    def _choose(
-        self,
-        target: targets.Target,
-        pool: list[targets.Target],
-        now_ms: int,
-    ) -> list[tuple[_Waiting, int]]:
-        """Return the items of the next call of ``target``."""
-        lane = self._lane(target)
-        slowness = lane.current_slowness(now_ms)
-        limit_bytes = ROOM_SHARE * self.batching.room_bytes
-        room_bytes = limit_bytes - lane.used_bytes(now_ms)
-        chosen: list[tuple[_Waiting, int]] = []
-        soonest_ms = self._soonest_by_zone(pool, now_ms)
-        for entry in self._in_order(slowness, now_ms):
-            if self._waits_for_zone(entry, target, soonest_ms, now_ms):
-                continue
-            size = entry.job.asked.result_bytes
-            left = self.batching.max_items - len(chosen)
-            if size:
-                left = min(left, int(room_bytes // size))
-            if left < min(len(entry.pending), self.batching.max_items):
-                # Items of one job stay together unless they never fit.
-                if chosen or left <= 0 or self._fits_empty(entry):
-                    continue
-            taken = sorted(entry.pending)[:left]
-            chosen += [(entry, index) for index in taken]
-            room_bytes -= size * len(taken)
-            if len(chosen) >= self.batching.max_items:
-                break
-        if self._is_better_elsewhere(target, len(chosen), pool, now_ms):
-            return []
-        return chosen
-
-    def _soonest_by_zone(
-        self, pool: list[targets.Target], now_ms: int
-    ) -> dict[str, float]:
-        """Return when the first target of each data centre gets free."""
-        found: dict[str, float] = {}
-        for target in pool:
-            zone = target.listed.zone
-            ready_ms = self._ready_ms(self._lane(target), now_ms)
-            found[zone] = min(ready_ms, found.get(zone, math.inf))
-        return found
-
-    def _waits_for_zone(
-        self,
-        entry: _Waiting,
-        target: targets.Target,
-        soonest_ms: dict[str, float],
-        now_ms: int,
-    ) -> bool:
-        """Tell whether a job does better to wait for a target near by."""
-        asked = entry.job.asked
-        heavy = asked.input_bytes * asked.count >= HEAVY_INPUT_BYTES
-        is_near = asked.zone in ('', target.listed.zone)
-        if is_near or not heavy or asked.zone not in soonest_ms:
-            return False
-        need_ms = self._estimate_ms(self.batching.max_items, 1.0)
-        end_ms = soonest_ms[asked.zone] + need_ms
-        return end_ms <= entry.job.due_ms
-
-    def _fits_empty(self, entry: _Waiting) -> bool:
-        """Tell whether the job's items fit a target without results."""
-        count = len(entry.pending)
-        size = count * entry.job.asked.result_bytes
-        limit_bytes = ROOM_SHARE * self.batching.room_bytes
-        return count <= self.batching.max_items and size <= limit_bytes
-
-    def _in_order(
-        self, slowness: float, now_ms: int
-    ) -> typing.Iterator[_Waiting]:
-        def key(entry: _Waiting) -> tuple:
-            need_ms = self._estimate_ms(len(entry.pending), slowness)
-            is_late = now_ms + need_ms > entry.job.due_ms
-            return is_late, entry.job.due_ms, entry.number
-
-        pending = [e for e in self._waiting.values() if e.pending]
-        return iter(sorted(pending, key=key))
-
-    def _is_better_elsewhere(
-        self,
-        target: targets.Target,
-        count: int,
-        pool: list[targets.Target],
-        now_ms: int,
-    ) -> bool:
-        """Tell whether a busy target would end the call much earlier."""
-        slowness = self._lane(target).current_slowness(now_ms)
-        if not count or slowness <= 1.5:
-            return False
-        own_ms = now_ms + self._estimate_ms(count, slowness)
-        others = [self._lane(t) for t in pool if t is not target]
-        ends = [
-            self._ready_ms(lane, now_ms)
-            + self._estimate_ms(count, lane.current_slowness(now_ms))
-            for lane in others
-        ]
-        return bool(ends) and own_ms > min(ends) + WORTH_WAITING_MS
-
     def _call(
         self,
         target: targets.Target,
-        chosen: list[tuple[_Waiting, int]],
+        chosen: list[tuple[filling.Waiting, int]],
         now_ms: int,
     ) -> effects.RunBatch:
-        lane = self._lane(target)
+        lane = self._lanes.of(target)
         slowness = lane.current_slowness(now_ms)
-        estimate_ms = self._estimate_ms(len(chosen), 1.0)
+        estimate_ms = self._lanes.estimate_ms(len(chosen))
         reserved = sum(entry.job.asked.result_bytes for entry, _ in chosen)
         call_id = f'{self._prefix}{next(self._numbers)}'
         call = _Call(target, chosen, now_ms, estimate_ms, reserved)
@@ -476,17 +251,8 @@
         timeout_ms = int(TIMEOUT_FACTOR * estimate_ms)
         return effects.RunBatch(call_id, target.listed, items, timeout_ms)
 
-    def _is_its_turn(self, target: targets.Target, now_ms: int) -> bool:
-        """Tell whether a call sent now begins at once."""
-        lane = self._lane(target)
-        if lane.contended_ms is None:
-            # The host that owned the pool before may still have calls here.
-            lane.contended_ms = now_ms
-        quiet_ms = now_ms - lane.contended_ms
-        return lane.calls == 1 and quiet_ms >= CONTENDED_MS
-
     def _begin(
-        self, chosen: list[tuple[_Waiting, int]]
+        self, chosen: list[tuple[filling.Waiting, int]]
     ) -> list[effects.BeginJob]:
         """Return word of the jobs whose items are all in calls now."""
         begun = {
@@ -500,8 +266,8 @@
             entry.has_begun |= entry.job.asked.job_id in begun
         return [effects.BeginJob(o, job_id) for job_id, o in begun.items()]
 
-    def _close(self, call: _Call, now_ms: int) -> _Lane:
-        lane = self._lane(call.target)
+    def _close(self, call: _Call, now_ms: int) -> lanes.Lane:
+        lane = self._lanes.of(call.target)
         lane.calls -= 1
         lane.reserved_bytes -= call.reserved_bytes
         lane.free_ms = now_ms
@@ -510,7 +276,7 @@
     def _item_ended(
         self,
         call: _Call,
-        entry: _Waiting,
+        entry: filling.Waiting,
         index: int,
         result: messages.ItemResult,
         unused: list[str],
@@ -528,7 +294,7 @@
             return self._fail(entry, bodies.Ending.LATE, now_ms)
         entry.tries += result.failure != 'room'
         if result.failure == 'room':
-            self._lane(call.target).pause(now_ms)
+            self._lanes.of(call.target).pause(now_ms)
         if entry.tries >= MAX_TRIES:
             return self._fail(entry, bodies.Ending.FAILED, now_ms)
         if index not in entry.made:
@@ -538,7 +304,7 @@
     def _item_made(
         self,
         call: _Call,
-        entry: _Waiting,
+        entry: filling.Waiting,
         index: int,
         handle: str,
         unused: list[str],
@@ -546,8 +312,8 @@
     ) -> list[effects.EndJob]:
         size = entry.job.asked.result_bytes
         end_ms = now_ms + self.batching.result_ttl_ms
-        result = _Result(size, call.sent_ms, end_ms)
-        self._lane(call.target).results[handle] = result
+        result = lanes.Result(size, call.sent_ms, end_ms)
+        self._lanes.of(call.target).results[handle] = result
         if not self._is_wanted(entry) or index in entry.made:
             unused.append(handle)
             return []
@@ -569,10 +335,10 @@
         )
         return [effects.EndJob(job.origin, ended)]
 
-    def _is_wanted(self, entry: _Waiting) -> bool:
+    def _is_wanted(self, entry: filling.Waiting) -> bool:
         return self._waiting.get(entry.job.asked.job_id) is entry
 
-    def _is_running(self, entry: _Waiting) -> bool:
+    def _is_running(self, entry: filling.Waiting) -> bool:
         return any(
             other is entry
             for call in self._calls.values()
@@ -582,7 +348,9 @@
     def _requeue(
         self,
         call: _Call,
-        condition: typing.Callable[[_Waiting], bool] = lambda entry: True,
+        condition: typing.Callable[
+            [filling.Waiting], bool
+        ] = lambda entry: True,
     ) -> None:
         for entry, index in call.entries:
             is_open = self._is_wanted(entry) and index not in entry.made
@@ -590,7 +358,7 @@
                 entry.pending.add(index)
 
     def _fail(
-        self, entry: _Waiting, ending: bodies.Ending, now_ms: int
+        self, entry: filling.Waiting, ending: bodies.Ending, now_ms: int
     ) -> list[typing.Any]:
         if not self._is_wanted(entry):
             return []
@@ -600,7 +368,7 @@
         return [self._end(entry.job, ending, 0), *freed]
 
     def _end(
-        self, job: Job, ending: bodies.Ending, wait_ms: int
+        self, job: filling.Job, ending: bodies.Ending, wait_ms: int
     ) -> effects.EndJob:
         ended = bodies.JobEnded(
             job.asked.job_id, ending, self.name, wait_ms=wait_ms
@@ -612,15 +380,13 @@
     ) -> list[effects.FreeResults]:
         if not handles:
             return []
-        for lane, handle in itertools.product(self._lanes.values(), handles):
-            result = lane.results.pop(handle, None)
-            if result is not None:
-                held_ms = now_ms - result.since_ms
-                self._hold_ms += HOLD_GAIN * (held_ms - self._hold_ms)
+        self._lanes.freed(handles, now_ms)
         return [effects.FreeResults(tuple(handles))]
 
 
-def _item(entry: _Waiting, index: int, now_ms: int) -> effects.BatchItem:
+def _item(
+    entry: filling.Waiting, index: int, now_ms: int
+) -> effects.BatchItem:
     asked = entry.job.asked
     return effects.BatchItem(
         attempt_id=asked.attempt_id,
--- a/packages/routing/src/godwitglade/routing/host.py
+++ b/packages/routing/src/godwitglade/routing/host.py
@@ -199,9 +199,16 @@
 
     @_decide.register
     def _(self, message: messages.HostsRead, now_ms: int) -> Effects:
-        self.parts.work.listed(message.entries)
+        self.parts.work.owners.listed(message.entries)
         return self.parts.members.listed(message.entries, now_ms)
 
+    @_decide.register
+    def _(self, message: messages.BoundsChanged, now_ms: int) -> Effects:
+        self.parts.knowledge.revoke_ms = message.bounds.revoke_ms
+        self.parts.stopping.limit_ms = message.bounds.stop_limit_ms
+        self.parts.requests.rebound(message.bounds.repeats)
+        return [shared_effects.LogEvent(events.Event.SETTINGS_RELOADED)]
+
     @_decide.register
     def _(self, message: messages.StopAsked, now_ms: int) -> Effects:
         if self.parts.stopping.is_asked:
--- a/packages/routing/src/godwitglade/routing/messages.py
+++ b/packages/routing/src/godwitglade/routing/messages.py
@@ -1,5 +1,7 @@
 """Messages that the routing parts take in."""
 
+import typing
+
 import attrs
 
 from godwitglade.routing import documents
@@ -164,6 +166,13 @@
     entries: tuple
 
 
+@attrs.frozen
+class BoundsChanged:
+    """The settings were read again; ``bounds`` are `host.Settings`."""
+
+    bounds: typing.Any
+
+
 @attrs.frozen
 class StopAsked:
     """The process is to stop in an orderly way."""
--- a/packages/routing/src/godwitglade/routing/pipeline.py
+++ b/packages/routing/src/godwitglade/routing/pipeline.py
@@ -52,18 +52,16 @@
 
     def results(self) -> tuple[str, ...]:
         """Return the results of the stages that no other stage follows."""
-        followed = {n for stage in self.stages for n in stage.after}
-        found = (
-            handles
-            for number, handles in sorted(self.handles.items())
-            if number not in followed
-        )
+        found = (self.handles[number] for number in self._last())
         return tuple(itertools.chain.from_iterable(found))
 
     def zone_of_results(self) -> str:
         """Return the data centre that holds most of the results' bytes."""
-        followed = {n for stage in self.stages for n in stage.after}
-        return self._zone_of(n for n in self.zones if n not in followed)
+        return self._zone_of(self._last())
+
+    def result_bytes(self) -> int:
+        """Return the size of the results of the last stages."""
+        return sum(self._size(number) for number in self._last())
 
     def zone_of_inputs(self, number: int) -> str:
         """Return the data centre that holds most of a stage's inputs."""
@@ -87,6 +85,10 @@
         self.handles.clear()
         self.zones.clear()
 
+    def _last(self) -> list[int]:
+        followed = {n for stage in self.stages for n in stage.after}
+        return [n for n in sorted(self.handles) if n not in followed]
+
     def _size(self, number: int) -> int:
         return self.counts[number] * self.stages[number].result_bytes
 
--- /dev/null
+++ b/packages/routing/src/godwitglade/routing/request.py
@@ -0,0 +1,52 @@
+"""A request in flight on this host."""
+
+import attrs
+
+from godwitglade.routing import documents
+from godwitglade.routing import messages
+from godwitglade.routing import pipeline
+from godwitglade.routing import targets
+
+
+@attrs.define(eq=False)
+class Request:
+    """A request in flight on this host.
+
+    ``has_run`` says that a target may have begun to work on it.
+    """
+
+    arrived: messages.Arrived
+    route: documents.Route
+    pool: str
+    workspace: documents.Workspace | None
+    deadline_ms: int
+    due_ms: int
+    progress: pipeline.Progress
+    calls: int = 0
+    sends: int = 0
+    restarts: int = 0
+    tried: set[str] = attrs.Factory(set)
+    target: targets.Target | None = None
+    sent_ms: int = 0
+    has_run: bool = False
+    has_begun: bool = False
+    jobs: dict[str, int] = attrs.Factory(dict)
+    spent_jobs: set[str] = attrs.Factory(set)
+    fetched: set[int] = attrs.Factory(set)
+
+    @property
+    def request_id(self) -> str:
+        """Return this host's id of the request."""
+        return self.arrived.request_id
+
+    @property
+    def rank(self) -> int:
+        """Return the urgency; a workspace's goes before the route's."""
+        if self.workspace is not None and self.workspace.rank is not None:
+            return self.workspace.rank
+        return self.route.rank
+
+    @property
+    def may_repeat(self) -> bool:
+        """Tell whether it may be sent to one more target after running."""
+        return self.route.is_repeatable and self.sends < self.route.max_targets
--- a/packages/routing/src/godwitglade/routing/requests.py
+++ b/packages/routing/src/godwitglade/routing/requests.py
@@ -24,13 +24,14 @@
 from godwitglade.routing import messages
 from godwitglade.routing import pipeline
 from godwitglade.routing import placement
+from godwitglade.routing import request as request_
+from godwitglade.routing import staging
 from godwitglade.routing import targets
 
 Effects = list[typing.Any]
 
 DEADLINE_TOKEN = 'requests:deadline:'
 PATIENCE_TOKEN = 'requests:patience:'
-FETCHED_TOKEN = 'requests:fetched:'
 
 #: Told to come back after this time when nothing better is known.
 RETRY_AFTER_MS = 500
@@ -43,59 +44,12 @@
 ANSWER_MARGIN_MS = 25
 #: Share of the time left for the first of two sends of a plain request.
 FIRST_SEND_SHARE = 0.6
-#: Within this time of its start a call has fetched its inputs.
-FETCH_MS = 60
-#: Inputs as large as this are freed once they are fetched, not only once
-#: the call has ended: room for results binds.
-EARLY_FREE_BYTES = 100_000
+#: Results as large as this are not moved to another data centre.
+HEAVY_RESULT_BYTES = 200_000
 #: Times a request's stages are begun anew when results are gone.
 MAX_RESTARTS = 2
 
 
-@attrs.define(eq=False)
-class Request:
-    """A request in flight on this host.
-
-    ``has_run`` says that a target may have begun to work on it.
-    """
-
-    arrived: messages.Arrived
-    route: documents.Route
-    pool: str
-    workspace: documents.Workspace | None
-    deadline_ms: int
-    due_ms: int
-    progress: pipeline.Progress
-    calls: int = 0
-    sends: int = 0
-    restarts: int = 0
-    tried: set[str] = attrs.Factory(set)
-    target: targets.Target | None = None
-    sent_ms: int = 0
-    has_run: bool = False
-    has_begun: bool = False
-    jobs: dict[str, int] = attrs.Factory(dict)
-    spent_jobs: set[str] = attrs.Factory(set)
-    fetched: set[int] = attrs.Factory(set)
-
-    @property
-    def request_id(self) -> str:
-        """Return this host's id of the request."""
-        return self.arrived.request_id
-
-    @property
-    def rank(self) -> int:
-        """Return the urgency; a workspace's goes before the route's."""
-        if self.workspace is not None and self.workspace.rank is not None:
-            return self.workspace.rank
-        return self.route.rank
-
-    @property
-    def may_repeat(self) -> bool:
-        """Tell whether it may be sent to one more target after running."""
-        return self.route.is_repeatable and self.sends < self.route.max_targets
-
-
 @attrs.frozen
 class Bounds:
     """The fleet-wide bounds on repeats."""
@@ -117,21 +71,28 @@
         bounds: Bounds,
         count_hosts: typing.Callable[[], int],
     ) -> None:
-        self._self_id = self_id
         self._zone = self_id.zone
         self._knowledge = knowledge_
         self._directory = directory
         self._random = random
         self._bounds = bounds
         self._count_hosts = count_hosts
-        self._requests: dict[str, Request] = {}
-        self._by_job: dict[str, str] = {}
+        self._requests: dict[str, request_.Request] = {}
         self._budgets: dict[str, budget.RepeatBudget] = {}
         self.forecasts = forecasts.Forecasts()
+        self._staging = staging.Staging(self_id, knowledge_, self.forecasts)
 
     def __len__(self) -> int:
         return len(self._requests)
 
+    def rebound(self, bounds: Bounds) -> None:
+        """Keep to other bounds on repeats from now on."""
+        self._bounds = bounds
+        for found in self._budgets.values():
+            found.ratio = bounds.ratio
+            found.allowance = bounds.allowance
+            found.window_ms = bounds.window_ms
+
     @functools.singledispatchmethod
     def handle(self, message: typing.Any, now_ms: int) -> Effects:
         """Take in a message; those of other parts are ignored."""
@@ -184,10 +145,9 @@
             request = self._requests.get(name)
             if request is not None and request.calls == int(call):
                 return self._lose_patience(request)
-        if message.token.startswith(FETCHED_TOKEN):
-            return self._inputs_fetched(
-                message.token.removeprefix(FETCHED_TOKEN)
-            )
+        if message.token.startswith(staging.FETCHED_TOKEN):
+            job_id = message.token.removeprefix(staging.FETCHED_TOKEN)
+            return self._staging.inputs_fetched(job_id)
         return []
 
     @handle.register
@@ -224,7 +184,7 @@
         request.has_begun = request.has_run = True
         placement.succeeded(request.target, message.load, now_ms)
         self._note_begin(request, now_ms)
-        return self._release(request)
+        return self._staging.release(request)
 
     @handle.register
     def _(self, message: messages.NotRun, now_ms: int) -> Effects:
@@ -305,8 +265,8 @@
         """Take in the end of a job that this host asked for."""
         if job.ending in (bodies.Ending.DONE, bodies.Ending.REFUSED):
             self.forecasts.told(job.pool, job.wait_ms, now_ms)
-        request = self._requests.get(self._by_job.get(job.job_id, ''))
-        if request is None or job.job_id not in request.jobs:
+        request = self._staging.request_of(job.job_id)
+        if request is None:
             if job.ending is bodies.Ending.DONE:
                 return [effects.ReleaseJobs((job.job_id,))]
             return []
@@ -315,8 +275,9 @@
             # The same result, told a second time.
             return []
         if job.ending is bodies.Ending.DONE:
-            return self._stage_done(request, stage, job, now_ms)
-        self._forget_job(request, job.job_id)
+            found = self._staging.done(request, job)
+            return found + self._advance(request, now_ms)
+        self._staging.forget(request, job.job_id)
         log = _log(
             events.Event.STAGE_FAILED,
             request,
@@ -336,29 +297,15 @@
 
     def job_begun(self, job_id: str, now_ms: int) -> Effects:
         """Take in that all items of a job are in calls."""
-        request = self._requests.get(self._by_job.get(job_id, ''))
-        if request is None or job_id not in request.jobs:
-            return []
-        size = request.progress.input_bytes(request.jobs[job_id])
-        if size < EARLY_FREE_BYTES:
-            return []
-        token = f'{FETCHED_TOKEN}{job_id}'
-        return [shared_effects.StartTimer(token, now_ms + FETCH_MS)]
-
-    def _inputs_fetched(self, job_id: str) -> Effects:
-        request = self._requests.get(self._by_job.get(job_id, ''))
-        if request is None or job_id not in request.jobs:
-            return []
-        request.fetched.add(request.jobs[job_id])
-        return self._release_spent(request)
+        return self._staging.job_begun(job_id, now_ms)
 
     def resubmit(self, job_id: str, now_ms: int) -> Effects:
         """Ask again for a job whose owner does not answer."""
-        request = self._requests.get(self._by_job.get(job_id, ''))
-        if request is None or job_id not in request.jobs:
+        request = self._staging.request_of(job_id)
+        if request is None:
             return []
         stage = request.jobs[job_id]
-        self._forget_job(request, job_id)
+        self._staging.forget(request, job_id)
         request.progress.started.discard(stage)
         return self._advance(request, now_ms)
 
@@ -368,11 +315,11 @@
         route: documents.Route,
         workspace: documents.Workspace | None,
         progress: pipeline.Progress,
-    ) -> Request:
+    ) -> request_.Request:
         budget_ms = route.timeout_ms
         if message.budget_ms is not None:
             budget_ms = min(budget_ms, message.budget_ms)
-        return Request(
+        return request_.Request(
             arrived=message,
             route=route,
             pool=self._draw_pool(route),
@@ -389,108 +336,21 @@
             return names[0]
         return self._random.choices(names, weights)[0]
 
-    def _advance(self, request: Request, now_ms: int) -> Effects:
+    def _advance(self, request: request_.Request, now_ms: int) -> Effects:
         """Start the stages that can start, or send the request."""
         if request.progress.is_complete:
             return self._send(request, now_ms)
-        found: Effects = []
-        for stage in request.progress.startable():
-            request.progress.started.add(stage)
-            job = self._job(request, stage, now_ms)
-            request.jobs[job.job_id] = stage
-            self._by_job[job.job_id] = request.request_id
-            found.append(effects.SubmitJob(job))
-        return found
+        return self._staging.start(request, now_ms)
 
-    def _job(
-        self, request: Request, stage: int, now_ms: int
-    ) -> bodies.JobAsked:
-        progress = request.progress
-        later_ms = self.forecasts.left_ms(
-            progress,
-            progress.later(stage),
-            self._knowledge.document.pools,
-            request.pool,
-            now_ms,
-        )
-        inputs = progress.inputs_of(stage)
-        number = len(request.jobs) + len(request.spent_jobs)
-        return bodies.JobAsked(
-            job_id=f'{self._self_id}/{request.request_id}/{stage}/{number}',
-            attempt_id=request.arrived.attempt_id,
-            pool=progress.stages[stage].pool,
-            stage=stage,
-            count=progress.counts[stage],
-            result_bytes=progress.stages[stage].result_bytes,
-            rank=request.rank,
-            due_left_ms=int(request.due_ms - now_ms - later_ms),
-            left_ms=int(request.deadline_ms - now_ms - later_ms),
-            item_key='' if inputs else request.arrived.item_key,
-            inputs=inputs,
-            zone=progress.zone_of_inputs(stage),
-            input_bytes=progress.input_bytes(stage),
-            later_wait_ms=self.forecasts.waits_ms(
-                progress, progress.later(stage), now_ms
-            ),
-        )
-
-    def _stage_done(
-        self,
-        request: Request,
-        stage: int,
-        job: bodies.JobEnded,
-        now_ms: int,
-    ) -> Effects:
-        progress = request.progress
-        progress.handles[stage] = job.handles
-        progress.zones[stage] = job.zone
-        found = self._release_spent(request)
-        return found + self._advance(request, now_ms)
-
-    def _release_spent(self, request: Request) -> Effects:
-        """Give up results that all stages after them have taken in."""
-        spent = [
-            job_id
-            for job_id, number in request.jobs.items()
-            if self._is_spent(request, number)
-        ]
-        for job_id in spent:
-            self._forget_job(request, job_id)
-        return [effects.ReleaseJobs(tuple(spent))] if spent else []
-
-    def _is_spent(self, request: Request, number: int) -> bool:
-        progress = request.progress
-        taken = request.fetched | progress.handles.keys()
-        followers = [
-            n
-            for n, stage in enumerate(progress.stages)
-            if number in stage.after and progress.counts[n]
-        ]
-        return bool(followers) and taken.issuperset(followers)
-
-    def _forget_job(self, request: Request, job_id: str) -> None:
-        request.jobs.pop(job_id, None)
-        request.spent_jobs.add(job_id)
-        self._by_job.pop(job_id, None)
-
-    def _release(self, request: Request) -> Effects:
-        """Give up the results of the request's jobs."""
-        job_ids = tuple(request.jobs)
-        for job_id in job_ids:
-            self._forget_job(request, job_id)
-        return [effects.ReleaseJobs(job_ids)] if job_ids else []
-
-    def _restart(self, request: Request, now_ms: int) -> Effects:
+    def _restart(self, request: request_.Request, now_ms: int) -> Effects:
         request.restarts += 1
         if request.restarts > MAX_RESTARTS:
             return self._refuse(request, 'inputs_gone', 0, now_ms)
-        found = self._release(request)
-        request.progress.restart()
-        request.fetched.clear()
+        found = self._staging.restart(request)
         return found + self._advance(request, now_ms)
 
     def _send(
-        self, request: Request, now_ms: int, has_answer: bool = False
+        self, request: request_.Request, now_ms: int, has_answer: bool = False
     ) -> Effects:
         left_ms = request.deadline_ms - ANSWER_MARGIN_MS - now_ms
         if left_ms < MIN_TIME_LEFT_MS:
@@ -526,7 +386,7 @@
         return [forward, sent, *self._patience(request, left_ms, now_ms)]
 
     def _patience(
-        self, request: Request, left_ms: int, now_ms: int
+        self, request: request_.Request, left_ms: int, now_ms: int
     ) -> Effects:
         """Keep time for a second send of a plain, repeatable request."""
         is_plain = request.route.kind is documents.RequestKind.IDEMPOTENT
@@ -536,26 +396,30 @@
         due_ms = now_ms + int(FIRST_SEND_SHARE * left_ms)
         return [shared_effects.StartTimer(token, due_ms)]
 
-    def _lose_patience(self, request: Request) -> Effects:
+    def _lose_patience(self, request: request_.Request) -> Effects:
         if request.target is None:
             return []
         return [effects.CancelCall(request.request_id, request.calls)]
 
-    def _choose(self, request: Request, now_ms: int) -> targets.Target | None:
+    def _choose(
+        self, request: request_.Request, now_ms: int
+    ) -> targets.Target | None:
         usable = self._directory.usable(request.pool, now_ms)
         affinity = ''
         if request.route.has_prompt:
             affinity = placement.affinity_of(request.arrived.prompt)
             affinity = affinity or request.arrived.attempt_id
+        progress = request.progress
+        is_heavy = progress.result_bytes() >= HEAVY_RESULT_BYTES
         wish = placement.Wish(
-            request.progress.zone_of_results() or self._zone,
+            progress.zone_of_results() if is_heavy else '',
             affinity,
             frozenset(request.tried),
         )
         return placement.choose(usable, wish, self._zone, self._random, now_ms)
 
     def _send_again(
-        self, request: Request, now_ms: int, has_answer: bool = False
+        self, request: request_.Request, now_ms: int, has_answer: bool = False
     ) -> Effects:
         is_spent = request.sends >= request.route.max_targets
         hosts = self._count_hosts()
@@ -564,7 +428,7 @@
         return self._send(request, now_ms, has_answer)
 
     def _no_target(
-        self, request: Request, has_answer: bool, now_ms: int
+        self, request: request_.Request, has_answer: bool, now_ms: int
     ) -> Effects:
         if has_answer:
             held = [effects.RelayHeld(request.request_id)]
@@ -572,7 +436,7 @@
         return self._refuse(request, 'no_target', RETRY_AFTER_MS, now_ms)
 
     def _refuse(
-        self, request: Request, reason: str, wait_ms: int, now_ms: int
+        self, request: request_.Request, reason: str, wait_ms: int, now_ms: int
     ) -> Effects:
         """End a request that was given up; truthful about having run."""
         if request.has_begun:
@@ -586,7 +450,7 @@
             ]
         return self._finish(request, reason, ending, now_ms)
 
-    def _expire(self, request: Request, now_ms: int) -> Effects:
+    def _expire(self, request: request_.Request, now_ms: int) -> Effects:
         if request.has_begun:
             ending: Effects = [effects.Abort(request.request_id)]
         elif request.has_run or request.target is not None:
@@ -601,7 +465,7 @@
 
     def _finish(
         self,
-        request: Request,
+        request: request_.Request,
         outcome: str,
         ending: Effects,
         now_ms: int,
@@ -626,7 +490,7 @@
         timing = shared_effects.Timing(
             f'request.{outcome}', now_ms - request.arrived.read_ms
         )
-        freed = self._release(request)
+        freed = self._staging.release(request)
         return [*ending, *cancelled, *freed, log, timing]
 
     def _refuse_unknown(
@@ -643,20 +507,20 @@
         answer = effects.Answer(message.request_id, status, reason)
         return [answer, _refused(message, status, reason)]
 
-    def _current(self, message: typing.Any) -> Request | None:
+    def _current(self, message: typing.Any) -> request_.Request | None:
         """Return the request whose present call the message is about."""
         request = self._requests.get(message.request_id)
         is_current = request is not None and request.calls == message.call
         return request if is_current else None
 
-    def _leave_target(self, request: Request) -> None:
+    def _leave_target(self, request: request_.Request) -> None:
         if request.target is not None:
             request.target.in_flight -= 1
             request.target = None
 
     def _note_failure(
         self,
-        request: Request,
+        request: request_.Request,
         detail: str,
         is_unreachable: bool,
         now_ms: int,
@@ -684,7 +548,7 @@
             )
         return found
 
-    def _note_begin(self, request: Request, now_ms: int) -> None:
+    def _note_begin(self, request: request_.Request, now_ms: int) -> None:
         self.forecasts.begun(request.pool, now_ms - request.sent_ms)
 
     def _budget(self, pool: str) -> budget.RepeatBudget:
@@ -701,7 +565,7 @@
 
 
 def _log(
-    event: events.Event, request: Request, **fields: typing.Any
+    event: events.Event, request: request_.Request, **fields: typing.Any
 ) -> shared_effects.LogEvent:
     known = {
         'request': request.arrived.attempt_id,
--- a/packages/routing/src/godwitglade/routing/work.py
+++ b/packages/routing/src/godwitglade/routing/work.py
@@ -14,15 +14,15 @@
 from godwitglade.common import events
 from godwitglade.coordination import effects as shared_effects
 from godwitglade.coordination import hosts
-from godwitglade.coordination import members
 from godwitglade.coordination import membership as memberships
 from godwitglade.coordination import messages as shared_messages
 from godwitglade.routing import batching
 from godwitglade.routing import bodies
 from godwitglade.routing import effects
+from godwitglade.routing import filling
 from godwitglade.routing import knowledge
 from godwitglade.routing import messages
-from godwitglade.routing import ownership
+from godwitglade.routing import owners
 from godwitglade.routing import targets
 
 Effects = list[typing.Any]
@@ -37,10 +37,6 @@
 CONFIRM_TIMEOUT_MS = 400
 #: An owner with jobs of ours that was silent this long is asked again.
 SILENCE_MS = 250
-#: An owner that failed to confirm is passed over for this time, twice as
-#: long each time in a row.
-DISTRUST_MS = 1_500
-LONGEST_DISTRUST_MS = 24_000
 #: Releases wait this long for others to the same owner.
 RELEASE_DELAY_MS = 40
 #: Times a result is sent to the host that asked.
@@ -86,20 +82,16 @@
     ) -> None:
         self._self_id = self_id
         self._address = address
-        self._members = members_
         self._knowledge = knowledge_
         self._directory = directory
         self._numbers = itertools.count(1)
         self._batchers: dict[str, batching.Batcher] = {}
         self._owners: dict[str, _Owner] = {}
         self._owner_of_job: dict[str, str] = {}
-        self._distrusted_ms: dict[str, int] = {}
-        self._distrust: dict[str, int] = {}
-        self._listed: dict[str, str] = {}
+        self.owners = owners.Owners(self_id, members_)
         self._asked: dict[str, tuple[str, tuple[str, ...]]] = {}
         self._reports: dict[str, _Report] = {}
         self._is_ticking = False
-        self._is_leaving = False
         self.report: typing.Callable[..., Effects] = _ignore
         self.begun: typing.Callable[..., Effects] = _ignore
         self.resubmit: typing.Callable[..., Effects] = _ignore
@@ -133,7 +125,7 @@
         if not isinstance(message.body, bodies.Received):
             return self._lose(owner, 'no confirmation', now_ms)
         owner.heard_ms = now_ms
-        self._distrust.pop(owner.name, None)
+        self.owners.confirmed(owner.name)
         if owner.life not in (None, message.body.life):
             owner.life = message.body.life
             return self._lose(owner, 'restarted', now_ms, set(job_ids))
@@ -178,14 +170,6 @@
         )
         return [log, *found, *self._dispatch(batcher, now_ms)]
 
-    def listed(self, entries: typing.Iterable[members.HostEntry]) -> None:
-        """Take in the hosts that are registered, met or not.
-
-        A host that has just started would else take itself for the owner
-        of every pool until it has met the others.
-        """
-        self._listed = {entry.name: entry.address for entry in entries}
-
     def submit(
         self, jobs: typing.Sequence[bodies.JobAsked], now_ms: int
     ) -> Effects:
@@ -193,7 +177,9 @@
         found: Effects = []
         by_owner: dict[str, list[bodies.JobAsked]] = {}
         for job in jobs:
-            by_owner.setdefault(self._owner(job.pool, now_ms), []).append(job)
+            by_owner.setdefault(
+                self.owners.owner_of(job.pool, now_ms), []
+            ).append(job)
         for name, owned in by_owner.items():
             for job in owned:
                 self._owner_of_job[job.job_id] = name
@@ -254,7 +240,7 @@
 
     def hand_over(self, now_ms: int) -> Effects:
         """Give waiting jobs back: this host is about to stop."""
-        self._is_leaving = True
+        self.owners.is_leaving = True
         moved = [e for b in self._batchers.values() for e in b.give_up()]
         return self.end(moved, now_ms)
 
@@ -275,7 +261,7 @@
                 owner.heard_ms = now_ms
                 owner.jobs.pop(job.job_id, None)
             if job.ending is bodies.Ending.MOVED:
-                self._distrusted_ms[sender.name] = now_ms + DISTRUST_MS
+                self.owners.pass_over(sender.name, now_ms)
             found += self.report(job, now_ms)
         for job_id in body.begun:
             found += self.begun(job_id, now_ms)
@@ -291,13 +277,13 @@
         touched = []
         for asked in jobs:
             batcher = self._batcher(asked.pool)
-            is_others = self._is_leaving and origin != self._self_id.name
+            is_others = self.owners.is_leaving and origin != self._self_id.name
             if batcher is None or is_others:
                 ending = bodies.Ending.MOVED if is_others else FAILED
                 ended = bodies.JobEnded(asked.job_id, ending, asked.pool)
                 found += self.end([effects.EndJob(origin, ended)], now_ms)
                 continue
-            job = batching.Job(
+            job = filling.Job(
                 asked,
                 origin,
                 now_ms + asked.due_left_ms,
@@ -354,34 +340,11 @@
     def _batcher_of_call(self, call_id: str) -> batching.Batcher:
         return self._batchers[call_id.rpartition('|')[0]]
 
-    def _owner(self, pool: str, now_ms: int) -> str:
-        """Return the host that forms the calls of ``pool``."""
-        names = self._candidates()
-        trusted = [
-            name
-            for name in names
-            if now_ms >= self._distrusted_ms.get(name, 0)
-            and not (self._is_leaving and name == self._self_id.name)
-        ]
-        order = ownership.rank(pool, trusted)
-        return order[0] if order else self._self_id.name
-
-    def _candidates(self) -> dict[str, str]:
-        """Return the addresses of hosts that may own a pool, by name."""
-        met = self._members.table.records
-        strangers = {
-            name: address
-            for name, address in self._listed.items()
-            if met.get(name) is None
-        }
-        live = {m.host.name: m.address for m in self._members.live()}
-        return strangers | live
-
     def _ask(
         self, name: str, jobs: tuple[bodies.JobAsked, ...], now_ms: int
     ) -> Effects:
         owner = self._owners.get(name)
-        address = self._candidates()[name]
+        address = self.owners.candidates()[name]
         if owner is None or owner.address != address:
             owner = _Owner(name, address, heard_ms=now_ms)
             self._owners[name] = owner
@@ -415,7 +378,7 @@
         is_silent = now_ms - owner.heard_ms > SILENCE_MS
         if not owner.jobs or owner.asked or not is_silent:
             return found
-        if owner.name not in self._candidates():
+        if owner.name not in self.owners.candidates():
             return found + self._lose(owner, 'left', now_ms)
         return found + self._ask(owner.name, (), now_ms)
 
@@ -428,10 +391,7 @@
     ) -> Effects:
         """Ask the next owner for the jobs of one that is lost."""
         if not kept:
-            pause_ms = self._distrust.get(owner.name, DISTRUST_MS)
-            self._distrusted_ms[owner.name] = now_ms + pause_ms
-            longer_ms = min(LONGEST_DISTRUST_MS, 2 * pause_ms)
-            self._distrust[owner.name] = longer_ms
+            self.owners.distrust(owner.name, now_ms)
         lost = [job_id for job_id in owner.jobs if job_id not in kept]
         found: Effects = [
             shared_effects.LogEvent(
--- a/tests/routing/builders.py
+++ b/tests/routing/builders.py
@@ -1,8 +1,8 @@
 """Small values for the tests of routing."""
 
-from godwitglade.routing import batching
 from godwitglade.routing import bodies
 from godwitglade.routing import documents
+from godwitglade.routing import filling
 from godwitglade.routing import messages
 from godwitglade.routing import targets
 
@@ -48,7 +48,7 @@
 
 def job(job_id, count=1, due_ms=1_000, deadline_ms=5_000, **fields):
     made = asked(job_id, count, due_ms, deadline_ms, **fields)
-    return batching.Job(made, 'h1', due_ms, deadline_ms)
+    return filling.Job(made, 'h1', due_ms, deadline_ms)
 
 
 def route(kind=Kind.AT_MOST_ONCE, **fields):
--- a/tests/routing/test_requests.py
+++ b/tests/routing/test_requests.py
@@ -13,6 +13,7 @@
 from godwitglade.routing import knowledge
 from godwitglade.routing import messages
 from godwitglade.routing import requests
+from godwitglade.routing import staging
 from godwitglade.routing import targets
 from tests.routing import builders
 
@@ -225,7 +226,7 @@
     found = []
     for name in ('h1', 'h2'):
         rig = Rig(route)
-        rig.requests._self_id = hosts.HostId(name, 'z1', 1)
+        rig.requests._staging._self_id = hosts.HostId(name, 'z1', 1)
         submitted = one(
             rig.arrive(item_counts=(1,), item_key='k'), effects.SubmitJob
         )
@@ -312,4 +313,4 @@
         fired = shared_messages.TimerFired(timer.token)
         released = one(rig.handle(fired, timer.due_ms), effects.ReleaseJobs)
         assert released.job_ids == (first.job_id,)
-        assert timer.due_ms >= 310 + requests.FETCH_MS
+        assert timer.due_ms >= 310 + staging.FETCH_MS
