Split requests, work and settings; choose engines by affinity if results are light

Change: placing, reports, admitting, budgets and log lines are modules of their own; only results of 200 kB or more bind the choice of an engine; 'godwitglade explain' tells a request's story from logs.

--- a/packages/command/src/godwitglade/command/definitions.py
+++ b/packages/command/src/godwitglade/command/definitions.py
@@ -1,5 +1,6 @@
 """The command's arguments, options and help; processing is elsewhere."""
 
+import pathlib
 import typing
 
 import typer
@@ -8,6 +9,7 @@
 from godwitglade.command import auditing
 from godwitglade.command import changing
 from godwitglade.command import documents
+from godwitglade.command import explaining
 from godwitglade.command import fleet
 from godwitglade.command import operators
 from godwitglade.command import options
@@ -302,6 +304,29 @@
     _end(quarantining.clear(_printer(context, json), server, fingerprint))
 
 
+@app.command()
+def explain(
+    context: Context,
+    request: typing.Annotated[
+        str,
+        typer.Option('--request', help='Id that its caller sent.'),
+    ],
+    logs: typing.Annotated[
+        list[pathlib.Path] | None,
+        typer.Argument(metavar='[LOGS]...', help='Log files; none for input.'),
+    ] = None,
+    json: options.Json = False,
+) -> None:
+    """Print what the logs of some hosts tell of one request.
+
+    Example: `godwitglade explain --request 9c41d07be2a35f68 *.log`
+    """
+    found = logs or []
+    printer = _printer(context, json)
+    stdin = context.obj.stdin
+    _end(explaining.show(printer, request, found, stdin))
+
+
 def _printer(context: Context, is_json: bool) -> output.Printer:
     return output.Printer(context.obj, is_json)
 
--- a/packages/routing/src/godwitglade/routing/budget.py
+++ b/packages/routing/src/godwitglade/routing/budget.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+import typing
 
 import attrs
 
@@ -45,3 +46,47 @@
         for times_ms in (self._requests_ms, self._repeats_ms):
             while times_ms and times_ms[0] <= now_ms - self.window_ms:
                 times_ms.popleft()
+
+
+@attrs.frozen
+class Bounds:
+    """The fleet-wide bounds on repeats."""
+
+    ratio: float = 0.2
+    allowance: float = 50.0
+    window_ms: int = 10_000
+
+
+class Budgets:
+    """A budget for each pool of targets; ``count_hosts`` share them."""
+
+    def __init__(
+        self, bounds: Bounds, count_hosts: typing.Callable[[], int]
+    ) -> None:
+        self._bounds = bounds
+        self._count_hosts = count_hosts
+        self._budgets: dict[str, RepeatBudget] = {}
+
+    def note_request(self, pool: str, now_ms: int) -> None:
+        """Count a caller's request for a pool."""
+        self._of(pool).note_request(now_ms)
+
+    def spend(self, pool: str, now_ms: int) -> bool:
+        """Take one repeat; False when this host's share is used up."""
+        return self._of(pool).spend(self._count_hosts(), now_ms)
+
+    def rebound(self, bounds: Bounds) -> None:
+        """Keep to other bounds from now on."""
+        self._bounds = bounds
+        for found in self._budgets.values():
+            found.ratio = bounds.ratio
+            found.allowance = bounds.allowance
+            found.window_ms = bounds.window_ms
+
+    def _of(self, pool: str) -> RepeatBudget:
+        if pool not in self._budgets:
+            bounds = self._bounds
+            self._budgets[pool] = RepeatBudget(
+                bounds.ratio, bounds.allowance, bounds.window_ms
+            )
+        return self._budgets[pool]
--- a/packages/routing/src/godwitglade/routing/host.py
+++ b/packages/routing/src/godwitglade/routing/host.py
@@ -20,6 +20,7 @@
 from godwitglade.coordination import membership
 from godwitglade.coordination import messages as shared_messages
 from godwitglade.routing import bodies
+from godwitglade.routing import budget
 from godwitglade.routing import effects
 from godwitglade.routing import knowledge
 from godwitglade.routing import messages
@@ -41,7 +42,7 @@
 class Settings:
     """The bounds that the deployment sets."""
 
-    repeats: requests.Bounds = requests.Bounds()
+    repeats: budget.Bounds = budget.Bounds()
     revoke_ms: int | None = None
     stop_limit_ms: int = 7_000
     gossip: detection.Settings = detection.Settings()
@@ -206,7 +207,7 @@
     def _(self, message: messages.BoundsChanged, now_ms: int) -> Effects:
         self.parts.knowledge.revoke_ms = message.bounds.revoke_ms
         self.parts.stopping.limit_ms = message.bounds.stop_limit_ms
-        self.parts.requests.rebound(message.bounds.repeats)
+        self.parts.requests.budgets.rebound(message.bounds.repeats)
         return [shared_effects.LogEvent(events.Event.SETTINGS_RELOADED)]
 
     @_decide.register
--- /dev/null
+++ b/packages/routing/src/godwitglade/routing/request_logs.py
@@ -0,0 +1,31 @@
+"""Log lines about requests."""
+
+import typing
+
+from godwitglade.common import events
+from godwitglade.coordination import effects as shared_effects
+from godwitglade.routing import messages
+from godwitglade.routing import request as request_
+
+
+def about(
+    event: events.Event, request: request_.Request, **fields: typing.Any
+) -> shared_effects.LogEvent:
+    """Return a log line about a request in flight."""
+    known = {
+        'request': request.arrived.attempt_id,
+        'route': request.route.name,
+    }
+    return shared_effects.LogEvent(event, known | fields)
+
+
+def refused(
+    message: messages.Arrived, status: int, reason: str
+) -> shared_effects.LogEvent:
+    """Return the log line of a request turned away on arrival."""
+    fields = {
+        'request': message.attempt_id,
+        'status': status,
+        'reason': reason,
+    }
+    return shared_effects.LogEvent(events.Event.REQUEST_REFUSED, fields)
--- a/packages/routing/src/godwitglade/routing/requests.py
+++ b/packages/routing/src/godwitglade/routing/requests.py
@@ -9,12 +9,11 @@
 import random as randoms
 import typing
 
-import attrs
-
 from godwitglade.common import events
 from godwitglade.coordination import effects as shared_effects
 from godwitglade.coordination import hosts
 from godwitglade.coordination import messages as shared_messages
+from godwitglade.routing import admitting
 from godwitglade.routing import bodies
 from godwitglade.routing import budget
 from godwitglade.routing import documents
@@ -22,9 +21,10 @@
 from godwitglade.routing import forecasts
 from godwitglade.routing import knowledge
 from godwitglade.routing import messages
-from godwitglade.routing import pipeline
 from godwitglade.routing import placement
+from godwitglade.routing import placing
 from godwitglade.routing import request as request_
+from godwitglade.routing import request_logs
 from godwitglade.routing import staging
 from godwitglade.routing import targets
 
@@ -44,21 +44,10 @@
 ANSWER_MARGIN_MS = 25
 #: Share of the time left for the first of two sends of a plain request.
 FIRST_SEND_SHARE = 0.6
-#: Results as large as this are not moved to another data centre.
-HEAVY_RESULT_BYTES = 200_000
 #: Times a request's stages are begun anew when results are gone.
 MAX_RESTARTS = 2
 
 
-@attrs.frozen
-class Bounds:
-    """The fleet-wide bounds on repeats."""
-
-    ratio: float = 0.2
-    allowance: float = 50.0
-    window_ms: int = 10_000
-
-
 class Requests:
     """Every request in flight on this host."""
 
@@ -68,31 +57,21 @@
         knowledge_: knowledge.Knowledge,
         directory: targets.Directory,
         random: randoms.Random,
-        bounds: Bounds,
+        bounds: budget.Bounds,
         count_hosts: typing.Callable[[], int],
     ) -> None:
-        self._zone = self_id.zone
         self._knowledge = knowledge_
         self._directory = directory
-        self._random = random
-        self._bounds = bounds
-        self._count_hosts = count_hosts
+        self._placing = placing.Placing(directory, self_id.zone, random)
         self._requests: dict[str, request_.Request] = {}
-        self._budgets: dict[str, budget.RepeatBudget] = {}
+        self.budgets = budget.Budgets(bounds, count_hosts)
+        self._admitting = admitting.Admitting(knowledge_, random)
         self.forecasts = forecasts.Forecasts()
         self._staging = staging.Staging(self_id, knowledge_, self.forecasts)
 
     def __len__(self) -> int:
         return len(self._requests)
 
-    def rebound(self, bounds: Bounds) -> None:
-        """Keep to other bounds on repeats from now on."""
-        self._bounds = bounds
-        for found in self._budgets.values():
-            found.ratio = bounds.ratio
-            found.allowance = bounds.allowance
-            found.window_ms = bounds.window_ms
-
     @functools.singledispatchmethod
     def handle(self, message: typing.Any, now_ms: int) -> Effects:
         """Take in a message; those of other parts are ignored."""
@@ -100,34 +79,19 @@
 
     @handle.register
     def _(self, message: messages.Arrived, now_ms: int) -> Effects:
-        document = self._knowledge.document
-        if document is None:
-            return self._refuse_unknown(message, 'no_document')
-        route = document.match(message.host, message.path)
-        if route is None:
-            return self._reject(message, 404, 'no_route')
-        workspace = None
-        if document.workspaces is not None and not route.is_open:
-            workspace = document.workspace_of(message.key or '')
-            if not self._knowledge.may_accept_keys(now_ms):
-                return self._refuse_unknown(message, 'document_too_old')
-            if workspace is None:
-                return self._reject(message, 401, 'unknown_key')
-        try:
-            progress = pipeline.Progress(route.stages, message.item_counts)
-        except ValueError as error:
-            return self._reject(message, 400, str(error))
-        request = self._make(message, route, workspace, progress)
+        request = self._admitting.admit(message, now_ms)
+        if not isinstance(request, request_.Request):
+            return request
         self._requests[request.request_id] = request
-        self._budget(request.pool).note_request(now_ms)
+        self.budgets.note_request(request.pool, now_ms)
         timer = shared_effects.StartTimer(
             f'{DEADLINE_TOKEN}{request.request_id}',
             request.deadline_ms - ANSWER_MARGIN_MS,
         )
-        admitted = _log(
+        admitted = request_logs.about(
             events.Event.REQUEST_ADMITTED,
             request,
-            document_version=document.version,
+            document_version=self._knowledge.document.version,
             document_age_ms=self._knowledge.age_ms(now_ms),
             left_ms=request.deadline_ms - now_ms,
         )
@@ -172,7 +136,7 @@
             return []
         placement.succeeded(request.target, message.load, now_ms)
         if not request.has_begun:
-            self._note_begin(request, now_ms)
+            self.forecasts.begun(request.pool, now_ms - request.sent_ms)
         outcome = f'answered_{message.status}'
         return self._finish(request, outcome, [], now_ms, is_done=True)
 
@@ -183,7 +147,7 @@
             return []
         request.has_begun = request.has_run = True
         placement.succeeded(request.target, message.load, now_ms)
-        self._note_begin(request, now_ms)
+        self.forecasts.begun(request.pool, now_ms - request.sent_ms)
         return self._staging.release(request)
 
     @handle.register
@@ -193,14 +157,14 @@
             return []
         placement.heard(request.target, message.load, now_ms)
         found = [
-            _log(
+            request_logs.about(
                 events.Event.CALL_NOT_RUN,
                 request,
                 target=request.target.name,
                 status=message.status,
             )
         ]
-        self._leave_target(request)
+        self._placing.leave(request)
         if message.is_misdirected:
             found.append(effects.RefreshTargets())
         if message.is_input_gone:
@@ -213,8 +177,10 @@
         request = self._current(message)
         if request is None:
             return []
-        found = self._note_failure(request, message.detail, True, now_ms)
-        self._leave_target(request)
+        found = self._placing.note_failure(
+            request, message.detail, True, now_ms
+        )
+        self._placing.leave(request)
         request.sends -= 1
         return found + self._send_again(request, now_ms)
 
@@ -224,8 +190,10 @@
         if request is None:
             return []
         request.has_run = True
-        found = self._note_failure(request, message.detail, False, now_ms)
-        self._leave_target(request)
+        found = self._placing.note_failure(
+            request, message.detail, False, now_ms
+        )
+        self._placing.leave(request)
         if request.may_repeat:
             return found + self._send_again(request, now_ms)
         answer = effects.Answer(request.request_id, 502, 'no_answer')
@@ -239,8 +207,8 @@
         request.has_run = True
         placement.heard(request.target, message.load, now_ms)
         detail = f'status {message.status}'
-        found = self._note_failure(request, detail, False, now_ms)
-        self._leave_target(request)
+        found = self._placing.note_failure(request, detail, False, now_ms)
+        self._placing.leave(request)
         if request.may_repeat:
             return found + self._send_again(request, now_ms, has_answer=True)
         held = [effects.RelayHeld(request.request_id)]
@@ -252,8 +220,10 @@
         if request is None:
             return []
         request.has_run = True
-        found = self._note_failure(request, message.detail, False, now_ms)
-        self._leave_target(request)
+        found = self._placing.note_failure(
+            request, message.detail, False, now_ms
+        )
+        self._placing.leave(request)
         if request.may_repeat:
             return found + self._send_again(request, now_ms)
         ending: Effects = [effects.Abort(request.request_id)]
@@ -278,7 +248,7 @@
             found = self._staging.done(request, job)
             return found + self._advance(request, now_ms)
         self._staging.forget(request, job.job_id)
-        log = _log(
+        log = request_logs.about(
             events.Event.STAGE_FAILED,
             request,
             stage=stage,
@@ -309,33 +279,6 @@
         request.progress.started.discard(stage)
         return self._advance(request, now_ms)
 
-    def _make(
-        self,
-        message: messages.Arrived,
-        route: documents.Route,
-        workspace: documents.Workspace | None,
-        progress: pipeline.Progress,
-    ) -> request_.Request:
-        budget_ms = route.timeout_ms
-        if message.budget_ms is not None:
-            budget_ms = min(budget_ms, message.budget_ms)
-        return request_.Request(
-            arrived=message,
-            route=route,
-            pool=self._draw_pool(route),
-            workspace=workspace,
-            deadline_ms=message.read_ms + budget_ms,
-            due_ms=message.read_ms + min(budget_ms, route.objective_ms),
-            progress=progress,
-        )
-
-    def _draw_pool(self, route: documents.Route) -> str:
-        weights = [pool.weight for pool in route.pools]
-        names = [pool.name for pool in route.pools]
-        if not any(weights):
-            return names[0]
-        return self._random.choices(names, weights)[0]
-
     def _advance(self, request: request_.Request, now_ms: int) -> Effects:
         """Start the stages that can start, or send the request."""
         if request.progress.is_complete:
@@ -355,15 +298,12 @@
         left_ms = request.deadline_ms - ANSWER_MARGIN_MS - now_ms
         if left_ms < MIN_TIME_LEFT_MS:
             return self._expire(request, now_ms)
-        target = self._choose(request, now_ms)
+        target = self._placing.choose(request, now_ms)
         if target is None:
             return self._no_target(request, has_answer, now_ms)
         request.calls += 1
         request.sends += 1
-        request.tried.add(target.name)
-        request.target = target
-        request.sent_ms = now_ms
-        target.in_flight += 1
+        self._placing.enter(request, target, now_ms)
         forward = effects.Forward(
             request_id=request.request_id,
             call=request.calls,
@@ -375,7 +315,7 @@
             is_stream=request.route.kind is documents.RequestKind.STREAM,
             needs_new_connection=not request.route.is_repeatable,
         )
-        sent = _log(
+        sent = request_logs.about(
             events.Event.REQUEST_SENT,
             request,
             target=target.name,
@@ -401,29 +341,11 @@
             return []
         return [effects.CancelCall(request.request_id, request.calls)]
 
-    def _choose(
-        self, request: request_.Request, now_ms: int
-    ) -> targets.Target | None:
-        usable = self._directory.usable(request.pool, now_ms)
-        affinity = ''
-        if request.route.has_prompt:
-            affinity = placement.affinity_of(request.arrived.prompt)
-            affinity = affinity or request.arrived.attempt_id
-        progress = request.progress
-        is_heavy = progress.result_bytes() >= HEAVY_RESULT_BYTES
-        wish = placement.Wish(
-            progress.zone_of_results() if is_heavy else '',
-            affinity,
-            frozenset(request.tried),
-        )
-        return placement.choose(usable, wish, self._zone, self._random, now_ms)
-
     def _send_again(
         self, request: request_.Request, now_ms: int, has_answer: bool = False
     ) -> Effects:
         is_spent = request.sends >= request.route.max_targets
-        hosts = self._count_hosts()
-        if is_spent or not self._budget(request.pool).spend(hosts, now_ms):
+        if is_spent or not self.budgets.spend(request.pool, now_ms):
             return self._no_target(request, has_answer, now_ms)
         return self._send(request, now_ms, has_answer)
 
@@ -477,8 +399,8 @@
         if request.target is not None and not is_done:
             cancelled = [effects.CancelCall(request.request_id, request.calls)]
         target = request.target
-        self._leave_target(request)
-        log = _log(
+        self._placing.leave(request)
+        log = request_logs.about(
             events.Event.REQUEST_ENDED,
             request,
             outcome=outcome,
@@ -493,93 +415,12 @@
         freed = self._staging.release(request)
         return [*ending, *cancelled, *freed, log, timing]
 
-    def _refuse_unknown(
-        self, message: messages.Arrived, reason: str
-    ) -> Effects:
-        answer = effects.Answer(
-            message.request_id, 503, reason, RETRY_AFTER_MS
-        )
-        return [answer, _refused(message, 503, reason)]
-
-    def _reject(
-        self, message: messages.Arrived, status: int, reason: str
-    ) -> Effects:
-        answer = effects.Answer(message.request_id, status, reason)
-        return [answer, _refused(message, status, reason)]
-
     def _current(self, message: typing.Any) -> request_.Request | None:
         """Return the request whose present call the message is about."""
         request = self._requests.get(message.request_id)
         is_current = request is not None and request.calls == message.call
         return request if is_current else None
 
-    def _leave_target(self, request: request_.Request) -> None:
-        if request.target is not None:
-            request.target.in_flight -= 1
-            request.target = None
-
-    def _note_failure(
-        self,
-        request: request_.Request,
-        detail: str,
-        is_unreachable: bool,
-        now_ms: int,
-    ) -> Effects:
-        target = request.target
-        found = [
-            _log(
-                events.Event.CALL_FAILED,
-                request,
-                target=target.name,
-                detail=detail,
-                after_ms=now_ms - request.sent_ms,
-            )
-        ]
-        if placement.failed(target, is_unreachable, now_ms):
-            found.append(
-                shared_effects.LogEvent(
-                    events.Event.TARGET_SUSPENDED,
-                    {
-                        'target': target.name,
-                        'failures': target.failures,
-                        'for_ms': target.suspended_until_ms - now_ms,
-                    },
-                )
-            )
-        return found
-
-    def _note_begin(self, request: request_.Request, now_ms: int) -> None:
-        self.forecasts.begun(request.pool, now_ms - request.sent_ms)
-
-    def _budget(self, pool: str) -> budget.RepeatBudget:
-        if pool not in self._budgets:
-            bounds = self._bounds
-            self._budgets[pool] = budget.RepeatBudget(
-                bounds.ratio, bounds.allowance, bounds.window_ms
-            )
-        return self._budgets[pool]
-
 
 def _retry_after_ms(wait_ms: float) -> int:
     return math.ceil(min(MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, wait_ms)))
-
-
-def _log(
-    event: events.Event, request: request_.Request, **fields: typing.Any
-) -> shared_effects.LogEvent:
-    known = {
-        'request': request.arrived.attempt_id,
-        'route': request.route.name,
-    }
-    return shared_effects.LogEvent(event, known | fields)
-
-
-def _refused(
-    message: messages.Arrived, status: int, reason: str
-) -> shared_effects.LogEvent:
-    fields = {
-        'request': message.attempt_id,
-        'status': status,
-        'reason': reason,
-    }
-    return shared_effects.LogEvent(events.Event.REQUEST_REFUSED, fields)
--- a/packages/routing/src/godwitglade/routing/work.py
+++ b/packages/routing/src/godwitglade/routing/work.py
@@ -23,6 +23,7 @@
 from godwitglade.routing import knowledge
 from godwitglade.routing import messages
 from godwitglade.routing import owners
+from godwitglade.routing import reports
 from godwitglade.routing import targets
 
 Effects = list[typing.Any]
@@ -31,7 +32,6 @@
 
 TICK_TOKEN = 'work:tick'
 ASK_TOKEN = 'work:ask:'
-END_TOKEN = 'work:end:'
 
 #: An owner that takes longer than this to confirm a message is passed over.
 CONFIRM_TIMEOUT_MS = 400
@@ -39,8 +39,6 @@
 SILENCE_MS = 250
 #: Releases wait this long for others to the same owner.
 RELEASE_DELAY_MS = 40
-#: Times a result is sent to the host that asked.
-MAX_REPORTS = 3
 
 
 @attrs.define(eq=False)
@@ -57,13 +55,6 @@
     asked: int = 0
 
 
-@attrs.frozen
-class _Report:
-    address: str
-    body: bodies.WorkEnded
-    tries: int
-
-
 class Work:
     """Jobs this host asks for, and the pools that it owns.
 
@@ -90,7 +81,7 @@
         self._owner_of_job: dict[str, str] = {}
         self.owners = owners.Owners(self_id, members_)
         self._asked: dict[str, tuple[str, tuple[str, ...]]] = {}
-        self._reports: dict[str, _Report] = {}
+        self._reports = reports.Reports()
         self._is_ticking = False
         self.report: typing.Callable[..., Effects] = _ignore
         self.begun: typing.Callable[..., Effects] = _ignore
@@ -115,8 +106,8 @@
 
     @handle.register
     def _(self, message: shared_messages.PeerReply, now_ms: int) -> Effects:
-        if message.token.startswith(END_TOKEN):
-            return self._report_settled(message)
+        if message.token.startswith(reports.END_TOKEN):
+            return self._reports.settled(message)
         name, job_ids = self._asked.pop(message.token, ('', ()))
         owner = self._owners.get(name)
         if owner is None:
@@ -219,7 +210,7 @@
                     found += self.report(job, now_ms)
             else:
                 body = bodies.WorkEnded(tuple(jobs))
-                found.append(self._send_report(_Report(origin, body, 1)))
+                found.append(self._reports.send(origin, body))
         return found
 
     def _tell_begun(
@@ -235,7 +226,7 @@
                     found += self.begun(job_id, now_ms)
             else:
                 body = bodies.WorkEnded(begun=tuple(job_ids))
-                found.append(self._send_report(_Report(origin, body, 1)))
+                found.append(self._reports.send(origin, body))
         return found
 
     def hand_over(self, now_ms: int) -> Effects:
@@ -406,21 +397,6 @@
             found += self.resubmit(job_id, now_ms)
         return found
 
-    def _send_report(self, report: _Report) -> shared_effects.SendPeer:
-        token = f'{END_TOKEN}{next(self._numbers)}'
-        self._reports[token] = report
-        return shared_effects.SendPeer(
-            token, report.address, report.body, CONFIRM_TIMEOUT_MS
-        )
-
-    def _report_settled(self, message: shared_messages.PeerReply) -> Effects:
-        report = self._reports.pop(message.token)
-        is_taken = isinstance(message.body, bodies.Received)
-        if is_taken or report.tries >= MAX_REPORTS:
-            return []
-        again = attrs.evolve(report, tries=report.tries + 1)
-        return [self._send_report(again)]
-
     def _keep_ticking(self, now_ms: int) -> Effects:
         has_jobs = any(o.jobs or o.released for o in self._owners.values())
         if self._is_ticking or (self.is_idle and not has_jobs):
--- /dev/null
+++ b/tests/command/test_explaining.py
@@ -0,0 +1,67 @@
+"""The story of one request from the logs of some hosts."""
+
+import io
+
+import pytest
+
+from godwitglade.command import core
+from godwitglade.command import environment
+from godwitglade.common import codec
+
+START = 1_700_000_000
+
+
+def line(second, host, event, **fields):
+    stamp = f'2026-12-03T10:00:{second:06.3f}Z'
+    plain = {'host': host, 'event': event, 'timestamp': stamp, **fields}
+    return codec.to_json(plain).decode() + '\n'
+
+
+LOG = [
+    line(1, 'h1', 'routes_in_force', version=4),
+    line(2, 'h2', 'store_lost', table='op'),
+    line(3, 'h1', 'request_admitted', request='r1', document_version=4),
+    '0.1 h2 ' + line(4, 'h2', 'batch_sent', call='c|1', requests=['r1', 'r2']),
+    line(4.5, 'h1', 'request_admitted', request='r2'),
+    'Traceback (most recent call last):\n',
+    line(5, 'h2', 'batch_lost', call='c|1', detail='reset'),
+    line(5.5, 'h2', 'batch_lost', call='c|9', detail='reset'),
+    line(6, 'h1', 'request_ended', request='r1', outcome='refused'),
+    line(7, 'h1', 'stopping'),
+]
+
+
+def run(*args, text=''):
+    env = environment.Environment(
+        stdin=io.StringIO(text), stdout=io.StringIO(), stderr=io.StringIO()
+    )
+    found = core.main(['explain', *args], env)
+    return found.name.lower(), env.stdout.getvalue()
+
+
+@pytest.mark.parametrize('is_file', [True, False], ids=['files', 'input'])
+def test_story_holds_what_bears_on_the_request(tmp_path, is_file):
+    paths = []
+    if is_file:
+        # Two hosts' files, not in the order of time.
+        for number, part in enumerate((LOG[4:], LOG[:4])):
+            path = tmp_path / f'{number}.log'
+            path.write_text(''.join(part))
+            paths.append(str(path))
+    text = '' if is_file else ''.join(LOG)
+    status, out = run('--json', '--request', 'r1', *paths, text=text)
+    lines = codec.parse_json(out.encode())['lines']
+    assert status == 'ok'
+    assert [(x['host'], x['event']) for x in lines] == [
+        ('h1', 'routes_in_force'),
+        ('h2', 'store_lost'),
+        ('h1', 'request_admitted'),
+        ('h2', 'batch_sent'),
+        ('h2', 'batch_lost'),
+        ('h1', 'request_ended'),
+    ]
+
+
+def test_unknown_request_is_told():
+    status, _ = run('--request', 'none', text=''.join(LOG))
+    assert status == 'usage'
--- a/tests/routing/test_requests.py
+++ b/tests/routing/test_requests.py
@@ -8,6 +8,7 @@
 from godwitglade.coordination import hosts
 from godwitglade.coordination import messages as shared_messages
 from godwitglade.routing import bodies
+from godwitglade.routing import budget
 from godwitglade.routing import documents
 from godwitglade.routing import effects
 from godwitglade.routing import knowledge
@@ -41,7 +42,7 @@
             self.known,
             self.directory,
             random.Random(1),
-            requests.Bounds(allowance=allowance),
+            budget.Bounds(allowance=allowance),
             lambda: 1,
         )
 
@@ -314,3 +315,32 @@
         released = one(rig.handle(fired, timer.due_ms), effects.ReleaseJobs)
         assert released.job_ids == (first.job_id,)
         assert timer.due_ms >= 310 + staging.FETCH_MS
+
+
+@pytest.mark.parametrize(
+    ('result_bytes', 'is_near'), [(1_500_000, True), (1_000, False)]
+)
+def test_light_results_do_not_bind_the_choice_of_an_engine(
+    result_bytes, is_near
+):
+    stages = (documents.Stage('encode', result_bytes=result_bytes),)
+    route = builders.route(Kind.STREAM, has_prompt=True, stages=stages)
+    rig = Rig(route, target_count=0)
+    engines = [builders.listed(f'e{n}', 'app', f'z{n % 3}') for n in range(9)]
+    rig.directory.replace(engines, 2, 0)
+    zones = set()
+    for number in range(30):
+        prompt = (
+            messages.PromptPart(f'shared{number}', 100),
+            messages.PromptPart('own', 100),
+        )
+        found = rig.arrive(
+            request_id=f'r{number}',
+            item_counts=(1,),
+            item_key='k',
+            prompt=prompt,
+        )
+        job = one(found, effects.SubmitJob).job
+        found = rig.requests.job_ended(ended(job, handles=('a',)), 300)
+        zones.add(one(found, effects.Forward).target.zone)
+    assert (zones == {'z1'}) is is_near
