Order items in time by rank, then by due time

Change: among items still in time the rank goes first. Late ones stay behind, so that no lower rank starves for an urgent one that is late anyway. Ruled out: a shift of the due time by 300 ms a rank.

--- a/packages/routing/src/godwitglade/routing/filling.py
+++ b/packages/routing/src/godwitglade/routing/filling.py
@@ -1,7 +1,7 @@
 """Which waiting items go into the next call of a target.
 
-Answers bursts: the most urgent items that are still in time go first, late
-ones fill up what is left; items with heavy inputs stay near them while
+Answers bursts: among items still in time the operators' ranks decide, then
+the earliest due time; late ones fill up what is left; items with heavy inputs stay near them while
 they can; a slow target is left idle where another ends the work earlier.
 """
 
@@ -133,7 +133,8 @@
         def key(entry: Waiting) -> tuple:
             need_ms = self._lanes.estimate_ms(len(entry.pending), slowness)
             is_late = now_ms + need_ms > entry.job.due_ms
-            return is_late, entry.job.due_ms, entry.number
+            rank = entry.job.asked.rank
+            return is_late, rank, entry.job.due_ms, entry.number
 
         return sorted((e for e in waiting if e.pending), key=key)
 
--- a/tests/routing/test_batching.py
+++ b/tests/routing/test_batching.py
@@ -308,3 +308,24 @@
     assert ends(submit(batcher, pool, 0, job)) == [('j1', Ending.REFUSED)]
     job = builders.job('j2', 1, 100, 5_000, later_wait_ms=900, inputs=('h',))
     assert not ends(submit(batcher, pool, 0, job))
+
+
+@pytest.mark.parametrize(
+    ('first_due_ms', 'second_due_ms', 'chosen'),
+    [(900, 800, 'a-urgent'), (100, 800, 'a-usual')],
+    ids=['both in time', 'the urgent one is late'],
+)
+def test_rank_goes_first_among_jobs_in_time(
+    first_due_ms, second_due_ms, chosen
+):
+    batcher, pool = make_batcher(), [builders.target('t1')]
+    call = calls(submit(batcher, pool, 0, builders.job('j0', 10)))[0]
+    submit(
+        batcher,
+        pool,
+        1,
+        builders.job('urgent', 6, first_due_ms, 5_000, rank=0),
+        builders.job('usual', 6, second_due_ms, 5_000, rank=1),
+    )
+    answer(batcher, call, 300)
+    assert attempts(calls(batcher.dispatch(pool, 300))[0]) == [chosen]
