--- a/packages/routing/src/godwitglade/routing/filling.py
+++ b/packages/routing/src/godwitglade/routing/filling.py
@@ -1,8 +1,9 @@
 """Which waiting items go into the next call of a target.
 
 Answers bursts: among items still in time the operators' ranks decide, then
-the earliest due time; late ones fill up what is left; items with heavy inputs stay near them while
-they can; a slow target is left idle where another ends the work earlier.
+the earliest due time; late ones fill up what is left. Items with heavy inputs
+stay near them while they can; a slow target is left idle where another ends
+the work earlier.
 """
 
 import math
--- a/packages/routing/src/godwitglade/routing/requests.py
+++ b/packages/routing/src/godwitglade/routing/requests.py
@@ -404,7 +404,7 @@
             events.Event.REQUEST_ENDED,
             request,
             outcome=outcome,
-            may_have_run=request.has_run,
+            may_have_run=request.has_run or target is not None,
             sends=request.sends,
             target=target.name if target is not None else None,
             elapsed_ms=now_ms - request.arrived.read_ms,
