--- a/packages/daemon/src/godwitglade/daemon/assembly.py
+++ b/packages/daemon/src/godwitglade/daemon/assembly.py
@@ -2,7 +2,6 @@
 
 import functools
 import random
-import traceback
 import typing
 
 import attrs
@@ -12,7 +11,6 @@
 from godwitglade.callers import app as callers_app
 from godwitglade.callers import exchanges
 from godwitglade.common import clock as clocks
-from godwitglade.common import events
 from godwitglade.coordination import hosts
 from godwitglade.daemon import context
 from godwitglade.daemon import effector
@@ -20,7 +18,6 @@
 from godwitglade.daemon import logs
 from godwitglade.daemon import loop as loops
 from godwitglade.daemon import peer_codec
-from godwitglade.daemon import pools
 from godwitglade.daemon import servers
 from godwitglade.daemon import settings as settings_files
 from godwitglade.daemon import settings_types
@@ -74,7 +71,7 @@
         logger,
         _make_metrics(settings),
         settings.threads.targets,
-        _fault_reporter(logger),
+        logs.fault_reporter(logger),
     )
     loop = _make_loop(self_id, settings, env, effector_, logger)
     listeners = _make_listeners(
@@ -182,7 +179,7 @@
         settings.bounds.drain_ms,
     )
     host = deciders.Host(self_id, parts, parsing.parse_document)
-    report = _fault_reporter(logger)
+    report = logs.fault_reporter(logger)
     loop = loops.Loop(
         host,
         env.clock,
@@ -257,17 +254,3 @@
     """Return the bound on requests that leaves threads to refuse more."""
     spare = max(1, settings.threads.callers - SPARE_THREADS)
     return min(settings.bounds.max_in_flight, spare)
-
-
-def _fault_reporter(logger: typing.Any) -> pools.Report:
-    """Return a function that logs an exception that nothing expected."""
-
-    def report(error: BaseException) -> None:
-        fields = {
-            'error': type(error).__name__,
-            'reason': str(error),
-            'trace': ''.join(traceback.format_exception(error)),
-        }
-        logs.log_event(logger, events.Event.LOOP_FAULT, fields)
-
-    return report
--- a/packages/daemon/src/godwitglade/daemon/logs.py
+++ b/packages/daemon/src/godwitglade/daemon/logs.py
@@ -2,6 +2,7 @@
 
 import io
 import logging
+import traceback
 import typing
 
 import structlog
@@ -56,3 +57,19 @@
 
     queued = log_queue.LogQueue(stream, render_dropped)
     return make_logger(queued, level, host, zone), queued
+
+
+def fault_reporter(
+    logger: typing.Any,
+) -> typing.Callable[[BaseException], None]:
+    """Return a function that logs an exception that nothing expected."""
+
+    def report(error: BaseException) -> None:
+        fields = {
+            'error': type(error).__name__,
+            'reason': str(error),
+            'trace': ''.join(traceback.format_exception(error)),
+        }
+        log_event(logger, events.Event.LOOP_FAULT, fields)
+
+    return report
