Send releases without a queue that nothing fills any more

Cause: since releases go out at once, each owner's list of released jobs was filled and emptied in one call. Behaviour as before.

--- a/packages/routing/src/godwitglade/routing/work.py
+++ b/packages/routing/src/godwitglade/routing/work.py
@@ -47,7 +47,6 @@
     address: str
     life: int | None = None
     jobs: dict[str, bodies.JobAsked] = attrs.Factory(dict)
-    released: list[str] = attrs.Factory(list)
     heard_ms: int = 0
     asked: int = 0
 
@@ -111,7 +110,7 @@
             return []
         owner.asked -= 1
         if not isinstance(message.body, bodies.Received):
-            return self._lose(owner, 'no confirmation', now_ms)
+            return self._lose(owner, 'no answer', now_ms)
         owner.heard_ms = now_ms
         self.owners.confirmed(owner.name)
         if owner.life not in (None, message.body.life):
@@ -181,6 +180,7 @@
         """Tell the owners of jobs that nobody needs the results."""
         found: Effects = []
         own: list[str] = []
+        released: dict[str, list[str]] = {}
         for job_id in job_ids:
             name = self._owner_of_job.pop(job_id, '')
             owner = self._owners.get(name)
@@ -188,12 +188,11 @@
                 own.append(job_id)
             elif owner is not None:
                 owner.jobs.pop(job_id, None)
-                owner.released.append(job_id)
+                released.setdefault(owner.address, []).append(job_id)
         if own:
             found += self._drop(own, now_ms)
         # At once: room for results is what binds.
-        for owner in self._owners.values():
-            found += self._flush(owner)
+        found += [self._send_release(*pair) for pair in released.items()]
         return found + self._keep_ticking(now_ms)
 
     def end(self, ended: list[effects.EndJob], now_ms: int) -> Effects:
@@ -347,17 +346,14 @@
         )
         return [send]
 
-    def _flush(self, owner: _Owner) -> Effects:
-        if not owner.released:
-            return []
-        body = bodies.WorkReleased(tuple(owner.released))
-        owner.released = []
+    def _send_release(
+        self, address: str, job_ids: list[str]
+    ) -> shared_effects.SendPeer:
         token = f'{ASK_TOKEN}{next(self._numbers)}'
-        return [
-            shared_effects.SendPeer(
-                token, owner.address, body, CONFIRM_TIMEOUT_MS
-            )
-        ]
+        body = bodies.WorkReleased(tuple(job_ids))
+        return shared_effects.SendPeer(
+            token, address, body, CONFIRM_TIMEOUT_MS
+        )
 
     def _watch(self, owner: _Owner, now_ms: int) -> Effects:
         """Ask an owner that is silent about jobs of ours for a sign."""
