Apply the document's limits to heads and idle connections

Cause: of the document's limits only the body's was applied. The callers' listener closed idle connections after its own 10 s, though callers reuse them for up to four fifths of the document's limit (12 s of 15 s), and bounded heads by its own 10 s and 16 KiB. A new connection held a thread from the moment it was accepted, so 96 silent callers stopped the host.

Ruled out: reading the limits on each connection (the listener closes idle connections by one figure for all, which has to be set anyway).

Change: a document read has LimitCallers carried out on the listener; the time for a head and that for a body are bounded apart; a new connection waits for its first bytes without a thread.

Before: 4 of the 7 cases of the new tests fail.

--- a/packages/daemon/src/godwitglade/daemon/connections.py
+++ b/packages/daemon/src/godwitglade/daemon/connections.py
@@ -103,6 +103,7 @@
     RequestHandlerClass = ClosingRequest
     clock: typing.ClassVar[clocks.Clock] = clocks.Clock()
     read_timeout_ms: typing.ClassVar[int] = READ_TIMEOUT_MS
+    is_new = True
 
     def __init__(
         self,
@@ -117,6 +118,9 @@
 
     def communicate(self) -> bool:
         """Serve one request; tell whether the connection stays open."""
-        now_ms = self.clock.monotonic_ms()
-        self._raw.deadline_ms = now_ms + self.read_timeout_ms
+        self.bound_reading(self.read_timeout_ms)
         return bool(super().communicate())
+
+    def bound_reading(self, timeout_ms: int) -> None:
+        """Have reads fail once ``timeout_ms`` from now have passed."""
+        self._raw.deadline_ms = self.clock.monotonic_ms() + timeout_ms
--- a/packages/daemon/src/godwitglade/daemon/routing_effector.py
+++ b/packages/daemon/src/godwitglade/daemon/routing_effector.py
@@ -13,6 +13,7 @@
 from godwitglade.daemon import pools
 from godwitglade.peers import client as peer_client
 from godwitglade.peers import replies
+from godwitglade.routing import documents
 from godwitglade.routing import effects
 from godwitglade.targets import forwarding
 
@@ -52,7 +53,8 @@
     """Turns each effect into work on a thread or a direct call.
 
     ``post`` hands results to the loop; ``start_timer`` and ``stop_loop``
-    belong to the loop itself, ``stop_listening`` to the callers' listener.
+    belong to the loop itself, ``stop_listening`` and ``limit_callers`` to
+    the callers' listener.
     """
 
     def __init__(
@@ -71,6 +73,9 @@
         self.post: typing.Callable[[typing.Any], None] = _unbound
         self.start_timer: typing.Callable[[str, int], None] = _unbound
         self.stop_listening: typing.Callable[[], None] = _unbound
+        self.limit_callers: typing.Callable[[documents.Limits], None] = (
+            _unbound
+        )
         self.stop_loop: typing.Callable[[], None] = _unbound
 
     @functools.singledispatchmethod
@@ -119,6 +124,10 @@
     def _(self, effect: effects.ForgetTargets) -> None:
         self._clients.forwarder.forget_except(effect.addresses)
 
+    @carry_out.register
+    def _(self, effect: effects.LimitCallers) -> None:
+        self.limit_callers(effect.limits)
+
     @carry_out.register
     def _(self, effect: effects.StopListening) -> None:
         self.stop_listening()
--- a/packages/daemon/src/godwitglade/daemon/servers.py
+++ b/packages/daemon/src/godwitglade/daemon/servers.py
@@ -7,6 +7,7 @@
 from cheroot import server
 from cheroot import wsgi
 
+from godwitglade.common import clock as clocks
 from godwitglade.daemon import connections
 
 #: Backlog of connections that the kernel accepts for a listener.
@@ -16,6 +17,8 @@
 #: Wait for answers that are being written when a listener stops.
 STOP_TIMEOUT_S = 5
 MAX_HEADER_BYTES = 16 * 1024
+#: Longest time for the head of a request where nobody sets another.
+HEAD_TIMEOUT_MS = 10 * clocks.SECOND_MS
 SERVER_NAME = 'godwitglade'
 
 
@@ -82,15 +85,29 @@
     return _configured(made, listener.connection_class)
 
 
+class GatewayServer(server.HTTPServer):
+    """A server whose connections take a thread only once bytes have come."""
+
+    head_timeout_ms = HEAD_TIMEOUT_MS
+
+    def process_conn(self, conn: connections.BoundedConnection) -> None:
+        """Serve a connection, or wait for the first bytes of a new one."""
+        if conn.is_new:
+            conn.is_new = False
+            self.put_conn(conn)
+        else:
+            super().process_conn(conn)
+
+
 def make_gateway_server(
     address: tuple[str, int],
     gateway: type[server.Gateway],
     threads: int,
     connection_class: type = connections.BoundedConnection,
     backlog: int = LISTEN_BACKLOG,
-) -> server.HTTPServer:
+) -> GatewayServer:
     """Return a server whose requests ``gateway`` answers, not yet bound."""
-    made = server.HTTPServer(
+    made = GatewayServer(
         address, gateway, minthreads=threads, server_name=SERVER_NAME
     )
     made.request_queue_size = backlog
@@ -99,6 +116,18 @@
     return _configured(made, connection_class)
 
 
+def limit(
+    made: GatewayServer, head_bytes: int, head_ms: int, idle_ms: int
+) -> None:
+    """Bound heads, the time to send one, and that between requests.
+
+    Connections that are open already keep their time-out for writes.
+    """
+    made.max_request_header_size = head_bytes
+    made.head_timeout_ms = head_ms
+    made.timeout = idle_ms / clocks.SECOND_MS
+
+
 def _configured(
     made: server.HTTPServer, connection_class: type
 ) -> server.HTTPServer:
--- a/packages/daemon/src/godwitglade/daemon/strict_heads.py
+++ b/packages/daemon/src/godwitglade/daemon/strict_heads.py
@@ -73,6 +73,12 @@
 
     header_reader = StrictHeaderReader()
 
+    def parse_request(self) -> None:
+        """Read the head, and bound the time for head and body apart."""
+        self.conn.bound_reading(self.server.head_timeout_ms)
+        super().parse_request()
+        self.conn.bound_reading(self.conn.read_timeout_ms)
+
 
 class Connection(connections.BoundedConnection):
     """A caller's connection."""
--- a/packages/routing/src/godwitglade/routing/effects.py
+++ b/packages/routing/src/godwitglade/routing/effects.py
@@ -3,6 +3,7 @@
 import attrs
 
 from godwitglade.routing import bodies
+from godwitglade.routing import documents
 from godwitglade.routing import targets
 
 
@@ -134,6 +135,13 @@
     addresses: frozenset[str]
 
 
+@attrs.frozen
+class LimitCallers:
+    """Bound what callers send, and how long they take, from now on."""
+
+    limits: documents.Limits
+
+
 @attrs.frozen
 class StopListening:
     """Close the callers' listener and the connections that are idle."""
--- a/packages/routing/src/godwitglade/routing/host.py
+++ b/packages/routing/src/godwitglade/routing/host.py
@@ -182,7 +182,8 @@
         event = events.Event.ROUTES_IN_FORCE
         ready = [shared_effects.LogEvent(events.Event.READY)]
         log = shared_effects.LogEvent(event, fields)
-        return [log, *(ready if is_first else [])]
+        limits = effects.LimitCallers(message.document.limits)
+        return [log, limits, *(ready if is_first else [])]
 
     @_decide.register
     def _(self, message: messages.TargetsRead, now_ms: int) -> Effects:
--- a/tests/edge/test_edge.py
+++ b/tests/edge/test_edge.py
@@ -1,5 +1,6 @@
 """The edge program over real sockets, before stand-ins of the platform."""
 
+import contextlib
 import http.client
 import socket
 import time
@@ -175,6 +176,61 @@
     assert response.headers['Connection'] == 'close'
 
 
+HEAD = (
+    'POST /once/x HTTP/1.1\r\nHost: desk.example\r\n'
+    'X-Attempt-Id: a1\r\nAuthorization: Bearer key-1\r\n'
+    'Connection: close\r\n'
+)
+BODY = 'Content-Length: 5\r\n\r\nabcde'
+
+
+@pytest.mark.parametrize(
+    ('limit', 'parts', 'begin'),
+    [
+        (('idleTimeoutMs', 600), ('', 0.3, HEAD + BODY), b'HTTP/1.1 200'),
+        (('idleTimeoutMs', 600), ('', 1.2, HEAD + BODY), b''),
+        (('headerTimeoutMs', 300), (HEAD, 0.8, BODY), b'HTTP/1.1 408'),
+        (
+            ('headerTimeoutMs', 300),
+            (HEAD + BODY[:-1], 0.8, BODY[-1]),
+            b'HTTP/1.1 200',
+        ),
+        (
+            ('maxHeaderBytes', 900),
+            (f'{HEAD}X-A: {"b" * 900}\r\n', 0, BODY),
+            b'HTTP/1.1 413',
+        ),
+        (
+            ('maxHeaderBytes', 900),
+            (f'{HEAD}X-A: {"b" * 300}\r\n', 0, BODY),
+            b'HTTP/1.1 200',
+        ),
+    ],
+)
+def test_limits_of_the_document_bound_what_callers_send(
+    edge, limit, parts, begin
+):
+    changed = deployment.document(2)
+    changed['limits'] |= dict([limit])
+    edge.store.put('op', 'config', changed)
+    edge.wait_for(lambda: '"version": 2' in edge.lines.text)
+    first, pause_s, rest = parts
+    with connect(edge) as caller:
+        caller.sendall(first.encode())
+        time.sleep(pause_s)
+        with contextlib.suppress(OSError):
+            caller.sendall(rest.encode())
+        raw = read_all(caller)
+    assert raw.startswith(begin) and bool(raw) == bool(begin)
+
+
+def test_idle_connections_live_as_long_as_the_document_says(edge):
+    changed = deployment.document(2)
+    changed['limits']['idleTimeoutMs'] = 25_000
+    edge.store.put('op', 'config', changed)
+    edge.wait_for(lambda: edge.process.servers[0].timeout == 25)
+
+
 def test_change_of_the_document_is_in_force_at_once(edge):
     changed = deployment.document(2, keys=('key-2',))
     edge.store.put('op', 'config', changed)
@@ -255,13 +311,21 @@
 
 def send_raw(edge, text):
     """Send bytes as they are; return all that comes back."""
-    host, port = edge.address.split(':')
-    with socket.create_connection((host, int(port)), timeout=3) as caller:
+    with connect(edge) as caller:
         caller.sendall(text.encode())
-        raw = b''
-        try:
-            while part := caller.recv(4_096):
-                raw += part
-        except TimeoutError:
-            pass
+        return read_all(caller)
+
+
+def connect(edge):
+    """Return a connection to the callers' listener."""
+    host, port = edge.address.split(':')
+    return socket.create_connection((host, int(port)), timeout=3)
+
+
+def read_all(caller):
+    """Return all that comes until the connection ends."""
+    raw = b''
+    with contextlib.suppress(TimeoutError, ConnectionResetError):
+        while part := caller.recv(4_096):
+            raw += part
     return raw
