Start a listener's threads as requests need them

Ruled out: fewer threads at most (bursts need them); the server's own way to grow, which waits 100 ms for the new thread on the accepting thread.

Change: GrowingPool starts a thread when a connection finds none waiting, up to the same bound.

Before: one caller alone had 100 threads started (test fails).

--- a/packages/daemon/src/godwitglade/daemon/servers.py
+++ b/packages/daemon/src/godwitglade/daemon/servers.py
@@ -9,6 +9,7 @@
 
 from godwitglade.common import clock as clocks
 from godwitglade.daemon import connections
+from godwitglade.daemon import growing_pool
 
 #: Backlog of connections that the kernel accepts for a listener.
 LISTEN_BACKLOG = 128
@@ -24,7 +25,7 @@
 
 @attrs.frozen
 class Listener:
-    """Where a WSGI application is served, and with how many threads.
+    """Where a WSGI application is served, and with at most how many threads.
 
     The applications bound the size of a body themselves, so that a body too
     large gets a typed error.
@@ -75,14 +76,13 @@
     made = wsgi.Server(
         (listener.host, listener.port),
         listener.app,
-        numthreads=listener.threads,
         server_name=SERVER_NAME,
         request_queue_size=LISTEN_BACKLOG,
         timeout=IDLE_TIMEOUT_S,
         shutdown_timeout=STOP_TIMEOUT_S,
     )
     made.ssl_adapter = listener.ssl_adapter
-    return _configured(made, listener.connection_class)
+    return _configured(made, listener.connection_class, listener.threads)
 
 
 class GatewayServer(server.HTTPServer):
@@ -107,13 +107,11 @@
     backlog: int = LISTEN_BACKLOG,
 ) -> GatewayServer:
     """Return a server whose requests ``gateway`` answers, not yet bound."""
-    made = GatewayServer(
-        address, gateway, minthreads=threads, server_name=SERVER_NAME
-    )
+    made = GatewayServer(address, gateway, server_name=SERVER_NAME)
     made.request_queue_size = backlog
     made.timeout = IDLE_TIMEOUT_S
     made.shutdown_timeout = STOP_TIMEOUT_S
-    return _configured(made, connection_class)
+    return _configured(made, connection_class, threads)
 
 
 def limit(
@@ -129,10 +127,11 @@
 
 
 def _configured(
-    made: server.HTTPServer, connection_class: type
+    made: server.HTTPServer, connection_class: type, threads: int
 ) -> server.HTTPServer:
     made.max_request_header_size = MAX_HEADER_BYTES
     made.ConnectionClass = connection_class
+    made.requests = growing_pool.GrowingPool(made, threads)
     # A reset connection of one client is no fault of the server.
     made.error_log = _drop_log
     return made
--- a/tests/daemon/test_servers.py
+++ b/tests/daemon/test_servers.py
@@ -1,8 +1,12 @@
 """Listeners are bound all together or not at all."""
 
+import concurrent.futures
+import contextlib
+import http.client
 import socket
 import threading
 
+from cheroot import server as cheroot_server
 import pytest
 
 from godwitglade.daemon import servers
@@ -35,3 +39,69 @@
     for port in ports:
         with pytest.raises(OSError):
             socket.create_connection(('127.0.0.1', port), timeout=5)
+
+
+class Meeting(cheroot_server.Gateway):
+    """Answers once as many requests are here as ``barrier`` waits for."""
+
+    barrier = threading.Barrier(1)
+
+    def respond(self):
+        self.barrier.wait(5)
+        self.req.status = b'200 OK'
+        self.req.outheaders = [(b'Content-Length', b'0')]
+        self.req.ensure_headers_sent()
+
+
+@contextlib.contextmanager
+def meeting(parties, threads):
+    gateway = type('M', (Meeting,), {'barrier': threading.Barrier(parties)})
+    made = servers.make_gateway_server(('127.0.0.1', 0), gateway, threads)
+    made.prepare()
+    threading.Thread(target=made.serve, daemon=True).start()
+    yield made
+    made.stop()
+
+
+def ask(made, times=1):
+    connection = http.client.HTTPConnection(*made.bind_addr, timeout=10)
+    with contextlib.closing(connection):
+        for _ in range(times):
+            connection.request('GET', '/')
+            response = connection.getresponse()
+            response.read()
+            yield response.status
+
+
+def ask_once(made):
+    return next(ask(made))
+
+
+@pytest.mark.parametrize('parties', [2, 9, 20])
+def test_requests_that_come_together_are_served_together(parties):
+    with (
+        meeting(parties, parties) as made,
+        concurrent.futures.ThreadPoolExecutor(parties) as callers,
+    ):
+        found = list(callers.map(ask_once, [made] * parties))
+    assert found == [200] * parties
+
+
+def test_requests_that_come_one_by_one_start_few_threads():
+    before = threading.active_count()
+    with meeting(1, 100) as made:
+        found = list(ask(made, 30))
+        started = threading.active_count() - before
+    assert found == [200] * 30
+    # Two threads of the server; a worker may start beside one that ends.
+    assert started < 10
+
+
+def test_no_more_requests_are_served_at_once_than_there_may_be_threads():
+    with (
+        concurrent.futures.ThreadPoolExecutor(3) as callers,
+        meeting(3, 2) as made,
+    ):
+        asked = [callers.submit(ask_once, made) for _ in range(3)]
+        done, _ = concurrent.futures.wait(asked, timeout=1)
+    assert not done
