--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 export PYTHONPATH := $(CURDIR):$(subst $(space),:,$(foreach \
 	m,$(MEMBERS),$(CURDIR)/packages/$(m)/src)):$(CURDIR)/platform/src
 
-.PHONY: install test codestyle format demo measure model scenarios lines
+.PHONY: install test codestyle format demo measure model scenarios soak lines
 
 install: $(STAMP)
 
@@ -44,5 +44,11 @@
 scenarios: install
 	$(PYTHON) -m proof.scenarios
 
+# Options of the soak, such as SOAK='--failed --seeds 50'.
+SOAK ?=
+
+soak: install
+	$(PYTHON) -m bench.soak $(SOAK)
+
 lines: install
 	$(PYTHON) -m bench.lines
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -17,6 +17,9 @@
 POLL_S = 0.01
 
 http = urllib3.PoolManager(maxsize=64, retries=False)
+#: What a request to a process that is not there raises.
+HTTP_ERRORS = (urllib3.exceptions.HTTPError, OSError)
+TimeoutExpired = subprocess.TimeoutExpired
 
 
 class NotInTimeError(Exception):
--- /dev/null
+++ b/bench/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak: real edge processes under faults from outside them."""
--- /dev/null
+++ b/bench/soak/standins.py
@@ -0,0 +1,121 @@
+"""The soak's store and targets: what they answer names what was asked."""
+
+import threading
+import time
+import typing
+
+import attrs
+
+from bench.soak import proxy
+from bench.standins import edge_platform
+from godwitglade.common import codec
+
+EVENTS = 6
+EVENT_PAUSE_S = 0.02
+RUN_S = 0.02
+
+
+@attrs.frozen
+class Run:
+    """A request that a target began to work on."""
+
+    attempt_id: str
+    target: str
+    pool: str
+    at_s: float
+    has_run: bool
+    is_leaving: bool
+
+
+class Store(edge_platform.Store):
+    """A store that may be slow, lose answers, or take a host's links.
+
+    ``through`` maps an address that hosts register to the link to it.
+    """
+
+    def __init__(self) -> None:
+        self.delay_s = 0.0
+        self.loses_answers = False
+        self.through: dict[str, str] = {}
+        self._lock = threading.Lock()
+        super().__init__()
+
+    def answer(self, request: edge_platform.Request) -> typing.Any:
+        """Answer one call."""
+        time.sleep(self.delay_s)
+        found = super().answer(request)
+        return None if self.loses_answers else found
+
+    def _write(self, table: str, key: str, value: str) -> None:
+        with self._lock:
+            super()._write(table, key, self._through_link(table, value))
+
+    def _through_link(self, table: str, value: str) -> str:
+        if table != 'hosts':
+            return value
+        plain = codec.parse_json(edge_platform.decode(value))
+        plain['address'] = self.through.get(plain['address'], plain['address'])
+        return edge_platform.encode(codec.to_json(plain))
+
+
+class Target(edge_platform.Target):
+    """A target behind a link; answers hold the id of the request."""
+
+    def __init__(self, name: str, pool: str, zone: str) -> None:
+        self.seen: list[Run] = []
+        self.left_s: float | None = None
+        super().__init__(name, pool, zone)
+        self.link = proxy.Link(self.address)
+
+    def entry(self, **fields: typing.Any) -> dict[str, typing.Any]:
+        """Return the entry in the store, with the link's address."""
+        return super().entry(**{'address': self.link.address, **fields})
+
+    def answer(self, request: edge_platform.Request) -> typing.Any:
+        """Answer one call, noting what was run."""
+        expected = request.headers.get('X-Expect-Instance', self.name)
+        if request.path.startswith('/api/stage-') or expected != self.name:
+            return super().answer(request)
+        behaviour = self.behaviours[0]
+        self.seen.append(
+            Run(
+                request.attempt_id,
+                self.name,
+                self.pool,
+                time.monotonic(),
+                behaviour != 'not_run',
+                self.left_s is not None,
+            )
+        )
+        if behaviour == 'ok' and self.pool == 'engine':
+            return self._stream(request)
+        if behaviour == 'ok':
+            time.sleep(RUN_S)
+            body = whole_body(request.attempt_id)
+            return edge_platform.response(200, self.headers(request), body)
+        return super().answer(request)
+
+    def _stream(
+        self, request: edge_platform.Request
+    ) -> typing.Iterator[bytes]:
+        first = int(request.headers.get('Last-Event-Id') or 0) + 1
+        yield edge_platform.head_of_stream(self, request)
+        for number in range(first, EVENTS + 1):
+            time.sleep(EVENT_PAUSE_S)
+            yield edge_platform.chunk(event(request.attempt_id, number))
+        yield b'0\r\n\r\n'
+
+
+def whole_body(attempt_id: str) -> bytes:
+    """Return the answer to a request that is no stream."""
+    return f'answer to {attempt_id}'.encode() * 20
+
+
+def event(attempt_id: str, number: int) -> bytes:
+    """Return one event of a request's stream."""
+    return f'id: {number}\ndata: {attempt_id} {number}\n\n'.encode()
+
+
+def whole_stream(attempt_id: str) -> bytes:
+    """Return all events of a request's stream."""
+    return b''.join(event(attempt_id, n) for n in range(1, EVENTS + 1))
--- /dev/null
+++ b/bench/soak/world.py
@@ -0,0 +1,211 @@
+"""What a soak runs: a store, targets, and edge processes behind links."""
+
+import os
+import pathlib
+import random
+import socket
+import threading
+import time
+import typing
+
+import attrs
+import yaml
+
+from bench import processes
+from bench.soak import proxy
+from bench.soak import standins
+from bench.standins import edge_document
+
+#: Bounds of the pages that the checks and the settings share.
+REVOKE_S = 5.0
+GRACE_S = 8.0
+RETRY_RATIO = 0.2
+RETRY_ALLOWANCE = 20.0
+BUDGET_WINDOW_S = 10.0
+TIMEOUT_S = 1.5
+
+POOLS = ('app', 'engine', 'encode')
+CALLERS_PORT, READY_PORT, PEERS_PORT, SPARE_PORT = 8000, 8001, 8002, 8003
+READY_WAIT_S = 20.0
+
+
+@attrs.frozen
+class KeyTerm:
+    """When a key was allowed; ``until_s`` is None while it is."""
+
+    key: str
+    from_s: float
+    until_s: float | None = None
+
+
+@attrs.define(eq=False)
+class Edge:
+    """An edge process, started anew after each end."""
+
+    name: str
+    ip: str
+    zone: str
+    folder: pathlib.Path
+    callers: proxy.Link
+    peers: proxy.Link
+    store: proxy.Link
+    boot: int = 0
+    process: processes.Process | None = None
+    faults: list[str] = attrs.field(factory=list)
+
+    @property
+    def log_path(self) -> pathlib.Path:
+        """Return the file that gets what the process prints."""
+        return self.folder / f'{self.name}.log'
+
+    def start(self) -> None:
+        """Start the process."""
+        self.boot += 1
+        settings = self.folder / f'{self.name}.yaml'
+        settings.write_text(yaml.safe_dump(self._settings()))
+        self.process = processes.Process(
+            'godwitglade.edge',
+            environment=os.environ | {'GODWITGLADE_CONFIG': str(settings)},
+            log_path=self.log_path,
+        )
+
+    def is_ready(self) -> bool:
+        """Tell whether the process says that it takes requests."""
+        url = f'http://{self.ip}:{READY_PORT}/api/readyz'
+        try:
+            return processes.http.request('GET', url).status == 200
+        except processes.HTTP_ERRORS:
+            return False
+
+    def stop(self) -> None:
+        """Ask the process to stop, and judge how it ends."""
+        self.process.terminate()
+        try:
+            status = self.process.wait(GRACE_S)
+        except processes.TimeoutExpired:
+            self.faults.append(f'{self.name} ran on {GRACE_S} s after SIGTERM')
+            self.process.kill()
+            return
+        if status:
+            self.faults.append(f'{self.name} ended with status {status}')
+
+    def _settings(self) -> dict[str, typing.Any]:
+        return {
+            'nodeName': self.name,
+            'zone': self.zone,
+            'ip': self.ip,
+            'listen': {
+                'frontend': f'{self.ip}:{CALLERS_PORT}',
+                'ready': f'{self.ip}:{READY_PORT}',
+            },
+            'platform': {'address': self.store.address},
+            'internalPorts': [PEERS_PORT, SPARE_PORT],
+            'bounds': {
+                'retryBudgetRatio': RETRY_RATIO,
+                'retryAllowance': RETRY_ALLOWANCE,
+                'budgetWindowS': BUDGET_WINDOW_S,
+                'revokeMs': int(REVOKE_S * 1_000),
+                'failClosed': True,
+                'graceS': GRACE_S,
+            },
+        }
+
+
+class World:
+    """All parts of one soak, and the operator's changes to them."""
+
+    def __init__(
+        self, folder: pathlib.Path, hosts: int, rng: random.Random
+    ) -> None:
+        self.rng = rng
+        self.store = standins.Store()
+        self.targets: list[standins.Target] = []
+        self.past_targets: list[standins.Target] = []
+        self.keys: list[KeyTerm] = []
+        self.version = 0
+        self._changing = threading.Lock()
+        self._targets_made = 0
+        network = _loopback_network()
+        self.edges = [
+            self._edge(f'edge-{n}', f'{network}.{n}', f'z{n % 2}', folder)
+            for n in range(1, hosts + 1)
+        ]
+        for number, pool in enumerate(POOLS * 3):
+            self.add_target(pool, f'z{number % 2}')
+        self.change_keys()
+
+    def start(self) -> None:
+        """Start the processes; raises NotInTimeError."""
+        for edge in self.edges:
+            edge.start()
+        for edge in self.edges:
+            processes.await_condition(edge.is_ready, f'{edge.name} is ready')
+
+    def stop(self) -> None:
+        """End all that was started."""
+        for edge in self.edges:
+            edge.process.close()
+        for target in [*self.targets, *self.past_targets]:
+            target.stop()
+        self.store.stop()
+
+    def add_target(self, pool: str, zone: str) -> standins.Target:
+        """Start a target and list it."""
+        with self._changing:
+            self._targets_made += 1
+            name = f'{pool}-{self._targets_made}'
+        target = standins.Target(name, pool, zone)
+        self.targets.append(target)
+        self.store.put('servers', name, target.entry())
+        return target
+
+    def retire(self, target: standins.Target) -> None:
+        """List a target as leaving; it stays to see what still comes."""
+        self.store.put('servers', target.name, target.entry(state='draining'))
+        target.left_s = time.monotonic()
+        self.targets.remove(target)
+        self.past_targets.append(target)
+
+    def change_keys(self) -> None:
+        """Write a document that adds a key and withdraws the oldest."""
+        with self._changing:
+            self.version += 1
+            now_s = time.monotonic()
+            keys = [f'key-{self.version - 1}', f'key-{self.version}']
+            document = edge_document.document(self.version, keys)
+            self.store.put('op', 'config', document)
+            self.keys = [
+                (
+                    attrs.evolve(term, until_s=time.monotonic())
+                    if term.until_s is None and term.key not in keys
+                    else term
+                )
+                for term in self.keys
+            ]
+            known = {term.key for term in self.keys}
+            self.keys += [KeyTerm(k, now_s) for k in keys if k not in known]
+
+    def _edge(
+        self, name: str, ip: str, zone: str, folder: pathlib.Path
+    ) -> Edge:
+        peers_address = f'{ip}:{PEERS_PORT}'
+        peers = proxy.Link(peers_address)
+        self.store.through[peers_address] = peers.address
+        return Edge(
+            name,
+            ip,
+            zone,
+            folder,
+            callers=proxy.Link(f'{ip}:{CALLERS_PORT}'),
+            peers=peers,
+            store=proxy.Link(self.store.address),
+        )
+
+
+def _loopback_network() -> str:
+    """Return the first three bytes of addresses that no other soak uses."""
+    first, rest = divmod(os.getpid(), 250 * 250)
+    second, third = divmod(rest, 250)
+    network = f'127.{10 + first * 100 + second % 100}.{third}'
+    with socket.create_server((f'{network}.1', CALLERS_PORT)):
+        return network
--- a/bench/standins/edge_platform.py
+++ b/bench/standins/edge_platform.py
@@ -142,7 +142,7 @@
     def put(self, table: str, key: str, value: typing.Any) -> None:
         """Write a row as the operator or a target does."""
         raw = value if isinstance(value, bytes) else codec.to_json(value)
-        self._write(table, key, base64.b64encode(raw).decode())
+        self._write(table, key, encode(raw))
 
     def drop(self, table: str, key: str) -> None:
         """Remove a row."""
@@ -209,6 +209,16 @@
         return response(200, headers, codec.to_json(plain))
 
 
+def encode(raw: bytes) -> str:
+    """Return a value as rows hold it."""
+    return base64.b64encode(raw).decode()
+
+
+def decode(value: str) -> bytes:
+    """Return the bytes of a row's value."""
+    return base64.b64decode(value)
+
+
 class Target(Server):
     """A target; ``behaviours`` are used in turn, the last one for good."""
 
@@ -327,14 +337,16 @@
     yield b''
 
 
-def _head_of_stream(target: Target, request: Request) -> bytes:
+def head_of_stream(target: Target, request: Request) -> bytes:
+    """Return the head of a stream without a length."""
     headers = target.headers(request) | {'Content-Type': 'text/event-stream'}
     lines = [f'{name}: {value}' for name, value in headers.items()]
     head = ['HTTP/1.1 200 OK', *lines, 'Transfer-Encoding: chunked', '', '']
     return '\r\n'.join(head).encode('latin-1')
 
 
-def _chunk(content: bytes) -> bytes:
+def chunk(content: bytes) -> bytes:
+    """Return a chunk of a body without a length."""
     return b'%x\r\n%b\r\n' % (len(content), content)
 
 
@@ -345,22 +357,22 @@
 
 def _stream(target: Target, request: Request) -> typing.Iterator[bytes]:
     first = int(request.headers.get('Last-Event-Id') or 0) + 1
-    yield _head_of_stream(target, request)
+    yield head_of_stream(target, request)
     for number in range(first, 7):
-        yield _chunk(event(number))
+        yield chunk(event(number))
     yield b'0\r\n\r\n'
 
 
 def _stream_cut(target: Target, request: Request) -> typing.Iterator[bytes]:
-    yield _head_of_stream(target, request)
-    yield _chunk(event(1) + event(2))
-    yield _chunk(event(3)[:9])
+    yield head_of_stream(target, request)
+    yield chunk(event(1) + event(2))
+    yield chunk(event(3)[:9])
 
 
 def _stream_slow(target: Target, request: Request) -> typing.Iterator[bytes]:
-    yield _head_of_stream(target, request)
+    yield head_of_stream(target, request)
     for number in range(1, 100):
-        yield _chunk(event(number))
+        yield chunk(event(number))
         time.sleep(0.05)
 
 
--- a/tests/edge/deployment.py
+++ b/tests/edge/deployment.py
@@ -6,6 +6,7 @@
 import threading
 import time
 
+from bench.standins import edge_document
 from bench.standins import edge_platform
 from godwitglade.common import clock as clocks
 from godwitglade.daemon import context
@@ -14,7 +15,6 @@
 from godwitglade.routing import host
 from godwitglade.routing import messages
 
-HOST = 'desk.example'
 WAIT_S = 5.0
 
 
@@ -29,76 +29,6 @@
     return ports
 
 
-def route(name, kind, prefix, pool, **fields):
-    """Return a route as the operator writes it."""
-    return {
-        'name': name,
-        'host': HOST,
-        'prefix': prefix,
-        'routeKind': kind,
-        'timeoutMs': 1_500,
-        'goalMs': 400,
-        'priority': 0,
-        'service': pool,
-        'attempts': 2,
-        'stages': [],
-        'anonymous': False,
-        'sticky': False,
-        'resumable': False,
-        **fields,
-    }
-
-
-STAGED = [{'service': 'encode', 'after': [], 'length': 100}]
-STREAM = {'sticky': True, 'gapGoalMs': 200}
-ROUTES = [
-    route('once', 'non_idempotent', '/once/', 'app'),
-    route('read', 'idempotent', '/read/', 'app'),
-    route('open', 'idempotent', '/open/', 'app', anonymous=True),
-    route('stream', 'streaming', '/stream/', 'engine', **STREAM),
-    route(
-        'resume', 'streaming', '/resume/', 'engine', resumable=True, **STREAM
-    ),
-    route('staged', 'streaming', '/staged/', 'engine', stages=STAGED),
-]
-BATCHING = {
-    'slots': 1,
-    'queue': 2,
-    'batch': 4,
-    'callMs': 5.0,
-    'itemMs': 1.0,
-    'headroomMb': 1.0,
-    'handleTtlS': 4.0,
-    'linkMbps': 100,
-}
-
-
-def document(version=1, keys=('key-1',), routes=ROUTES):
-    """Return a document as the operator writes it."""
-    pools = [
-        {'name': 'app', 'healthPath': '/healthz', 'maxConnections': 9},
-        {
-            'name': 'engine',
-            'healthPath': '/healthz',
-            'maxConnections': 9,
-            'engine': {'slots': 4, 'kvCapacityTokens': 1_000},
-        },
-        {'name': 'encode', 'maxConnections': 9, 'segments': BATCHING},
-    ]
-    return {
-        'version': version,
-        'routes': list(routes),
-        'services': pools,
-        'limits': {
-            'maxHeaderBytes': 16_384,
-            'maxBodyBytes': 10_000,
-            'headerTimeoutMs': 3_000,
-            'idleTimeoutMs': 15_000,
-        },
-        'tenants': [{'name': 'desk', 'apiKeys': list(keys), 'priority': 1}],
-    }
-
-
 class Deployment:
     """A store, two targets of each pool, and an edge process."""
 
@@ -111,7 +41,7 @@
         ]
         for target in self.targets:
             self.store.put('servers', target.name, target.entry())
-        self.store.put('op', 'config', document())
+        self.store.put('op', 'config', edge_document.document())
         ports = free_ports(4)
         addresses = [f'127.0.0.1:{port}' for port in ports]
         self.address, self.ready_address = addresses[:2]
@@ -174,7 +104,11 @@
     def ask(self, path, method='POST', body=b'{}', key='key-1', **headers):
         """Send one request; return the response with its body."""
         connection = http.client.HTTPConnection(self.address, timeout=WAIT_S)
-        found = {'Host': HOST, 'X-Attempt-Id': 'a1', 'X-Deadline-Ms': '1500'}
+        found = {
+            'Host': edge_document.HOST,
+            'X-Attempt-Id': 'a1',
+            'X-Deadline-Ms': '1500',
+        }
         if key is not None:
             found['Authorization'] = f'Bearer {key}'
         found |= {n.replace('_', '-'): v for n, v in headers.items()}
--- a/tests/edge/test_edge.py
+++ b/tests/edge/test_edge.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from bench.standins import edge_document
 from bench.standins import edge_platform
 from godwitglade.routing import messages
 from tests.edge import deployment
@@ -210,7 +211,7 @@
 def test_limits_of_the_document_bound_what_callers_send(
     edge, limit, parts, begin
 ):
-    changed = deployment.document(2)
+    changed = edge_document.document(2)
     changed['limits'] |= dict([limit])
     edge.store.put('op', 'config', changed)
     edge.wait_for(lambda: '"version": 2' in edge.lines.text)
@@ -225,14 +226,14 @@
 
 
 def test_idle_connections_live_as_long_as_the_document_says(edge):
-    changed = deployment.document(2)
+    changed = edge_document.document(2)
     changed['limits']['idleTimeoutMs'] = 25_000
     edge.store.put('op', 'config', changed)
     edge.wait_for(lambda: edge.process.servers[0].timeout == 25)
 
 
 def test_change_of_the_document_is_in_force_at_once(edge):
-    changed = deployment.document(2, keys=('key-2',))
+    changed = edge_document.document(2, keys=('key-2',))
     edge.store.put('op', 'config', changed)
     edge.wait_for(lambda: edge.ask('/once/x', key='key-2').status == 200)
     assert edge.ask('/once/x', key='key-1').status == 401
@@ -240,7 +241,7 @@
 
 def test_dropped_history_loses_no_change(edge):
     edge.store.forget_history()
-    edge.store.put('op', 'config', deployment.document(2, keys=('key-2',)))
+    edge.store.put('op', 'config', edge_document.document(2, keys=('key-2',)))
     edge.wait_for(lambda: edge.ask('/once/x', key='key-2').status == 200)
 
 
