Ask the store less often; follow the hosts' table by its feed

Ruled out: fewer full reads of the document (a late row of the feed may be a key withdrawn); taking an empty feed as news of the moment it ended (it is silent for a second before a history is dropped).

A history that stays gone is asked for each 250 ms, not at once.

The stand-in for targets ends a connection whose body was cut.

--- a/bench/standins/edge_platform.py
+++ b/bench/standins/edge_platform.py
@@ -109,13 +109,16 @@
 
 
 def read_request(rfile: typing.BinaryIO) -> Request | None:
-    """Return the next request of a connection, None at its end."""
+    """Return the next whole request of a connection, None at its end."""
     line = rfile.readline()
     if not line:
         return None
     method, target, _ = line.decode('latin-1').split(' ', 2)
     headers = http.client.parse_headers(rfile)
-    body = rfile.read(int(headers.get('Content-Length', 0)))
+    length = int(headers.get('Content-Length', 0))
+    body = rfile.read(length)
+    if len(body) < length:
+        return None
     path, _, query = target.partition('?')
     found = dict(urllib.parse.parse_qsl(query))
     return Request(method, path, found, headers, body)
--- a/packages/platform/src/godwitglade/platform/follower.py
+++ b/packages/platform/src/godwitglade/platform/follower.py
@@ -13,10 +13,8 @@
 from godwitglade.common import errors
 from godwitglade.common import events
 
-#: Pause after a feed or read that failed.
+#: Pause after a feed or read that failed, or whose history is gone again.
 RETRY_MS = 250
-#: Full reads correct what feeds missed.
-FULL_READ_MS = 3_000
 
 Log = typing.Callable[..., None]
 
@@ -49,8 +47,24 @@
     def read(self, table: str) -> Rows:
         """Return every row of a table."""
 
-    def feed(self, table: str, after: int) -> Rows:
-        """Return the rows that changed after a version."""
+    def feed(self, table: str, after: int, wait_ms: int) -> Rows:
+        """Return the rows that changed after a version.
+
+        Waits for a change; none within ``wait_ms`` gives no rows.
+        """
+
+
+@attrs.frozen
+class Pace:
+    """How often a table is asked for.
+
+    A feed waits ``wait_ms`` for news; between two feeds that bring some
+    lie ``pause_ms``. What feeds miss, a full read corrects.
+    """
+
+    wait_ms: int
+    full_read_ms: int
+    pause_ms: int = 0
 
 
 @attrs.define(eq=False)
@@ -89,16 +103,16 @@
         take: typing.Callable[[Rows, bool, int], None],
         clock: clocks.Clock,
         log: Log,
-        pause_ms: int = 0,
+        pace: Pace,
     ) -> None:
         self._client = client
         self._table = table
         self._take = take
         self._clock = clock
         self._contact = Contact(log, table)
-        self._pause_ms = pause_ms
+        self._pace = pace
         self._version: int | None = None
-        self._read_ms = 0
+        self._read_ms: int | None = None
         self._answered_ms = clock.monotonic_ms()
         self._woken = threading.Event()
 
@@ -117,17 +131,20 @@
     def run_once(self) -> int:
         """Read once; return the pause before the next read."""
         started_ms = self._clock.monotonic_ms()
-        is_due = started_ms - self._read_ms >= FULL_READ_MS
-        is_whole = self._version is None or is_due
+        is_whole = self._version is None or self._is_read_due(started_ms)
         try:
             if is_whole:
                 found = self._client.read(self._table)
                 self._read_ms = started_ms
             else:
-                found = self._client.feed(self._table, self._version)
+                found = self._client.feed(
+                    self._table, self._version, self._pace.wait_ms
+                )
         except HistoryGoneError:
+            # A store may lag behind the history that it dropped.
             self._version = None
-            return 0
+            is_again = started_ms - self._read_ms < RETRY_MS
+            return RETRY_MS if is_again else 0
         except (errors.CodedError, KeyError, TypeError) as error:
             self._contact.lost(str(error))
             self._version = None
@@ -140,4 +157,7 @@
         self._contact.regained()
         self._version = found.version
         self._take(found, is_whole, started_ms)
-        return 0 if is_whole else self._pause_ms
+        return 0 if is_whole else self._pace.pause_ms
+
+    def _is_read_due(self, now_ms: int) -> bool:
+        return now_ms - self._read_ms >= self._pace.full_read_ms
