Judge no times while the soak itself stands still

Ruled out: a host that stood still by itself (four did at once); the store (calls to the targets hung as well).

Change: the soak notes gaps of its own clock thread over 0.3 s, and judges no promise about time across one.

--- a/bench/soak/core.py
+++ b/bench/soak/core.py
@@ -11,6 +11,7 @@
 from bench.soak import callers
 from bench.soak import checks
 from bench.soak import faults
+from bench.soak import standstills
 from bench.soak import world
 
 #: Calm before planned work, so that hosts are in touch (contactMs).
@@ -43,6 +44,7 @@
 
 
 def _play(found: world.World, plan: Plan) -> checks.Record:
+    watch = standstills.Watch()
     asking = callers.Callers(found, plan.callers)
     asking.start()
     time.sleep(1)
@@ -55,6 +57,7 @@
     time.sleep(RECOVER_S)
     until_s = time.monotonic()
     asking.stop()
+    watch.stop()
     targets = [*found.targets, *found.past_targets]
     return checks.Record(
         seen=asking.seen,
@@ -66,6 +69,7 @@
         left_s={t.name: t.left_s for t in targets if t.left_s is not None},
         planned=checks.Phase(planned_s, until_s),
         settled=checks.Phase(max(ended_s, until_s - JUDGED_S), until_s),
+        stills=watch.found,
     )
 
 
