--- a/packages/command/src/godwitglade/command/definitions.py
+++ b/packages/command/src/godwitglade/command/definitions.py
@@ -15,6 +15,7 @@
 from godwitglade.command import options
 from godwitglade.command import output
 from godwitglade.command import quarantining
+from godwitglade.command import reporting
 from godwitglade.command import requesting
 from godwitglade.command import status
 from godwitglade.command import tokens
@@ -327,6 +328,27 @@
     _end(explaining.show(printer, request, found, stdin))
 
 
+@app.command()
+def report(
+    context: Context,
+    logs: typing.Annotated[
+        list[pathlib.Path] | None,
+        typer.Argument(metavar='[LOGS]...', help='Log files; none for input.'),
+    ] = None,
+    plot: typing.Annotated[
+        pathlib.Path | None,
+        typer.Option(help='Draw outcomes by second to this file.'),
+    ] = None,
+    json: options.Json = False,
+) -> None:
+    """Print what the logs of some hosts tell of all requests.
+
+    Example: `godwitglade report --plot outcomes.svg *.log`
+    """
+    printer = _printer(context, json)
+    _end(reporting.show(printer, logs or [], context.obj.stdin, plot))
+
+
 def _printer(context: Context, is_json: bool) -> output.Printer:
     return output.Printer(context.obj, is_json)
 
--- a/packages/command/src/godwitglade/command/explaining.py
+++ b/packages/command/src/godwitglade/command/explaining.py
@@ -64,27 +64,27 @@
     stdin: typing.Iterable[str],
 ) -> status.ExitStatus:
     """Print the story of ``request``; raises OptionError if unknown."""
-    lines = list(read(_texts(paths, stdin)))
+    lines = list(read(texts(paths, stdin)))
     story = tell(request, lines)
     if not story.lines:
         reason = f'{request} stands in none of {len(lines)} log lines'
         raise errors.OptionError('--request', reason)
     columns = ('time', 'host', 'event', 'details')
     rows = [
-        (_time(line.at_s), line.host, line.event, _details(line))
+        (time_of(line.at_s), line.host, line.event, _details(line))
         for line in story.lines
     ]
     printer.show(story, lambda: printer.table(columns, rows))
     return status.ExitStatus.OK
 
 
-def read(texts: typing.Iterable[str]) -> typing.Iterator[Line]:
-    """Yield the log lines in ``texts``; other text is passed over.
+def read(found: typing.Iterable[str]) -> typing.Iterator[Line]:
+    """Yield the log lines in ``found``; other text is passed over.
 
     Whatever stands before a line's JSON, such as a collector's prefix, is
     dropped.
     """
-    for text in texts:
+    for text in found:
         _, brace, rest = text.partition('{')
         if not brace:
             continue
@@ -130,9 +130,10 @@
     return Line(moment.timestamp(), plain['host'], plain['event'], fields)
 
 
-def _texts(
+def texts(
     paths: typing.Sequence[pathlib.Path], stdin: typing.Iterable[str]
 ) -> typing.Iterator[str]:
+    """Yield the lines of files, or of the input if there are none."""
     if not paths:
         yield from stdin
     for path in paths:
@@ -143,7 +144,8 @@
             raise errors.OptionError('LOGS', str(error)) from error
 
 
-def _time(at_s: float) -> str:
+def time_of(at_s: float) -> str:
+    """Return a moment as a time of day, in UTC."""
     moment = datetime.datetime.fromtimestamp(at_s, datetime.timezone.utc)
     return moment.strftime('%H:%M:%S.%f')[:-3]
 
--- /dev/null
+++ b/packages/command/src/godwitglade/command/reporting.py
@@ -0,0 +1,203 @@
+"""Processing of report: what the logs of a fleet tell of all requests."""
+
+import collections
+import pathlib
+import statistics
+import typing
+
+import attrs
+
+from godwitglade.command import errors
+from godwitglade.command import explaining
+from godwitglade.command import output
+from godwitglade.command import status
+
+#: Events that end a request, and the field that says how.
+ENDS = {'request_ended': 'outcome', 'request_refused': 'reason'}
+#: What a host believes of others, beside what it believes of itself.
+BELIEFS = explaining.BELIEFS | {
+    'target_changed',
+    'target_suspended',
+    'owner_lost',
+    'logs_dropped',
+}
+PLOT_SIZE_INCHES = (10.0, 4.0)
+
+
+@attrs.frozen
+class RouteTimes:
+    """How long requests of a route took, from arrival to their end."""
+
+    route: str
+    requests: int
+    median_ms: float
+    slowest_percent_ms: float
+
+
+@attrs.frozen
+class Belief:
+    """How often a belief changed, at how many hosts, and when."""
+
+    event: str
+    changes: int
+    hosts: int
+    first_s: float
+    last_s: float
+
+
+@attrs.frozen
+class Report:
+    """A fleet's view; ``by_second`` counts outcomes from ``start_s`` on."""
+
+    lines: int
+    start_s: float
+    outcomes: dict[str, int]
+    by_second: dict[int, dict[str, int]]
+    routes: tuple[RouteTimes, ...]
+    stages: dict[str, int]
+    beliefs: tuple[Belief, ...]
+
+
+def show(
+    printer: output.Printer,
+    paths: typing.Sequence[pathlib.Path],
+    stdin: typing.Iterable[str],
+    plot: pathlib.Path | None,
+) -> status.ExitStatus:
+    """Print the report; raises OptionError if there is nothing to tell."""
+    texts = explaining.texts(paths, stdin)
+    lines = list(explaining.read(texts))
+    if not lines:
+        raise errors.OptionError('LOGS', 'they hold no log line')
+    report = summarize(lines)
+    if plot is not None:
+        draw(report, plot)
+    printer.show(report, lambda: _print(printer, report))
+    return status.ExitStatus.OK
+
+
+def summarize(lines: typing.Sequence[explaining.Line]) -> Report:
+    """Return the report of log lines, in any order."""
+    start_s = min(line.at_s for line in lines)
+    ended = [(line, _outcome(line)) for line in lines if line.event in ENDS]
+    by_second: dict[int, collections.Counter] = collections.defaultdict(
+        collections.Counter
+    )
+    for line, outcome in ended:
+        by_second[int(line.at_s - start_s)][outcome] += 1
+    failed = [line for line in lines if line.event == 'stage_failed']
+    return Report(
+        lines=len(lines),
+        start_s=start_s,
+        outcomes=_sorted_counts(outcome for _, outcome in ended),
+        by_second={s: dict(by_second[s]) for s in sorted(by_second)},
+        routes=tuple(_route_times(lines)),
+        stages=_sorted_counts(
+            f'{line.fields.get("route")} stage {line.fields.get("stage")}: '
+            f'{line.fields.get("ending")}'
+            for line in failed
+        ),
+        beliefs=tuple(_beliefs(lines)),
+    )
+
+
+def draw(report: Report, path: pathlib.Path) -> None:
+    """Draw outcomes by second; raises OptionError without the library."""
+    try:
+        from matplotlib import figure as figures
+    except ImportError as error:
+        reason = 'matplotlib is not installed'
+        raise errors.OptionError('--plot', reason) from error
+    figure = figures.Figure(figsize=PLOT_SIZE_INCHES, layout='constrained')
+    axes = figure.subplots()
+    seconds = range(max(report.by_second, default=0) + 1)
+    series = [
+        [report.by_second.get(s, {}).get(outcome, 0) for s in seconds]
+        for outcome in report.outcomes
+    ]
+    if series:
+        axes.stackplot(seconds, series, labels=list(report.outcomes))
+        axes.legend(loc='upper left', fontsize='small')
+    axes.set(xlabel='time since the first line / s', ylabel='ended / s')
+    try:
+        figure.savefig(path)
+    except (OSError, ValueError) as error:
+        raise errors.OptionError('--plot', str(error)) from error
+
+
+def _outcome(line: explaining.Line) -> str:
+    return str(line.fields.get(ENDS[line.event], 'unknown'))
+
+
+def _sorted_counts(values: typing.Iterable[str]) -> dict[str, int]:
+    return dict(collections.Counter(values).most_common())
+
+
+def _route_times(
+    lines: typing.Iterable[explaining.Line],
+) -> typing.Iterator[RouteTimes]:
+    times: dict[str, list[float]] = collections.defaultdict(list)
+    for line in lines:
+        elapsed_ms = line.fields.get('elapsed_ms')
+        if line.event == 'request_ended' and elapsed_ms is not None:
+            times[str(line.fields.get('route'))].append(elapsed_ms)
+    for route, found in sorted(times.items()):
+        # Quantiles need two values.
+        cuts = statistics.quantiles([*found, found[-1]], n=100)
+        yield RouteTimes(route, len(found), statistics.median(found), cuts[98])
+
+
+def _beliefs(
+    lines: typing.Iterable[explaining.Line],
+) -> typing.Iterator[Belief]:
+    found: dict[str, list[explaining.Line]] = collections.defaultdict(list)
+    for line in lines:
+        if line.event in BELIEFS:
+            found[line.event].append(line)
+    for event, changed in sorted(found.items()):
+        moments = [line.at_s for line in changed]
+        hosts = {line.host for line in changed}
+        yield Belief(
+            event, len(changed), len(hosts), min(moments), max(moments)
+        )
+
+
+def _print(printer: output.Printer, report: Report) -> None:
+    printer.table(('outcome', 'requests'), report.outcomes.items())
+    printer.line('')
+    columns = ('second', 'requests', 'outcomes')
+    printer.table(columns, map(_second_row, report.by_second.items()))
+    printer.line('')
+    columns = ('route', 'requests', 'median ms', '99% within ms')
+    printer.table(
+        columns,
+        (
+            (r.route, r.requests, r.median_ms, round(r.slowest_percent_ms))
+            for r in report.routes
+        ),
+    )
+    printer.line('')
+    printer.table(('stage that failed', 'requests'), report.stages.items())
+    printer.line('')
+    columns = ('belief', 'changes', 'hosts', 'first', 'last')
+    printer.table(
+        columns,
+        (
+            (
+                b.event,
+                b.changes,
+                b.hosts,
+                explaining.time_of(b.first_s),
+                explaining.time_of(b.last_s),
+            )
+            for b in report.beliefs
+        ),
+    )
+
+
+def _second_row(
+    item: tuple[int, dict[str, int]],
+) -> tuple[int, int, str]:
+    second, counts = item
+    parts = ' '.join(f'{name}={count}' for name, count in counts.items())
+    return second, sum(counts.values()), parts
