Let hosts vouch for the document's freshness to each other

Cause: a host that the store turns away refused every request with a key 4.5 s later, while hosts beside it read the store all the time.

Change: the hosts' exchange carries the document's version and age; a reply that names the same version confirms it as of the moment at which this host asked, less that age.

A host cut off, late replies, an older version and hosts that all lost the store are still refused (tests).

--- a/packages/coordination/src/godwitglade/coordination/bodies.py
+++ b/packages/coordination/src/godwitglade/coordination/bodies.py
@@ -94,8 +94,10 @@
 class Exchange:
     """Deltas pushed and, in the reply, pulled; also the liveness probe.
 
-    ``sequence`` is the sender's document number. The digests cover all
-    members and facts known, so that a silent divergence shows.
+    ``sequence`` is the sender's document number, ``document_age_ms`` the
+    time since it was known to be the newest. ``sent_ms`` is a time of the
+    sender's clock, which the reply returns as ``answers_ms``. The digests
+    cover all members and facts known, so that a silent divergence shows.
     """
 
     sender: MemberRecord
@@ -107,6 +109,9 @@
     facts: tuple[FactRecord, ...] = ()
     usage: tuple[UsageRecord, ...] = ()
     changes: tuple[Change, ...] = ()
+    document_age_ms: int | None = None
+    sent_ms: int | None = None
+    answers_ms: int | None = None
 
 
 @attrs.frozen
--- a/packages/routing/src/godwitglade/routing/host.py
+++ b/packages/routing/src/godwitglade/routing/host.py
@@ -22,6 +22,7 @@
 from godwitglade.routing import bodies
 from godwitglade.routing import budget
 from godwitglade.routing import effects
+from godwitglade.routing import freshness
 from godwitglade.routing import knowledge
 from godwitglade.routing import messages
 from godwitglade.routing import requests
@@ -71,10 +72,11 @@
     def fork() -> randoms.Random:
         return randoms.Random(random.getrandbits(64))
 
+    known = knowledge.Knowledge(settings.revoke_ms)
+    attachments = (freshness.Freshness(known),)
     members = membership.Membership(
-        self_id, address, fork(), (), settings.gossip
+        self_id, address, fork(), attachments, settings.gossip
     )
-    known = knowledge.Knowledge(settings.revoke_ms)
     directory = targets.Directory()
     requests_ = requests.Requests(
         self_id,
