Stay until the listener is closed at a planned stop

Cause: 2.3 s after SIGTERM the listener was told to close and the process ended at the same moment if it was idle. The listener notices within half a second; a request read in between reached a loop that had ended, and its connection closed without an answer (soak: two requests at a planned stop, closed after 0.34 s, of which edge-1 logged nothing).

Ruled out: the links (the same at other boots passed); the new way to wait for first bytes (kept connections are hit as well).

Change: the listener says when it has closed and answered what it read; only then may an idle process end.

Before: of 16 requests that cross the close, one hangs (test).

--- a/packages/routing/src/godwitglade/routing/host.py
+++ b/packages/routing/src/godwitglade/routing/host.py
@@ -224,17 +224,24 @@
         left = self.parts.members.leave(now_ms)
         return [log, *left, *self.parts.work.hand_over(now_ms)]
 
+    @_decide.register
+    def _(self, message: messages.ListenerClosed, now_ms: int) -> Effects:
+        self.parts.stopping.is_closed = True
+        return self._end_if_done(now_ms)
+
     def _upkeep(self, now_ms: int) -> Effects:
         timer = shared_effects.StartTimer(UPKEEP_TOKEN, now_ms + UPKEEP_MS)
         directory = self.parts.directory
         changes = directory.end_grace(now_ms)
         found = self._note_changes(changes, directory.version)
-        is_idle = not len(self.parts.requests) and self.parts.work.is_idle
         if self.parts.stopping.should_close(now_ms):
             found.append(effects.StopListening())
-        if self.parts.stopping.may_end(is_idle, now_ms):
-            found.append(effects.Stop())
-        return [timer, *found]
+        return [timer, *found, *self._end_if_done(now_ms)]
+
+    def _end_if_done(self, now_ms: int) -> Effects:
+        is_idle = not len(self.parts.requests) and self.parts.work.is_idle
+        may_end = self.parts.stopping.may_end(is_idle, now_ms)
+        return [effects.Stop()] if may_end else []
 
     def _note_changes(
         self, changes: list[targets.Change], version: int
--- a/packages/routing/src/godwitglade/routing/messages.py
+++ b/packages/routing/src/godwitglade/routing/messages.py
@@ -178,6 +178,11 @@
     """The process is to stop in an orderly way."""
 
 
+@attrs.frozen
+class ListenerClosed:
+    """The callers' listener reads no more and has answered what it read."""
+
+
 @attrs.frozen
 class ItemResult:
     """A result's ``handle``, or why there is none."""
--- a/packages/routing/src/godwitglade/routing/stopping.py
+++ b/packages/routing/src/godwitglade/routing/stopping.py
@@ -13,11 +13,16 @@
 
 @attrs.define(eq=False)
 class Stopping:
-    """When the process may end; ``limit_ms`` bounds the whole stop."""
+    """When the process may end; ``limit_ms`` bounds the whole stop.
+
+    A listener that was told to close still reads what crosses that, so the
+    process stays until the listener is closed.
+    """
 
     limit_ms: int
     asked_ms: int | None = None
-    has_closed: bool = False
+    is_closing: bool = False
+    is_closed: bool = False
 
     @property
     def is_asked(self) -> bool:
@@ -29,15 +34,14 @@
 
         A request read later might not end before the process must.
         """
-        if self.asked_ms is None or self.has_closed:
+        if self.asked_ms is None or self.is_closing:
             return False
-        self.has_closed = now_ms - self.asked_ms >= LINGER_MS
-        return self.has_closed
+        self.is_closing = now_ms - self.asked_ms >= LINGER_MS
+        return self.is_closing
 
     def may_end(self, is_idle: bool, now_ms: int) -> bool:
         """Tell whether the process may end now."""
         if self.asked_ms is None:
             return False
-        elapsed_ms = now_ms - self.asked_ms
-        is_over = elapsed_ms >= self.limit_ms
-        return is_over or (is_idle and elapsed_ms >= LINGER_MS)
+        is_over = now_ms - self.asked_ms >= self.limit_ms
+        return is_over or (is_idle and self.is_closed)
--- a/tests/edge/test_edge.py
+++ b/tests/edge/test_edge.py
@@ -1,5 +1,6 @@
 """The edge program over real sockets, before stand-ins of the platform."""
 
+import concurrent.futures
 import contextlib
 import http.client
 import socket
@@ -10,6 +11,7 @@
 from bench.standins import edge_document
 from bench.standins import edge_platform
 from godwitglade.routing import messages
+from godwitglade.routing import stopping
 from tests.edge import deployment
 
 
@@ -293,6 +295,31 @@
     raise AssertionError('the listener stayed open')
 
 
+def test_requests_that_cross_the_end_of_listening_are_answered(edge):
+    # The listener notices that it is to close within this time.
+    edge.process.servers[0].expiration_interval = 0.5
+    kept = [connect(edge) for _ in range(16)]
+    edge.process.loop.post(messages.StopAsked())
+    time.sleep(stopping.LINGER_MS / 1_000 - 0.1)
+
+    def ask(number):
+        with kept[number] as caller:
+            time.sleep(0.05 * number)
+            sent_s = time.monotonic()
+            raw = b''
+            with contextlib.suppress(OSError):
+                caller.sendall(request_text('/once/x').encode())
+                raw = read_all(caller)
+            return raw[:12], time.monotonic() - sent_s
+
+    with concurrent.futures.ThreadPoolExecutor(len(kept)) as callers:
+        found = list(callers.map(ask, range(len(kept))))
+    # Others were not read: their connections close at once.
+    lost = [s for raw, s in found if raw != b'HTTP/1.1 200' and s > 0.2]
+    assert not lost
+    assert found[0][0] == b'HTTP/1.1 200'
+
+
 def test_log_holds_no_key_and_no_body(edge):
     edge.ask('/once/x', body=b'secret body')
     edge.ask('/once/x', key='unknown-key')
--- a/tests/routing/test_small_parts.py
+++ b/tests/routing/test_small_parts.py
@@ -167,16 +167,20 @@
 
 
 @pytest.mark.parametrize(
-    ('is_idle', 'elapsed_ms', 'may_end'),
+    ('is_idle', 'is_closed', 'elapsed_ms', 'may_end'),
     [
-        (True, stopping.LINGER_MS - 1, False),
-        (True, stopping.LINGER_MS, True),
-        (False, 5_000, False),
-        (False, 7_000, True),
+        (True, False, stopping.LINGER_MS - 1, False),
+        (True, False, stopping.LINGER_MS, False),
+        (True, True, stopping.LINGER_MS, True),
+        (False, True, 5_000, False),
+        (False, True, 7_000, True),
+        (False, False, 7_000, True),
     ],
 )
-def test_stop_waits_for_what_is_here(is_idle, elapsed_ms, may_end):
-    stop = stopping.Stopping(7_000, asked_ms=100)
+def test_stop_waits_for_what_is_here_and_still_comes(
+    is_idle, is_closed, elapsed_ms, may_end
+):
+    stop = stopping.Stopping(7_000, asked_ms=100, is_closed=is_closed)
     assert stop.may_end(is_idle, 100 + elapsed_ms) is may_end
 
 
