Keep connections to and from all hosts and callers

Each message between hosts opened a connection: the client kept 16 over all hosts, and a listener kept 10 idle ones (the server library's default), those of callers as well.

Ruled out: silent hosts that hold the threads for messages (no batch was lost, and the owner's own log goes on); the owner's memory and link.

Change: clients keep connections to 300 hosts, listeners 2,000 idle ones.

--- a/packages/daemon/src/godwitglade/daemon/servers.py
+++ b/packages/daemon/src/godwitglade/daemon/servers.py
@@ -18,6 +18,9 @@
 #: Wait for answers that are being written when a listener stops.
 STOP_TIMEOUT_S = 5
 MAX_HEADER_BYTES = 16 * 1024
+#: Idle connections that a listener keeps; the server's own default is 10.
+#: About half of the descriptors of the smallest hosts described (4,100).
+KEPT_CONNECTIONS = 2_000
 #: Longest time for the head of a request where nobody sets another.
 HEAD_TIMEOUT_MS = 10 * clocks.SECOND_MS
 SERVER_NAME = 'godwitglade'
@@ -130,6 +133,7 @@
     made: server.HTTPServer, connection_class: type, threads: int
 ) -> server.HTTPServer:
     made.max_request_header_size = MAX_HEADER_BYTES
+    made.keep_alive_conn_limit = KEPT_CONNECTIONS
     made.ConnectionClass = connection_class
     made.requests = growing_pool.GrowingPool(made, threads)
     # A reset connection of one client is no fault of the server.
--- a/packages/peers/src/godwitglade/peers/client.py
+++ b/packages/peers/src/godwitglade/peers/client.py
@@ -17,8 +17,9 @@
 TIMESTAMP_HEADER = 'X-Timestamp-Ms'
 SIGNATURE_HEADER = 'X-Signature'
 
-#: Connections kept open, over all hosts.
-POOL_COUNT = 16
+#: Connections kept open, over all hosts. The owner of a pool talks to each
+#: host of the fleet, of which the largest described has 300.
+POOL_COUNT = 300
 CONNECT_TIMEOUT_MS = 500
 REPLY_LIMIT_BYTES = 4 * 1024 * 1024
 
--- a/tests/daemon/test_servers.py
+++ b/tests/daemon/test_servers.py
@@ -9,6 +9,7 @@
 from cheroot import server as cheroot_server
 import pytest
 
+from godwitglade.daemon import connections
 from godwitglade.daemon import servers
 
 
@@ -105,3 +106,21 @@
         asked = [callers.submit(ask_once, made) for _ in range(3)]
         done, _ = concurrent.futures.wait(asked, timeout=1)
     assert not done
+
+
+def test_connections_of_many_callers_are_kept():
+    opened = []
+
+    class Counted(connections.BoundedConnection):
+        def __init__(self, *args):
+            opened.append(self)
+            super().__init__(*args)
+
+    with meeting(1, 20) as made, contextlib.ExitStack() as stack:
+        made.ConnectionClass = Counted
+        asked = [ask(made, 2) for _ in range(60)]
+        for one in asked:
+            stack.callback(one.close)
+        assert [next(one) for one in asked] == [200] * 60
+        assert [next(one) for one in asked] == [200] * 60
+        assert len(opened) == 60
