Watch the soak's links for standstills, not its process

The thread of the links stood still while others ran, which the watch on another thread did not see.

Ruled out: the hosts (their timers were on time, and they logged on).

Change: the watch ticks on the links' thread and notes gaps over 0.1 s; each result says how long the links stood still. Before: a link's thread held for 0.4 s goes unseen (test); after: noted.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -62,11 +62,14 @@
 
 def _play(seed: int, plan: core.Plan) -> bool:
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
-    broken = core.play(seed, plan, folder)
-    typer.echo(f'seed {seed}: {len(broken)} broken, logs in {folder.name}')
-    for line in broken:
+    result = core.play(seed, plan, folder)
+    typer.echo(
+        f'seed {seed}: {len(result.broken)} broken, links stood still '
+        f'{result.still_s:.1f} s, logs in {folder.name}'
+    )
+    for line in result.broken:
         typer.echo(f'  {line}')
-    return bool(broken)
+    return bool(result.broken)
 
 
 if __name__ == '__main__':
--- a/bench/soak/core.py
+++ b/bench/soak/core.py
@@ -32,15 +32,24 @@
     gap_s: float = 0.5
 
 
-def play(seed: int, plan: Plan, folder: pathlib.Path) -> list[str]:
-    """Return a line for each promise broken; logs stay in ``folder``."""
+@attrs.frozen
+class Result:
+    """A line for each promise broken, and how long the links stood still."""
+
+    broken: list[str]
+    still_s: float
+
+
+def play(seed: int, plan: Plan, folder: pathlib.Path) -> Result:
+    """Return what came of a seed; logs stay in ``folder``."""
     found = world.World(folder, plan.hosts, random.Random(seed))
     try:
         found.start()
         record = _play(found, plan)
     finally:
         found.stop()
-    return [*checks.find_broken(record), *_process_faults(found.edges)]
+    broken = [*checks.find_broken(record), *_process_faults(found.edges)]
+    return Result(broken, sum(s.until_s - s.from_s for s in record.stills))
 
 
 def _play(found: world.World, plan: Plan) -> checks.Record:
--- a/bench/soak/standstills.py
+++ b/bench/soak/standstills.py
@@ -1,17 +1,20 @@
-"""Notes when the soak's own process stands still.
+"""Notes when the soak's own links stand still.
 
-Store, targets, links and callers live in this process: while the machine
-gives it no time, nothing answers, and no promise about time can be judged.
+Store, targets, links and callers live in one process: while the machine
+gives the links' thread no time, nothing answers, and no promise about time
+can be judged.
 """
 
-import threading
+import asyncio
 import time
 
 import attrs
 
-TICK_S = 0.05
-#: Gaps between ticks that a promise about time would not survive.
-NOTED_S = 0.3
+from bench.soak import proxy
+
+TICK_S = 0.02
+#: Half of the shortest time that is judged (lossSlackMs).
+NOTED_S = 0.1
 
 
 @attrs.frozen
@@ -27,20 +30,21 @@
 
 
 class Watch:
-    """Notes standstills from a thread of its own until stopped."""
+    """Notes standstills of the links' thread until stopped."""
 
     def __init__(self) -> None:
         self.found: list[Standstill] = []
-        self._stopped = threading.Event()
-        threading.Thread(target=self._run, daemon=True).start()
+        self._is_stopped = False
+        asyncio.run_coroutine_threadsafe(self._run(), proxy.LOOP)
 
     def stop(self) -> None:
-        """End the thread."""
-        self._stopped.set()
+        """End the watch."""
+        self._is_stopped = True
 
-    def _run(self) -> None:
+    async def _run(self) -> None:
         last_s = time.monotonic()
-        while not self._stopped.wait(TICK_S):
+        while not self._is_stopped:
+            await asyncio.sleep(TICK_S)
             now_s = time.monotonic()
             if now_s - last_s > NOTED_S:
                 self.found.append(Standstill(last_s, now_s))
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -3,18 +3,20 @@
 import contextlib
 import socket
 import threading
+import time
 
 import pytest
 
 from bench.soak import core
 from bench.soak import proxy
+from bench.soak import standstills
 
 SHORT = core.Plan(hosts=3, callers=6, storm_s=4.0, planned_s=3.0)
 SEED = 20_261_204
 
 
 def test_short_soak_breaks_no_promise(tmp_path):
-    assert core.play(SEED, SHORT, tmp_path) == []
+    assert core.play(SEED, SHORT, tmp_path).broken == []
 
 
 @pytest.fixture
@@ -64,6 +66,15 @@
     assert say(echo) == b'hello'
 
 
+def test_standstills_of_the_links_are_noted():
+    watch = standstills.Watch()
+    time.sleep(0.2)
+    proxy.LOOP.call_soon_threadsafe(time.sleep, 0.4)
+    time.sleep(0.6)
+    watch.stop()
+    assert max(s.until_s - s.from_s for s in watch.found) >= 0.4
+
+
 def test_link_to_nobody_resets():
     with socket.create_server(('127.0.0.1', 0)) as gone:
         address = '127.0.0.1:%d' % gone.getsockname()[1]
