Count a listener's connections, not its waiting threads

Cause: read as a newcomer, the pool's count of waiting threads could drift both ways: a thread between finding the queue empty and waiting for it is not counted, and one that takes a connection promised to another is counted twice. Too low starts threads for nothing; too high lets a connection wait for a thread that is busy.

Ruled out: a lock around the look at the queue (the second case stays).

Change: the pool counts connections that wait or are served, up when one comes, down when its thread asks for the next; a thread starts if there are fewer threads than that.

--- a/packages/daemon/src/godwitglade/daemon/growing_pool.py
+++ b/packages/daemon/src/godwitglade/daemon/growing_pool.py
@@ -4,7 +4,6 @@
 each that it might ever serve would cost memory on every host.
 """
 
-import queue
 import threading
 import typing
 
@@ -20,23 +19,24 @@
 
     def __init__(self, made: server.HTTPServer, max_threads: int) -> None:
         super().__init__(made, min=1, max=max_threads)
-        # Threads that wait for a connection and have not been promised one.
-        self._waiting = threading.Semaphore(0)
-        self._growing = threading.Lock()
+        self._counting = threading.Lock()
+        #: Connections that wait for a thread or have one.
+        self._load = 0
+        self._own = threading.local()
         self.get = self._take
 
     def put(self, obj: typing.Any) -> None:
-        """Hand over a connection, starting a thread if all are busy."""
-        super().put(obj)
-        if self._waiting.acquire(blocking=False):
-            return
-        with self._growing:
-            if len(self._threads) < self.max:
+        """Hand over a connection, starting a thread if all are taken."""
+        with self._counting:
+            self._load += 1
+            if len(self._threads) < min(self._load, self.max):
                 self._threads.append(self._spawn_worker())
+        super().put(obj)
 
     def _take(self) -> typing.Any:
-        try:
-            return self._queue.get_nowait()
-        except queue.Empty:
-            self._waiting.release()
-            return self._queue.get()
+        """Return the next connection; the thread is done with its last."""
+        if getattr(self._own, 'is_serving', False):
+            with self._counting:
+                self._load -= 1
+        self._own.is_serving = True
+        return self._queue.get()
