--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -3,6 +3,7 @@
 import os
 import pathlib
 import random
+import signal
 import socket
 import threading
 import time
@@ -52,6 +53,7 @@
     boot: int = 0
     process: processes.Process | None = None
     faults: list[str] = attrs.field(factory=list)
+    _log_start: int = 0
 
     @property
     def log_path(self) -> pathlib.Path:
@@ -61,6 +63,8 @@
     def start(self) -> None:
         """Start the process."""
         self.boot += 1
+        if self.log_path.exists():
+            self._log_start = self.log_path.stat().st_size
         settings = self.folder / f'{self.name}.yaml'
         settings.write_text(yaml.safe_dump(self._settings()))
         self.process = processes.Process(
@@ -86,9 +90,17 @@
             self.faults.append(f'{self.name} ran on {GRACE_S} s after SIGTERM')
             self.process.kill()
             return
+        if status == -signal.SIGTERM and not self._has_started():
+            # The signal came before the program had a handler for it.
+            return
         if status:
             self.faults.append(f'{self.name} ended with status {status}')
 
+    def _has_started(self) -> bool:
+        with self.log_path.open(encoding='utf-8', errors='replace') as log:
+            log.seek(self._log_start)
+            return '"event": "started"' in log.read()
+
     def _settings(self) -> dict[str, typing.Any]:
         return {
             'nodeName': self.name,
