Remove what the change left unused, and repeats in the soak

Read over: a time that no batch reads, a constant and a parser nobody calls, a docstring that stood twice, a field of the soak's runs that no check reads. The soak passed the world's random source beside the world, numbered faults that are never sorted, and grouped all runs anew in six checks; links, targets and stand-ins each had their own code for a close that resets. Behaviour and draws stay the same; tests/soak, tests/edge and tests/routing pass.

--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -2,6 +2,7 @@
 
 import bisect
 import collections
+import functools
 import typing
 
 import attrs
@@ -48,7 +49,7 @@
         return self.spans(seen.sent_s) and self.spans(seen.ended_s)
 
 
-@attrs.frozen
+@attrs.frozen(slots=False)
 class Record:
     """All that was seen in one soak; ``settled`` follows all faults."""
 
@@ -60,7 +61,7 @@
     settled: Phase
     stills: list[standstills.Standstill] = attrs.field(factory=list)
 
-    @property
+    @functools.cached_property
     def runs_by_id(self) -> dict[str, list[standins.Run]]:
         """Return the runs of each request."""
         found: dict[str, list[standins.Run]] = collections.defaultdict(list)
@@ -74,7 +75,7 @@
             still.overlaps(from_s, until_s) for still in self.stills
         )
 
-    @property
+    @functools.cached_property
     def timely(self) -> list[callers.Seen]:
         """Return the requests of the planned phase that times bind."""
         return [
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -1,8 +1,6 @@
 """Faults from outside the processes, drawn at random; each can overlap."""
 
 import contextlib
-import itertools
-import random
 import time
 import typing
 
@@ -11,16 +9,17 @@
 from bench.soak import world
 
 Heal = typing.Callable[[], None]
-Fault = typing.Callable[[world.World, random.Random], Heal]
+Fault = typing.Callable[[world.World], Heal]
 
 TARGET_FAULTS = ('error', 'not_run', 'reset', 'short', 'garbage', 'silent')
 STORE_DELAY_S = 0.8
 
 
-def _break_link(
-    link: proxy.Link, rng: random.Random, modes: typing.Sequence[proxy.Mode]
-) -> Heal:
-    link.mode = rng.choice(modes)
+_HARMS = [mode for mode in proxy.Mode if mode is not proxy.Mode.PASS]
+
+
+def _harm(found: world.World, link: proxy.Link) -> Heal:
+    link.mode = found.rng.choice(_HARMS)
 
     def heal() -> None:
         link.mode = proxy.Mode.PASS
@@ -28,48 +27,45 @@
     return heal
 
 
-_HARMS = [mode for mode in proxy.Mode if mode is not proxy.Mode.PASS]
-
-
-def break_callers_link(found: world.World, rng: random.Random) -> Heal:
+def break_callers_link(found: world.World) -> Heal:
     """Harm the link of one host to its callers."""
-    return _break_link(rng.choice(found.edges).callers, rng, _HARMS)
+    return _harm(found, found.rng.choice(found.edges).callers)
 
 
-def break_peers_link(found: world.World, rng: random.Random) -> Heal:
+def break_peers_link(found: world.World) -> Heal:
     """Harm the link of other hosts to one host."""
-    return _break_link(rng.choice(found.edges).peers, rng, _HARMS)
+    return _harm(found, found.rng.choice(found.edges).peers)
 
 
-def break_store_link(found: world.World, rng: random.Random) -> Heal:
+def break_store_link(found: world.World) -> Heal:
     """Harm the link of one host to the store."""
-    return _break_link(rng.choice(found.edges).store, rng, _HARMS)
+    return _harm(found, found.rng.choice(found.edges).store)
 
 
-def break_target_link(found: world.World, rng: random.Random) -> Heal:
+def break_target_link(found: world.World) -> Heal:
     """Harm the link of all hosts to one target."""
-    return _break_link(rng.choice(found.targets).link, rng, _HARMS)
+    return _harm(found, found.rng.choice(found.targets).link)
 
 
-def pause_host(found: world.World, rng: random.Random) -> Heal:
+def pause_host(found: world.World) -> Heal:
     """Stop a process by SIGSTOP for a while."""
-    process = rng.choice(found.edges).process
+    process = found.rng.choice(found.edges).process
     process.pause()
     return process.resume
 
 
-def kill_host(found: world.World, rng: random.Random) -> Heal:
+def kill_host(found: world.World) -> Heal:
     """Kill a process; a new one follows."""
-    edge = rng.choice(found.edges)
+    edge = found.rng.choice(found.edges)
     if not edge.process.is_running:
         return _nothing
     edge.process.kill()
     return edge.start
 
 
-def restart_host(found: world.World, rng: random.Random) -> Heal:
+def restart_host(found: world.World) -> Heal:
     """Ask a process to stop; a new one follows."""
-    edge = rng.choice(found.edges)
+    edge = found.rng.choice(found.edges)
     if not edge.process.is_running:
         return _nothing
     edge.process.resume()
@@ -81,23 +77,23 @@
 
 
 def _set_store(name: str, value: typing.Any, usual: typing.Any) -> Fault:
-    def fault(found: world.World, rng: random.Random) -> Heal:
+    def fault(found: world.World) -> Heal:
         setattr(found.store, name, value)
         return lambda: setattr(found.store, name, usual)
 
     return fault
 
 
-def forget_history(found: world.World, rng: random.Random) -> Heal:
+def forget_history(found: world.World) -> Heal:
     """Have the store drop its history."""
     found.store.forget_history()
     return _nothing
 
 
-def misbehave(found: world.World, rng: random.Random) -> Heal:
+def misbehave(found: world.World) -> Heal:
     """Have a target answer wrongly."""
-    target = rng.choice(found.targets)
-    target.behaviours = [rng.choice(TARGET_FAULTS)]
+    target = found.rng.choice(found.targets)
+    target.behaviours = [found.rng.choice(TARGET_FAULTS)]
 
     def heal() -> None:
         target.behaviours = ['ok']
@@ -105,15 +101,15 @@
     return heal
 
 
-def replace_target(found: world.World, rng: random.Random) -> Heal:
+def replace_target(found: world.World) -> Heal:
     """Retire a target once another of its pool is there."""
-    target = rng.choice(found.targets)
+    target = found.rng.choice(found.targets)
     found.add_target(target.pool, target.zone)
     found.retire(target)
     return _nothing
 
 
-def change_keys(found: world.World, rng: random.Random) -> Heal:
+def change_keys(found: world.World) -> Heal:
     """Add a key and withdraw another."""
     found.change_keys()
     return _nothing
@@ -149,16 +145,15 @@
     """Play faults of ``kinds`` for a while; all are healed at the end."""
     rng = found.rng
     ends_s = time.monotonic() + for_s
-    order = itertools.count()
-    open_faults: list[tuple[float, int, Heal]] = []
+    open_faults: list[tuple[float, Heal]] = []
     while time.monotonic() < ends_s:
-        heal = rng.choice(kinds)(found, rng)
+        heal = rng.choice(kinds)(found)
         until_s = time.monotonic() + rng.uniform(0.3, 3.0)
-        open_faults.append((until_s, next(order), heal))
+        open_faults.append((until_s, heal))
         time.sleep(rng.uniform(0, 2 * gap_s))
         due = [f for f in open_faults if f[0] <= time.monotonic()]
         for one in due:
             open_faults.remove(one)
-            one[2]()
-    for *_, heal in open_faults:
+            one[1]()
+    for _, heal in open_faults:
         heal()
--- a/bench/soak/proxy.py
+++ b/bench/soak/proxy.py
@@ -3,14 +3,14 @@
 import asyncio
 import enum
 import socket
-import struct
 import threading
 import typing
 
+from bench.standins import server
+
 #: How often a link that is cut looks whether it is whole again.
 POLL_S = 0.02
 CHUNK_BYTES = 65_536
-_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
 
 class Mode(enum.Enum):
@@ -109,7 +109,7 @@
 def _reset(writer: asyncio.StreamWriter) -> None:
     sock = writer.get_extra_info('socket')
     if sock is not None and sock.fileno() >= 0:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+        server.reset_on_close(sock)
     writer.transport.abort()
 
 
--- a/bench/soak/standins.py
+++ b/bench/soak/standins.py
@@ -24,7 +24,6 @@
     pool: str
     at_s: float
     has_run: bool
-    is_leaving: bool
 
 
 class Store(edge_platform.Store):
@@ -84,7 +83,6 @@
                 self.pool,
                 time.monotonic(),
                 behaviour != 'not_run',
-                self.left_s is not None,
             )
         )
         if behaviour == 'ok' and self.pool == 'engine':
--- a/bench/standins/edge_platform.py
+++ b/bench/standins/edge_platform.py
@@ -6,11 +6,9 @@
 
 import base64
 import http.client
-import io
 import itertools
 import socket
 import socketserver
-import struct
 import threading
 import time
 import typing
@@ -18,10 +16,10 @@
 
 import attrs
 
+from bench.standins import server
 from godwitglade.common import codec
 
 FEED_POLL_S = 0.01
-_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
 
 @attrs.frozen
@@ -96,9 +94,7 @@
 
     def _send(self, answer: typing.Any) -> bool:
         if answer is None:
-            self.connection.setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
-            )
+            server.reset_on_close(self.connection)
             return False
         if isinstance(answer, bytes):
             self.wfile.write(answer)
@@ -397,11 +393,3 @@
     'stream_cut': _stream_cut,
     'stream_slow': _stream_slow,
 }
-
-
-def read_response(raw: bytes) -> tuple[int, dict[str, str], bytes]:
-    """Return status, headers and the undecoded body of a response."""
-    rfile = io.BytesIO(raw)
-    status = int(rfile.readline().split(b' ')[1])
-    headers = http.client.parse_headers(rfile)
-    return status, dict(headers.items()), rfile.read()
--- a/bench/standins/server.py
+++ b/bench/standins/server.py
@@ -63,6 +63,11 @@
     """Ends the connection without a reply."""
 
 
+def reset_on_close(connection: socket.socket) -> None:
+    """Have the close of a connection reset it."""
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+
+
 class StandIn:
     """Serves ``handle`` on a loopback port and applies faults.
 
@@ -258,9 +263,7 @@
     def _drop(self, is_reset: bool) -> None:
         self.close_connection = True
         if is_reset:
-            self.connection.setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
-            )
+            reset_on_close(self.connection)
             # Without a shutdown the close below sends the reset.
             self.connection.close()
 
--- a/packages/routing/src/godwitglade/routing/batching.py
+++ b/packages/routing/src/godwitglade/routing/batching.py
@@ -105,7 +105,7 @@
         if end_ms > job.deadline_ms or (end_ms > job.due_ms and is_deep):
             return [self._end(job, bodies.Ending.REFUSED, wait_ms)]
         items = set(range(job.asked.count))
-        entry = filling.Waiting(job, next(self._numbers), items, now_ms)
+        entry = filling.Waiting(job, next(self._numbers), items)
         self._waiting[job.asked.job_id] = entry
         return []
 
--- a/packages/routing/src/godwitglade/routing/filling.py
+++ b/packages/routing/src/godwitglade/routing/filling.py
@@ -41,7 +41,6 @@
     job: Job
     number: int
     pending: set[int]
-    queued_ms: int
     has_begun: bool = False
     made: dict[int, str] = attrs.Factory(dict)
     tries: int = 0
--- a/packages/routing/src/godwitglade/routing/placing.py
+++ b/packages/routing/src/godwitglade/routing/placing.py
@@ -29,7 +29,6 @@
     def choose(
         self, request: request_.Request, now_ms: int
     ) -> targets.Target | None:
-        """Return the target to send to, None when there is none left."""
         """Return the target to send to, None when there is none left."""
         usable = self._directory.usable(request.pool, now_ms)
         affinity = ''
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -35,7 +35,7 @@
 
 
 def run(**fields):
-    usual = standins.Run('a1', 'app-1', 'app', 30.05, True, False)
+    usual = standins.Run('a1', 'app-1', 'app', 30.05, True)
     return attrs.evolve(usual, **fields)
 
 
