Carry out the effects of both programs in one place

The effectors of the daemon and of the edge program each had their own copies of sending to and answering peers, timers, log lines and posting results. SharedEffector serves both. Behaviour is the same; tests of the edge, the daemon, the loop and the processes pass.

--- a/packages/daemon/src/godwitglade/daemon/effector.py
+++ b/packages/daemon/src/godwitglade/daemon/effector.py
@@ -9,8 +9,8 @@
 from godwitglade.callers import exchanges
 from godwitglade.coordination import effects as shared_effects
 from godwitglade.coordination import members
-from godwitglade.daemon import logs
 from godwitglade.daemon import pools
+from godwitglade.daemon import shared_effector
 from godwitglade.decisions import effects
 from godwitglade.decisions import messages
 from godwitglade.peers import client as peer_client
@@ -37,11 +37,10 @@
     peers: peer_client.Client
 
 
-class Effector:
+class Effector(shared_effector.SharedEffector):
     """Turns each typed effect into work on a thread or a direct call.
 
-    ``post`` hands results back to the loop; ``start_timer`` and ``exit_``
-    belong to the loop itself.
+    ``exit_`` belongs to the loop itself.
     """
 
     def __init__(
@@ -54,18 +53,16 @@
         max_calls: int,
         report: pools.Report,
     ) -> None:
+        super().__init__(
+            clients.peers, peer_replies, PEER_THREADS, logger, report
+        )
         self._clients = clients
         self._exchanges = exchanges_
-        self._peer_replies = peer_replies
-        self._logger = logger
         self._metrics = metrics
         self._calls = pools.ThreadPool('call', max_calls, report)
         self._store = pools.ThreadPool('store', STORE_THREADS, report)
-        self._peers = pools.ThreadPool('peer', PEER_THREADS, report)
         self._probes = pools.ThreadPool('probe', PROBE_THREADS, report)
-        self.post: typing.Callable[[typing.Any], None] = _unbound
-        self.start_timer: typing.Callable[[str, int], None] = _unbound
-        self.exit_: typing.Callable[[], None] = _unbound
+        self.exit_: typing.Callable[[], None] = shared_effector.unbound
 
     def stop(self) -> None:
         """Let running work end; drop the rest."""
@@ -75,12 +72,7 @@
     @functools.singledispatchmethod
     def carry_out(self, effect: typing.Any) -> None:
         """Carry out one effect without blocking the loop."""
-        raise TypeError(type(effect).__name__)
-
-    def _post_result(
-        self, function: typing.Callable, effect: typing.Any
-    ) -> None:
-        self.post(function(effect))
+        self.carry_out_shared(effect)
 
     def _read_host_list(self, query: effects.ReadHostList) -> None:
         found = self._clients.host_list.read(query)
@@ -162,22 +154,6 @@
     def _(self, effect: shared_effects.WriteObject) -> None:
         self._store.submit(self._clients.objects.write, effect)
 
-    @carry_out.register
-    def _(self, effect: shared_effects.SendPeer) -> None:
-        self._peers.submit(self._post_result, self._clients.peers.send, effect)
-
-    @carry_out.register
-    def _(self, effect: shared_effects.ReplyPeer) -> None:
-        self._peer_replies.deliver(effect.reply_token, effect.body)
-
-    @carry_out.register
-    def _(self, effect: shared_effects.StartTimer) -> None:
-        self.start_timer(effect.token, effect.due_ms)
-
-    @carry_out.register
-    def _(self, effect: shared_effects.LogEvent) -> None:
-        logs.log_event(self._logger, effect.event, effect.fields)
-
     @carry_out.register
     def _(self, effect: shared_effects.Count) -> None:
         if self._metrics is not None:
@@ -187,7 +163,3 @@
     def _(self, effect: shared_effects.Timing) -> None:
         if self._metrics is not None:
             self._metrics.timing(effect.name, effect.elapsed_ms)
-
-
-def _unbound(*_args: typing.Any) -> None:
-    raise RuntimeError('the effector is not bound to a loop')
--- a/packages/daemon/src/godwitglade/daemon/routing_effector.py
+++ b/packages/daemon/src/godwitglade/daemon/routing_effector.py
@@ -11,6 +11,7 @@
 from godwitglade.daemon import logs
 from godwitglade.daemon import metrics
 from godwitglade.daemon import pools
+from godwitglade.daemon import shared_effector
 from godwitglade.peers import client as peer_client
 from godwitglade.peers import replies
 from godwitglade.routing import documents
@@ -49,12 +50,11 @@
     refresh_targets: typing.Callable[[], None]
 
 
-class Effector:
+class Effector(shared_effector.SharedEffector):
     """Turns each effect into work on a thread or a direct call.
 
-    ``post`` hands results to the loop; ``start_timer`` and ``stop_loop``
-    belong to the loop itself, ``stop_listening`` and ``limit_callers`` to
-    the callers' listener.
+    ``stop_loop`` belongs to the loop itself, ``stop_listening`` and
+    ``limit_callers`` to the callers' listener.
     """
 
     def __init__(
@@ -64,29 +64,25 @@
         measured: metrics.Metrics,
         report: pools.Report,
     ) -> None:
+        super().__init__(
+            clients.peers, clients.peer_replies, PEER_THREADS, logger, report
+        )
         self._clients = clients
-        self._logger = logger
         self._metrics = measured
-        self._peers = pools.ThreadPool('peer', PEER_THREADS, report)
         self._stages = pools.ThreadPool('stage', STAGE_THREADS, report)
         self._frees = pools.ThreadPool('free', FREE_THREADS, report)
-        self.post: typing.Callable[[typing.Any], None] = _unbound
-        self.start_timer: typing.Callable[[str, int], None] = _unbound
-        self.stop_listening: typing.Callable[[], None] = _unbound
+        self.stop_listening: typing.Callable[[], None] = (
+            shared_effector.unbound
+        )
         self.limit_callers: typing.Callable[[documents.Limits], None] = (
-            _unbound
+            shared_effector.unbound
         )
-        self.stop_loop: typing.Callable[[], None] = _unbound
+        self.stop_loop: typing.Callable[[], None] = shared_effector.unbound
 
     @functools.singledispatchmethod
     def carry_out(self, effect: typing.Any) -> None:
         """Carry out one effect without blocking the loop."""
-        raise TypeError(type(effect).__name__)
-
-    def _post_result(
-        self, function: typing.Callable, effect: typing.Any
-    ) -> None:
-        self.post(function(effect))
+        self.carry_out_shared(effect)
 
     def _free(self, effect: effects.FreeResults) -> None:
         failure = self._clients.stages.free(effect)
@@ -136,21 +132,9 @@
     def _(self, effect: effects.Stop) -> None:
         self.stop_loop()
 
-    @carry_out.register
-    def _(self, effect: shared_effects.SendPeer) -> None:
-        self._peers.submit(self._post_result, self._clients.peers.send, effect)
-
-    @carry_out.register
-    def _(self, effect: shared_effects.ReplyPeer) -> None:
-        self._clients.peer_replies.deliver(effect.reply_token, effect.body)
-
-    @carry_out.register
-    def _(self, effect: shared_effects.StartTimer) -> None:
-        self.start_timer(effect.token, effect.due_ms)
-
     @carry_out.register
     def _(self, effect: shared_effects.LogEvent) -> None:
-        logs.log_event(self._logger, effect.event, effect.fields)
+        self.carry_out_shared(effect)
         self._metrics.count_event(effect.event)
 
     @carry_out.register
@@ -160,7 +144,3 @@
     @carry_out.register
     def _(self, effect: shared_effects.Count) -> None:
         self._metrics.count(effect.name, effect.by)
-
-
-def _unbound(*_args: typing.Any) -> None:
-    raise RuntimeError('the effector is not bound to a loop')
