Handle calls that ended badly in one place; split what callers are told

Lost, failed and broken calls each looked up the request, noted the failure, left the target, and sent again or ended the request; every handler of a call checked anew whether it is the present one. One handler does that now, `_ran_badly` serves the three, and leaving the target is part of noting a failure. What a caller is told without a target's answer is `endings`, free of state. Behaviour is the same; tests of routing and of the edge pass unchanged.

--- a/packages/routing/src/godwitglade/routing/placing.py
+++ b/packages/routing/src/godwitglade/routing/placing.py
@@ -59,14 +59,14 @@
             request.target.in_flight -= 1
             request.target = None
 
-    def note_failure(
+    def fail(
         self,
         request: request_.Request,
         detail: str,
         is_unreachable: bool,
         now_ms: int,
     ) -> Effects:
-        """Note a failed call; return log lines."""
+        """Note that a call failed and is over; return log lines."""
         target = request.target
         found = [
             request_logs.about(
@@ -88,4 +88,5 @@
                     },
                 )
             )
+        self.leave(request)
         return found
--- a/packages/routing/src/godwitglade/routing/reports.py
+++ b/packages/routing/src/godwitglade/routing/reports.py
@@ -10,7 +10,8 @@
 
 END_TOKEN = 'work:end:'
 
-#: A host that takes longer than this to confirm is told again.
+#: A host that takes longer than this to confirm a message is told again,
+#: or passed over if it is an owner.
 CONFIRM_TIMEOUT_MS = 400
 #: Times a result is sent to the host that asked.
 MAX_REPORTS = 3
--- a/packages/routing/src/godwitglade/routing/requests.py
+++ b/packages/routing/src/godwitglade/routing/requests.py
@@ -1,11 +1,10 @@
 """The life of one request: matched, staged, sent, sent again, answered.
 
-Answers every load: what a caller is told about having run is derived here
-from the calls made, in one place. See docs/design/platform.md.
+Answers every load: whether a request may have run is derived here from the
+calls made; `endings` tells the caller. See docs/design/platform.md.
 """
 
 import functools
-import math
 import random as randoms
 import typing
 
@@ -18,6 +17,7 @@
 from godwitglade.routing import budget
 from godwitglade.routing import documents
 from godwitglade.routing import effects
+from godwitglade.routing import endings
 from godwitglade.routing import forecasts
 from godwitglade.routing import knowledge
 from godwitglade.routing import messages
@@ -33,11 +33,6 @@
 DEADLINE_TOKEN = 'requests:deadline:'
 PATIENCE_TOKEN = 'requests:patience:'
 
-#: Told to come back after this time when nothing better is known.
-RETRY_AFTER_MS = 500
-#: A shorter or longer pause helps no caller.
-MIN_RETRY_AFTER_MS = 100
-MAX_RETRY_AFTER_MS = 4_000
 #: A target with less time than this has no chance to answer.
 MIN_TIME_LEFT_MS = 20
 #: The final answer is written this long before the deadline.
@@ -129,32 +124,56 @@
             return []
         return self._finish(request, 'caller_lost', [], now_ms)
 
-    @handle.register
-    def _(self, message: messages.Answered, now_ms: int) -> Effects:
-        request = self._current(message)
-        if request is None:
+    @handle.register(messages.Answered)
+    @handle.register(messages.StreamBegun)
+    @handle.register(messages.NotRun)
+    @handle.register(messages.NotSent)
+    @handle.register(messages.Lost)
+    @handle.register(messages.Failed)
+    @handle.register(messages.Broken)
+    def _(self, message: typing.Any, now_ms: int) -> Effects:
+        request = self._requests.get(message.request_id)
+        if request is None or request.calls != message.call:
+            # A call that was given up ended after all.
             return []
+        return self._take_in(message, request, now_ms)
+
+    @functools.singledispatchmethod
+    def _take_in(
+        self, message: typing.Any, request: request_.Request, now_ms: int
+    ) -> Effects:
+        """Take in what a target did with the present call of a request."""
+        raise TypeError(type(message).__name__)
+
+    @_take_in.register
+    def _(
+        self,
+        message: messages.Answered,
+        request: request_.Request,
+        now_ms: int,
+    ) -> Effects:
         placement.succeeded(request.target, message.load, now_ms)
         if not request.has_begun:
             self.forecasts.begun(request.pool, now_ms - request.sent_ms)
         outcome = f'answered_{message.status}'
         return self._finish(request, outcome, [], now_ms, is_done=True)
 
-    @handle.register
-    def _(self, message: messages.StreamBegun, now_ms: int) -> Effects:
-        request = self._current(message)
-        if request is None:
-            return []
+    @_take_in.register
+    def _(
+        self,
+        message: messages.StreamBegun,
+        request: request_.Request,
+        now_ms: int,
+    ) -> Effects:
         request.has_begun = request.has_run = True
         placement.succeeded(request.target, message.load, now_ms)
         self.forecasts.begun(request.pool, now_ms - request.sent_ms)
         return self._staging.release(request)
 
-    @handle.register
-    def _(self, message: messages.NotRun, now_ms: int) -> Effects:
-        request = self._current(message)
-        if request is None:
-            return []
+    @_take_in.register
+    def _(
+        self, message: messages.NotRun, request: request_.Request, now_ms: int
+    ) -> Effects:
         placement.heard(request.target, message.load, now_ms)
         found = [
             request_logs.about(
@@ -172,64 +191,57 @@
             return found + self._restart(request, now_ms)
         return found + self._send_again(request, now_ms)
 
-    @handle.register
-    def _(self, message: messages.NotSent, now_ms: int) -> Effects:
-        request = self._current(message)
-        if request is None:
-            return []
-        found = self._placing.note_failure(
-            request, message.detail, True, now_ms
-        )
-        self._placing.leave(request)
+    @_take_in.register
+    def _(
+        self, message: messages.NotSent, request: request_.Request, now_ms: int
+    ) -> Effects:
+        found = self._placing.fail(request, message.detail, True, now_ms)
         request.sends -= 1
         return found + self._send_again(request, now_ms)
 
-    @handle.register
-    def _(self, message: messages.Lost, now_ms: int) -> Effects:
-        request = self._current(message)
-        if request is None:
-            return []
-        request.has_run = True
-        found = self._placing.note_failure(
-            request, message.detail, False, now_ms
-        )
-        self._placing.leave(request)
-        if request.may_repeat:
-            return found + self._send_again(request, now_ms)
+    @_take_in.register
+    def _(
+        self, message: messages.Lost, request: request_.Request, now_ms: int
+    ) -> Effects:
         answer = effects.Answer(request.request_id, 502, 'no_answer')
-        return found + self._finish(request, 'lost', [answer], now_ms)
+        return self._ran_badly(request, message.detail, 'lost', answer, now_ms)
 
-    @handle.register
-    def _(self, message: messages.Failed, now_ms: int) -> Effects:
-        request = self._current(message)
-        if request is None:
-            return []
-        request.has_run = True
+    @_take_in.register
+    def _(
+        self, message: messages.Failed, request: request_.Request, now_ms: int
+    ) -> Effects:
         placement.heard(request.target, message.load, now_ms)
         detail = f'status {message.status}'
-        found = self._placing.note_failure(request, detail, False, now_ms)
-        self._placing.leave(request)
-        if request.may_repeat:
-            return found + self._send_again(request, now_ms, has_answer=True)
-        held = [effects.RelayHeld(request.request_id)]
-        return found + self._finish(request, 'failed', held, now_ms)
+        held = effects.RelayHeld(request.request_id)
+        return self._ran_badly(request, detail, 'failed', held, now_ms)
 
-    @handle.register
-    def _(self, message: messages.Broken, now_ms: int) -> Effects:
-        request = self._current(message)
-        if request is None:
-            return []
-        request.has_run = True
-        found = self._placing.note_failure(
-            request, message.detail, False, now_ms
+    @_take_in.register
+    def _(
+        self, message: messages.Broken, request: request_.Request, now_ms: int
+    ) -> Effects:
+        ending: typing.Any = effects.Abort(request.request_id)
+        if not message.has_begun:
+            ending = effects.Answer(request.request_id, 502, 'broken')
+        return self._ran_badly(
+            request, message.detail, 'broken', ending, now_ms
         )
-        self._placing.leave(request)
+
+    def _ran_badly(
+        self,
+        request: request_.Request,
+        detail: str,
+        outcome: str,
+        ending: typing.Any,
+        now_ms: int,
+    ) -> Effects:
+        """Send a request again that a target may have run, or end it."""
+        request.has_run = True
+        found = self._placing.fail(request, detail, False, now_ms)
         if request.may_repeat:
-            return found + self._send_again(request, now_ms)
-        ending: Effects = [effects.Abort(request.request_id)]
-        if not message.has_begun:
-            ending = [effects.Answer(request.request_id, 502, 'broken')]
-        return found + self._finish(request, 'broken', ending, now_ms)
+            # A failure that is held back is passed on if no target is left.
+            has_answer = isinstance(ending, effects.RelayHeld)
+            return found + self._send_again(request, now_ms, has_answer)
+        return found + self._finish(request, outcome, [ending], now_ms)
 
     def job_ended(self, job: bodies.JobEnded, now_ms: int) -> Effects:
         """Take in the end of a job that this host asked for."""
@@ -355,34 +367,16 @@
         if has_answer:
             held = [effects.RelayHeld(request.request_id)]
             return self._finish(request, 'failed', held, now_ms)
-        return self._refuse(request, 'no_target', RETRY_AFTER_MS, now_ms)
+        return self._refuse(request, 'no_target', 0, now_ms)
 
     def _refuse(
         self, request: request_.Request, reason: str, wait_ms: int, now_ms: int
     ) -> Effects:
-        """End a request that was given up; truthful about having run."""
-        if request.has_begun:
-            ending: Effects = [effects.Abort(request.request_id)]
-        elif request.has_run:
-            ending = [effects.Answer(request.request_id, 502, reason)]
-        else:
-            after_ms = _retry_after_ms(wait_ms or RETRY_AFTER_MS)
-            ending = [
-                effects.Answer(request.request_id, 503, reason, after_ms)
-            ]
+        ending = endings.refused(request, reason, wait_ms)
         return self._finish(request, reason, ending, now_ms)
 
     def _expire(self, request: request_.Request, now_ms: int) -> Effects:
-        if request.has_begun:
-            ending: Effects = [effects.Abort(request.request_id)]
-        elif request.has_run or request.target is not None:
-            ending = [effects.Answer(request.request_id, 504, 'deadline')]
-        else:
-            ending = [
-                effects.Answer(
-                    request.request_id, 503, 'deadline', RETRY_AFTER_MS
-                )
-            ]
+        ending = endings.expired(request)
         return self._finish(request, 'deadline', ending, now_ms)
 
     def _finish(
@@ -414,13 +408,3 @@
         )
         freed = self._staging.release(request)
         return [*ending, *cancelled, *freed, log, timing]
-
-    def _current(self, message: typing.Any) -> request_.Request | None:
-        """Return the request whose present call the message is about."""
-        request = self._requests.get(message.request_id)
-        is_current = request is not None and request.calls == message.call
-        return request if is_current else None
-
-
-def _retry_after_ms(wait_ms: float) -> int:
-    return math.ceil(min(MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, wait_ms)))
--- a/packages/routing/src/godwitglade/routing/work.py
+++ b/packages/routing/src/godwitglade/routing/work.py
@@ -33,8 +33,6 @@
 TICK_TOKEN = 'work:tick'
 ASK_TOKEN = 'work:ask:'
 
-#: An owner that takes longer than this to confirm a message is passed over.
-CONFIRM_TIMEOUT_MS = 400
 #: An owner with jobs of ours that was silent this long is asked again.
 SILENCE_MS = 250
 
@@ -342,7 +340,7 @@
         self._asked[token] = (name, tuple(job.job_id for job in jobs))
         body = bodies.WorkAsked(self._address, jobs)
         send = shared_effects.SendPeer(
-            token, owner.address, body, CONFIRM_TIMEOUT_MS
+            token, owner.address, body, reports.CONFIRM_TIMEOUT_MS
         )
         return [send]
 
@@ -352,7 +350,7 @@
         token = f'{ASK_TOKEN}{next(self._numbers)}'
         body = bodies.WorkReleased(tuple(job_ids))
         return shared_effects.SendPeer(
-            token, address, body, CONFIRM_TIMEOUT_MS
+            token, address, body, reports.CONFIRM_TIMEOUT_MS
         )
 
     def _watch(self, owner: _Owner, now_ms: int) -> Effects:
