--- a/packages/routing/src/godwitglade/routing/work.py
+++ b/packages/routing/src/godwitglade/routing/work.py
@@ -160,11 +160,9 @@
     ) -> Effects:
         """Hand jobs to the owners of their pools."""
         found: Effects = []
-        by_owner: dict[str, list[bodies.JobAsked]] = {}
-        for job in jobs:
-            by_owner.setdefault(
-                self.owners.owner_of(job.pool, now_ms), []
-            ).append(job)
+        by_owner = _grouped(
+            (self.owners.owner_of(job.pool, now_ms), job) for job in jobs
+        )
         for name, owned in by_owner.items():
             for job in owned:
                 self._owner_of_job[job.job_id] = name
@@ -196,9 +194,7 @@
     def end(self, ended: list[effects.EndJob], now_ms: int) -> Effects:
         """Report ends of jobs to the hosts that asked for them."""
         found: Effects = []
-        by_origin: dict[str, list[bodies.JobEnded]] = {}
-        for effect in ended:
-            by_origin.setdefault(effect.origin, []).append(effect.job)
+        by_origin = _grouped((e.origin, e.job) for e in ended)
         for origin, jobs in by_origin.items():
             if origin == self._self_id.name:
                 for job in jobs:
@@ -212,9 +208,7 @@
         self, begun: list[effects.BeginJob], now_ms: int
     ) -> Effects:
         found: Effects = []
-        by_origin: dict[str, list[str]] = {}
-        for effect in begun:
-            by_origin.setdefault(effect.origin, []).append(effect.job_id)
+        by_origin = _grouped((e.origin, e.job_id) for e in begun)
         for origin, job_ids in by_origin.items():
             if origin == self._self_id.name:
                 for job_id in job_ids:
@@ -395,6 +389,16 @@
         return [shared_effects.StartTimer(TICK_TOKEN, due_ms)]
 
 
+def _grouped(
+    pairs: typing.Iterable[tuple[str, typing.Any]],
+) -> dict[str, list[typing.Any]]:
+    """Return the values by their names, both in the order they came."""
+    found: dict[str, list[typing.Any]] = {}
+    for name, value in pairs:
+        found.setdefault(name, []).append(value)
+    return found
+
+
 def _with_wait(job: bodies.JobEnded, waits: dict[str, int]) -> bodies.JobEnded:
     if job.wait_ms:
         return job
--- a/packages/targets/src/godwitglade/targets/attempts.py
+++ b/packages/targets/src/godwitglade/targets/attempts.py
@@ -21,6 +21,14 @@
     is_cancelled: bool = False
 
 
+@attrs.define
+class Loan:
+    """What becomes of a connection; a cancelled call must not use it."""
+
+    is_cancelled: bool
+    is_reusable: bool = False
+
+
 class Attempts:
     """Maps attempt ids to their calls; safe to share between threads."""
 
@@ -48,7 +56,29 @@
             with self._lock:
                 self._running.pop(attempt_id, None)
 
-    def attach(
+    @contextlib.contextmanager
+    def lend(
+        self,
+        attempt: Attempt,
+        pool: connections.Connections,
+        connection: connections.Connection,
+    ) -> typing.Iterator[Loan]:
+        """Let a call have a connection for the time of the ``with`` block.
+
+        The connection goes back to ``pool`` if the call says that it can be
+        used again, and is closed otherwise.
+        """
+        loan = Loan(is_cancelled=not self._attach(attempt, connection))
+        try:
+            yield loan
+        finally:
+            self._detach(attempt)
+            if loan.is_reusable and not attempt.is_cancelled:
+                pool.give_back(connection)
+            else:
+                connection.close()
+
+    def _attach(
         self, attempt: Attempt, connection: connections.Connection
     ) -> bool:
         """Name the call's connection; False when it was cancelled."""
@@ -58,7 +88,7 @@
             attempt.connection = connection
             return True
 
-    def detach(self, attempt: Attempt) -> None:
+    def _detach(self, attempt: Attempt) -> None:
         """Keep the connection safe from a cancel that comes too late."""
         with self._lock:
             attempt.connection = None
--- a/packages/targets/src/godwitglade/targets/calls.py
+++ b/packages/targets/src/godwitglade/targets/calls.py
@@ -97,17 +97,9 @@
         connection = exchange.connect(
             pool, effect.needs_fresh_connection, effect.timeout_ms
         )
-        is_reusable = False
-        try:
-            if not self._attempts.attach(attempt, connection):
-                return
-            is_reusable = _converse(effect, connection, budget, post)
-        finally:
-            self._attempts.detach(attempt)
-            if is_reusable and not attempt.is_cancelled:
-                pool.give_back(connection)
-            else:
-                connection.close()
+        with self._attempts.lend(attempt, pool, connection) as loan:
+            if not loan.is_cancelled:
+                loan.is_reusable = _converse(effect, connection, budget, post)
 
     def _fault_message(
         self, effect: effects.CallTarget, error: faults.CallFaultError
--- a/packages/targets/src/godwitglade/targets/forwarding.py
+++ b/packages/targets/src/godwitglade/targets/forwarding.py
@@ -172,19 +172,12 @@
         )
         pool = self.pool(order.target.address)
         connection = self._connect(pool, order, budget)
-        is_reusable = False
-        try:
-            if not self._attempts.attach(attempt, connection):
+        with self._attempts.lend(attempt, pool, connection) as loan:
+            if loan.is_cancelled:
                 raise _not_sent('cancelled')
             call = _Call(sending, order, connection, budget)
-            message, is_reusable = self._exchange(call)
+            message, loan.is_reusable = self._exchange(call)
             return message
-        finally:
-            self._attempts.detach(attempt)
-            if is_reusable and not attempt.is_cancelled:
-                pool.give_back(connection)
-            else:
-                connection.close()
 
     def _connect(
         self,
