--- a/packages/command/src/godwitglade/command/reporting.py
+++ b/packages/command/src/godwitglade/command/reporting.py
@@ -8,14 +8,14 @@
 import attrs
 
 from godwitglade.command import errors
-from godwitglade.command import explaining
+from godwitglade.command import log_lines
 from godwitglade.command import output
 from godwitglade.command import status
 
 #: Events that end a request, and the field that says how.
 ENDS = {'request_ended': 'outcome', 'request_refused': 'reason'}
 #: What a host believes of others, beside what it believes of itself.
-BELIEFS = explaining.BELIEFS | {
+BELIEFS = log_lines.BELIEFS | {
     'target_changed',
     'target_suspended',
     'owner_lost',
@@ -65,8 +65,8 @@
     plot: pathlib.Path | None,
 ) -> status.ExitStatus:
     """Print the report; raises OptionError if there is nothing to tell."""
-    texts = explaining.texts(paths, stdin)
-    lines = list(explaining.read(texts))
+    texts = log_lines.texts(paths, stdin)
+    lines = list(log_lines.read(texts))
     if not lines:
         raise errors.OptionError('LOGS', 'they hold no log line')
     report = summarize(lines)
@@ -76,7 +76,7 @@
     return status.ExitStatus.OK
 
 
-def summarize(lines: typing.Sequence[explaining.Line]) -> Report:
+def summarize(lines: typing.Sequence[log_lines.Line]) -> Report:
     """Return the report of log lines, in any order."""
     start_s = min(line.at_s for line in lines)
     ended = [(line, _outcome(line)) for line in lines if line.event in ENDS]
@@ -125,7 +125,7 @@
         raise errors.OptionError('--plot', str(error)) from error
 
 
-def _outcome(line: explaining.Line) -> str:
+def _outcome(line: log_lines.Line) -> str:
     return str(line.fields.get(ENDS[line.event], 'unknown'))
 
 
@@ -134,7 +134,7 @@
 
 
 def _route_times(
-    lines: typing.Iterable[explaining.Line],
+    lines: typing.Iterable[log_lines.Line],
 ) -> typing.Iterator[RouteTimes]:
     times: dict[str, list[float]] = collections.defaultdict(list)
     for line in lines:
@@ -148,9 +148,9 @@
 
 
 def _beliefs(
-    lines: typing.Iterable[explaining.Line],
+    lines: typing.Iterable[log_lines.Line],
 ) -> typing.Iterator[Belief]:
-    found: dict[str, list[explaining.Line]] = collections.defaultdict(list)
+    found: dict[str, list[log_lines.Line]] = collections.defaultdict(list)
     for line in lines:
         if line.event in BELIEFS:
             found[line.event].append(line)
@@ -187,8 +187,8 @@
                 b.event,
                 b.changes,
                 b.hosts,
-                explaining.time_of(b.first_s),
-                explaining.time_of(b.last_s),
+                log_lines.time_of(b.first_s),
+                log_lines.time_of(b.last_s),
             )
             for b in report.beliefs
         ),
--- /dev/null
+++ b/tests/command/log_texts.py
@@ -0,0 +1,9 @@
+"""Log lines as hosts write them."""
+
+from godwitglade.common import codec
+
+
+def line(second, host, event, **fields):
+    stamp = f'2026-12-03T10:00:{second:06.3f}Z'
+    plain = {'host': host, 'event': event, 'timestamp': stamp, **fields}
+    return codec.to_json(plain).decode() + '\n'
--- a/tests/command/test_explaining.py
+++ b/tests/command/test_explaining.py
@@ -7,27 +7,25 @@
 from godwitglade.command import core
 from godwitglade.command import environment
 from godwitglade.common import codec
+from tests.command import log_texts
 
 START = 1_700_000_000
 
 
-def line(second, host, event, **fields):
-    stamp = f'2026-12-03T10:00:{second:06.3f}Z'
-    plain = {'host': host, 'event': event, 'timestamp': stamp, **fields}
-    return codec.to_json(plain).decode() + '\n'
-
-
 LOG = [
-    line(1, 'h1', 'routes_in_force', version=4),
-    line(2, 'h2', 'store_lost', table='op'),
-    line(3, 'h1', 'request_admitted', request='r1', document_version=4),
-    '0.1 h2 ' + line(4, 'h2', 'batch_sent', call='c|1', requests=['r1', 'r2']),
-    line(4.5, 'h1', 'request_admitted', request='r2'),
+    log_texts.line(1, 'h1', 'routes_in_force', version=4),
+    log_texts.line(2, 'h2', 'store_lost', table='op'),
+    log_texts.line(
+        3, 'h1', 'request_admitted', request='r1', document_version=4
+    ),
+    '0.1 h2 '
+    + log_texts.line(4, 'h2', 'batch_sent', call='c|1', requests=['r1', 'r2']),
+    log_texts.line(4.5, 'h1', 'request_admitted', request='r2'),
     'Traceback (most recent call last):\n',
-    line(5, 'h2', 'batch_lost', call='c|1', detail='reset'),
-    line(5.5, 'h2', 'batch_lost', call='c|9', detail='reset'),
-    line(6, 'h1', 'request_ended', request='r1', outcome='refused'),
-    line(7, 'h1', 'stopping'),
+    log_texts.line(5, 'h2', 'batch_lost', call='c|1', detail='reset'),
+    log_texts.line(5.5, 'h2', 'batch_lost', call='c|9', detail='reset'),
+    log_texts.line(6, 'h1', 'request_ended', request='r1', outcome='refused'),
+    log_texts.line(7, 'h1', 'stopping'),
 ]
 
 
--- a/tests/command/test_reporting.py
+++ b/tests/command/test_reporting.py
@@ -7,30 +7,29 @@
 from godwitglade.command import core
 from godwitglade.command import environment
 from godwitglade.common import codec
-
-
-def line(second, host, event, **fields):
-    stamp = f'2026-12-03T10:00:{second:06.3f}Z'
-    plain = {'host': host, 'event': event, 'timestamp': stamp, **fields}
-    return codec.to_json(plain).decode() + '\n'
+from tests.command import log_texts
 
 
 def ended(second, outcome, elapsed_ms, route='a'):
     fields = {'outcome': outcome, 'elapsed_ms': elapsed_ms, 'route': route}
-    return line(second, 'h1', 'request_ended', **fields)
+    return log_texts.line(second, 'h1', 'request_ended', **fields)
 
 
 LOG = ''.join(
     [
-        line(1, 'h1', 'started'),
-        line(2, 'h2', 'store_lost', table='op'),
+        log_texts.line(1, 'h1', 'started'),
+        log_texts.line(2, 'h2', 'store_lost', table='op'),
         ended(1.5, 'answered_200', 100),
         ended(2.5, 'answered_200', 300),
         ended(2.6, 'late', 900, route='b'),
         'Traceback (most recent call last):\n',
-        line(2.7, 'h2', 'request_refused', status=404, reason='no_route'),
-        line(3, 'h1', 'stage_failed', route='b', stage=1, ending='late'),
-        line(4, 'h1', 'store_lost', table='op'),
+        log_texts.line(
+            2.7, 'h2', 'request_refused', status=404, reason='no_route'
+        ),
+        log_texts.line(
+            3, 'h1', 'stage_failed', route='b', stage=1, ending='late'
+        ),
+        log_texts.line(4, 'h1', 'store_lost', table='op'),
     ]
 )
 
