Log the prompt parts of a failed call and whether its target is gone

When the peer closes a connection under a call, the forwarder now tries to open another one for 100 ms: only a refusal shows that the process has ended. A connection that opens goes to the pool. call_failed has three more fields: send, target_gone and parts. Nothing is decided by them yet.

--- a/bench/standins/edge_platform.py
+++ b/bench/standins/edge_platform.py
@@ -5,6 +5,7 @@
 """
 
 import base64
+import contextlib
 import http.client
 import itertools
 import socket
@@ -65,6 +66,11 @@
         self._server.shutdown()
         self._server.server_close()
 
+    def crash(self) -> None:
+        """Stop listening and reset all connections, as a process ends."""
+        self.stop()
+        self._server.reset_connections()
+
 
 class _Listener(socketserver.ThreadingTCPServer):
     daemon_threads = True
@@ -73,8 +79,26 @@
 
     def __init__(self, address: tuple[str, int], stand_in: Server) -> None:
         self.stand_in = stand_in
+        self._open: set[socket.socket] = set()
         super().__init__(address, _Handler)
 
+    def process_request(
+        self, request: typing.Any, client_address: typing.Any
+    ) -> None:
+        self._open.add(request)
+        super().process_request(request, client_address)
+
+    def shutdown_request(self, request: typing.Any) -> None:
+        self._open.discard(request)
+        super().shutdown_request(request)
+
+    def reset_connections(self) -> None:
+        """Reset all connections, also those that a thread still serves."""
+        for connection in list(self._open):
+            with contextlib.suppress(OSError):
+                server.reset_on_close(connection)
+                connection.shutdown(socket.SHUT_RDWR)
+
 
 class _Handler(socketserver.StreamRequestHandler):
     server: _Listener
@@ -370,6 +394,15 @@
     yield chunk(event(3)[:9])
 
 
+def _stream_crash(target: Target, request: Request) -> typing.Iterator[bytes]:
+    yield head_of_stream(target, request)
+    target.crash()
+
+
+def _crash(target: Target, request: Request) -> None:
+    target.crash()
+
+
 def _stream_slow(target: Target, request: Request) -> typing.Iterator[bytes]:
     yield head_of_stream(target, request)
     for number in range(1, 100):
@@ -394,4 +427,6 @@
     'stream': _stream,
     'stream_cut': _stream_cut,
     'stream_slow': _stream_slow,
+    'stream_crash': _stream_crash,
+    'crash': _crash,
 }
--- a/packages/routing/src/godwitglade/routing/call_tracking.py
+++ b/packages/routing/src/godwitglade/routing/call_tracking.py
@@ -67,6 +67,7 @@
         detail: str,
         is_unreachable: bool,
         now_ms: int,
+        is_target_gone: bool = False,
     ) -> Effects:
         """Record that a call failed and has ended; return log events."""
         target = request.target
@@ -77,6 +78,9 @@
                 target=target.name,
                 detail=detail,
                 after_ms=now_ms - request.sent_ms,
+                send=request.sends,
+                target_gone=is_target_gone,
+                parts=[part.name for part in request.arrived.prompt[:-1]],
             )
         ]
         if target_selection.record_failure(target, is_unreachable, now_ms):
--- a/packages/routing/src/godwitglade/routing/messages.py
+++ b/packages/routing/src/godwitglade/routing/messages.py
@@ -93,11 +93,15 @@
 
 @attrs.frozen
 class CallLost:
-    """The request was sent, but no complete response to it was received."""
+    """The request was sent, but no complete response to it was received.
+
+    ``is_target_gone`` means that the target's process ended meanwhile.
+    """
 
     request_id: str
     call: int
     detail: str
+    is_target_gone: bool = False
 
 
 @attrs.frozen
@@ -118,13 +122,15 @@
 class StreamBroken:
     """A stream broke off.
 
-    ``has_response_started`` means that the caller received a part of it.
+    ``has_response_started`` means that the caller received a part of it,
+    ``is_target_gone`` that the target's process ended meanwhile.
     """
 
     request_id: str
     call: int
     has_response_started: bool
     detail: str
+    is_target_gone: bool = False
 
 
 @attrs.frozen
--- a/packages/routing/src/godwitglade/routing/request_lifecycle.py
+++ b/packages/routing/src/godwitglade/routing/request_lifecycle.py
@@ -221,7 +221,12 @@
     ) -> Effects:
         answer = effects.Answer(request.request_id, 502, 'no_answer')
         return self._handle_failure(
-            request, message.detail, 'lost', answer, now_ms
+            request,
+            message.detail,
+            'lost',
+            answer,
+            now_ms,
+            message.is_target_gone,
         )
 
     @_apply.register
@@ -247,7 +252,12 @@
         if not message.has_response_started:
             ending = effects.Answer(request.request_id, 502, 'broken')
         return self._handle_failure(
-            request, message.detail, 'broken', ending, now_ms
+            request,
+            message.detail,
+            'broken',
+            ending,
+            now_ms,
+            message.is_target_gone,
         )
 
     def _record_start(self, request: request_.Request, now_ms: int) -> None:
@@ -261,10 +271,13 @@
         outcome: str,
         ending: typing.Any,
         now_ms: int,
+        is_target_gone: bool = False,
     ) -> Effects:
         """Retry a request that a target may have run, or end it."""
         request.has_run = True
-        effects_ = self._tracker.fail_call(request, detail, False, now_ms)
+        effects_ = self._tracker.fail_call(
+            request, detail, False, now_ms, is_target_gone
+        )
         if request.may_retry:
             # A failure held back is forwarded if no target is left.
             has_held_response = isinstance(ending, effects.ForwardHeldResponse)
--- a/packages/targets/src/godwitglade/targets/forwarding.py
+++ b/packages/targets/src/godwitglade/targets/forwarding.py
@@ -20,6 +20,8 @@
 
 #: Statuses from which a caller infers that the request was not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+#: Time limit of the connection that shows whether a target still runs.
+GONE_CHECK_TIMEOUT_MS = 100
 
 
 class Caller(typing.Protocol):
@@ -167,7 +169,13 @@
             try:
                 return self._call(context, effect, attempt)
             except faults.CallFaultError as error:
-                return _fault_message(context, effect, error)
+                is_target_gone = (
+                    error.was_sent
+                    and error.is_peer_closed
+                    and not attempt.is_cancelled
+                    and self._is_gone(effect.target.address)
+                )
+                return _fault_message(context, effect, error, is_target_gone)
 
     def _call(
         self,
@@ -200,6 +208,20 @@
         except http_exchange.TRANSPORT_ERRORS as error:
             raise _not_sent_fault(type(error).__name__) from error
 
+    def _is_gone(self, address: str) -> bool:
+        """Return whether a target's process has evidently ended.
+
+        Only a refused connection shows that: the network can be the cause
+        of a connection that breaks or times out.
+        """
+        pool = self.pool(address)
+        try:
+            connection = pool.open(GONE_CHECK_TIMEOUT_MS)
+        except http_exchange.TRANSPORT_ERRORS as error:
+            return http_exchange.is_refused(error)
+        pool.release(connection)
+        return False
+
     def _exchange(self, call: _Call) -> tuple[typing.Any, bool]:
         request = call.context.request
         http_exchange.send(
@@ -355,15 +377,16 @@
     context: ForwardingContext,
     effect: effects.Forward,
     error: faults.CallFaultError,
+    is_target_gone: bool,
 ) -> typing.Any:
     ids = (effect.request_id, effect.call)
     if not error.was_sent:
         return messages.CallNotSent(*ids, str(error))
     if effect.is_stream:
         return messages.StreamBroken(
-            *ids, context.caller.has_started, str(error)
+            *ids, context.caller.has_started, str(error), is_target_gone
         )
-    return messages.CallLost(*ids, str(error))
+    return messages.CallLost(*ids, str(error), is_target_gone)
 
 
 def _not_sent_fault(detail: str) -> faults.CallFaultError:
@@ -373,7 +396,9 @@
 
 
 def _lost_fault(detail: str) -> faults.CallFaultError:
-    return faults.CallFaultError(http_exchange.FaultKind.LOST, detail)
+    return faults.CallFaultError(
+        http_exchange.FaultKind.LOST, detail, is_peer_closed=True
+    )
 
 
 def _attempt_key(request_id: str, call: int) -> str:
--- a/packages/targets/src/godwitglade/targets/http_exchange.py
+++ b/packages/targets/src/godwitglade/targets/http_exchange.py
@@ -85,7 +85,7 @@
             FaultKind.CONNECT,
             type(error).__name__,
             was_sent=False,
-            is_peer_closed=_is_refused(error),
+            is_peer_closed=is_refused(error),
         ) from error
 
 
@@ -176,6 +176,7 @@
     )
 
 
-def _is_refused(error: BaseException) -> bool:
+def is_refused(error: BaseException) -> bool:
+    """Return whether a connection failed because the peer refused it."""
     refused = (ConnectionRefusedError, ConnectionResetError)
     return isinstance(error, refused) or isinstance(error.__cause__, refused)
--- a/tests/edge/test_edge.py
+++ b/tests/edge/test_edge.py
@@ -133,6 +133,27 @@
     )
 
 
+@pytest.mark.parametrize(
+    ('path', 'behaviour', 'is_gone'),
+    [
+        ('/once/x', 'crash', 'true'),
+        ('/stream/x', 'stream_crash', 'true'),
+        ('/once/x', 'reset', 'false'),
+        ('/once/x', 'short', 'false'),
+        ('/stream/x', 'stream_cut', 'false'),
+    ],
+)
+def test_end_of_a_target_is_told_from_a_broken_connection(
+    edge, path, behaviour, is_gone
+):
+    edge.set_behaviours('app' if path == '/once/x' else 'engine', behaviour)
+    prompt = {'X_Prefix_Hash': '5c1e:800,91bd:410,e440:20'}
+    with contextlib.suppress(http.client.HTTPException, OSError):
+        edge.send_request(path, **prompt)
+    edge.wait_for(lambda: f'"target_gone": {is_gone}' in edge.log.text)
+    assert '"parts": ["5c1e", "91bd"]' in edge.log.text
+
+
 def test_caller_disconnect_is_detected_while_streaming(edge):
     edge.set_behaviours('engine', 'stream_slow')
     host, port = edge.address.split(':')
--- /dev/null
+++ b/tests/routing/fleet.py
@@ -0,0 +1,314 @@
+"""Many hosts free of I/O, with engines that a part of a prompt crashes."""
+
+import heapq
+import itertools
+import random
+
+import attrs
+
+from godwitglade.coordination import effects as shared_effects
+from godwitglade.coordination import hosts
+from godwitglade.coordination import members
+from godwitglade.coordination import messages as shared_messages
+from godwitglade.routing import documents
+from godwitglade.routing import effects
+from godwitglade.routing import host as routing_host
+from godwitglade.routing import messages
+from tests.routing import builders
+
+CONTACT_MS = 3_000
+CRASH_AFTER_MS = 80
+LATENCY_MS = (1, 4)
+#: Time after which the hosts know of a target that has started or ended.
+LIST_DELAY_MS = (200, 500)
+EXPIRY_MS = 1_200
+PROCESS_START_MS = 1_000
+ROUTE = builders.route(
+    documents.RequestKind.STREAM,
+    timeout_ms=6_000,
+    pools=(documents.WeightedPool('engine'),),
+    has_prompt=True,
+)
+RESUMABLE = attrs.evolve(
+    ROUTE, name='resumable', prefix='/b/', is_resumable=True, max_targets=3
+)
+
+
+@attrs.define(eq=False)
+class Engine:
+    """An engine with the calls that run on it."""
+
+    name: str
+    calls: dict = attrs.field(factory=dict)
+    is_alive: bool = True
+
+    @property
+    def listed(self):
+        """Return the entry of the list of targets."""
+        return builders.listed(self.name, 'engine', slots=48)
+
+
+@attrs.define(eq=False)
+class Node:
+    """A host; ``in_touch_ms`` is the time from which rules bind it."""
+
+    name: str
+    address: str
+    host: routing_host.Host | None = None
+    incarnation: int = 0
+    in_touch_ms: int = 0
+
+
+@attrs.define(eq=False)
+class Attempt:
+    """A request with the parts of its prompt, and when it began."""
+
+    parts: tuple
+    sent_ms: int
+    begun_ms: int | None = None
+    status: int | None = None
+    arrivals_ms: list = attrs.field(factory=list)
+
+
+class Fleet:
+    """Hosts, engines and callers with a virtual clock.
+
+    A request with a part in ``bad_parts``, not the last, ends the process of
+    each engine that begins to answer it.
+    """
+
+    def __init__(self, seed, host_count=9, engine_count=6):
+        self.rng = random.Random(seed)
+        self.now_ms = 0
+        self.bad_parts = set()
+        self.crashes_ms = {}
+        self.attempts = []
+        self.engines = []
+        self.lost_share = 0.0
+        self.cut_names = frozenset()
+        self.store_is_down = False
+        self._events = []
+        self._numbers = itertools.count(1)
+        self._reply_tokens = {}
+        self._open = {}
+        for _ in range(engine_count):
+            self.start_engine()
+        self.nodes = {
+            f'h{n}': Node(f'h{n}', f'10.0.1.{n}:1') for n in range(host_count)
+        }
+        for node in self.nodes.values():
+            self.start(node)
+
+    def at(self, due_ms, function, *args):
+        """Call a function at a time."""
+        event = (due_ms, next(self._numbers), function, args)
+        heapq.heappush(self._events, event)
+
+    def run(self, duration_ms):
+        """Advance the clock."""
+        end_ms = self.now_ms + duration_ms
+        while self._events and self._events[0][0] <= end_ms:
+            self.now_ms, _, function, args = heapq.heappop(self._events)
+            function(*args)
+        self.now_ms = end_ms
+
+    def _later(self, function, *args, span_ms=LATENCY_MS):
+        self.at(self.now_ms + self.rng.randint(*span_ms), function, *args)
+
+    # Hosts
+
+    def start(self, node):
+        """Start the process of a host."""
+        node.incarnation += 1
+        node.in_touch_ms = self.now_ms + CONTACT_MS if self.now_ms else 0
+        zone = f'z{int(node.name[1:]) % 3}'
+        components = routing_host.make_components(
+            hosts.HostId(node.name, zone, node.incarnation),
+            node.address,
+            random.Random(self.rng.getrandbits(64)),
+            routing_host.Settings(),
+        )
+        node.host = routing_host.Host(components)
+        document = builders.document(ROUTE, RESUMABLE)
+        self._post(node, messages.DocumentRead(document, self.now_ms))
+        entries = tuple(
+            members.HostEntry(n.name, f'z{int(n.name[1:]) % 3}', n.address)
+            for n in self.nodes.values()
+        )
+        self._post(node, messages.HostsRead(entries))
+        listed = tuple(e.listed for e in self.engines if e.is_alive)
+        self._post(node, messages.TargetsRead(listed, 1))
+        self._carry_out(node, node.host.start(self.now_ms))
+
+    def restart(self, names):
+        """Kill processes, and start them again after a second."""
+        for name in names:
+            node = self.nodes[name]
+            node.host = None
+            self.at(self.now_ms + PROCESS_START_MS, self.start, node)
+
+    def _post(self, node, message):
+        if node.host is not None:
+            self._carry_out(node, node.host.handle(message, self.now_ms))
+
+    def _post_to(self, node, incarnation, message):
+        if node.incarnation == incarnation:
+            self._post(node, message)
+
+    def _carry_out(self, node, new_effects):
+        for effect in new_effects:
+            handler = self._HANDLERS.get(type(effect))
+            if handler is not None:
+                handler(self, node, effect)
+
+    def _start_timer(self, node, effect):
+        message = shared_messages.TimerFired(effect.token)
+        due_ms = max(self.now_ms, effect.due_ms)
+        self.at(due_ms, self._post_to, node, node.incarnation, message)
+
+    def _send_peer(self, node, effect):
+        receiver = next(
+            n for n in self.nodes.values() if n.address == effect.address
+        )
+        is_cut = (receiver.name in self.cut_names) != (
+            node.name in self.cut_names
+        )
+        if is_cut or self.rng.random() < self.lost_share:
+            reply = shared_messages.PeerReply(effect.token, None)
+            self.at(
+                self.now_ms + effect.timeout_ms,
+                self._post_to,
+                node,
+                node.incarnation,
+                reply,
+            )
+            return
+        token = f'reply{next(self._numbers)}'
+        self._reply_tokens[token] = (node, node.incarnation, effect.token)
+        sender = node.host.components.members.table.own.host
+        message = shared_messages.PeerMessage(sender, effect.body, token)
+        self._later(self._post, receiver, message)
+
+    def _reply_peer(self, _node, effect):
+        node, incarnation, token = self._reply_tokens.pop(effect.reply_token)
+        reply = shared_messages.PeerReply(token, effect.body)
+        self._later(self._post_to, node, incarnation, reply)
+
+    # Engines
+
+    def start_engine(self):
+        """Start an engine under a new name."""
+        engine = Engine(f'e{len(self.engines)}')
+        self.engines.append(engine)
+        self._tell_later(messages.TargetsChanged((engine.listed,), (), 1))
+
+    def _tell_later(self, message, extra_ms=0):
+        for node in getattr(self, 'nodes', {}).values():
+            delay_ms = extra_ms + self.rng.randint(*LIST_DELAY_MS)
+            self.at(self.now_ms + delay_ms, self._post, node, message)
+
+    def end_engine(self, engine):
+        """End the process of an engine; another one starts later."""
+        if not engine.is_alive:
+            return
+        engine.is_alive = False
+        for node, incarnation, effect, _ in engine.calls.values():
+            attempt = self._open[effect.request_id]
+            broken = messages.StreamBroken(
+                effect.request_id,
+                effect.call,
+                attempt.begun_ms is not None,
+                'lost',
+                is_target_gone=True,
+            )
+            self._later(self._post_to, node, incarnation, broken)
+        engine.calls.clear()
+        removed = messages.TargetsChanged((), (engine.name,), 1)
+        self._tell_later(removed, EXPIRY_MS)
+        back_ms = self.now_ms + self.rng.randint(2_000, 4_000)
+        self.at(back_ms, self.start_engine)
+
+    def _forward(self, node, effect):
+        engine = next(e for e in self.engines if e.name == effect.target.name)
+        self._later(self._arrive, node, node.incarnation, effect, engine)
+
+    def _arrive(self, node, incarnation, effect, engine):
+        if not engine.is_alive:
+            message = messages.CallNotSent(
+                effect.request_id, effect.call, 'refused'
+            )
+            self._later(self._post_to, node, incarnation, message)
+            return
+        attempt = self._open[effect.request_id]
+        if self.now_ms >= node.in_touch_ms:
+            attempt.arrivals_ms.append(self.now_ms)
+        key = (effect.request_id, effect.call)
+        engine.calls[key] = (node, incarnation, effect, attempt)
+        if self.bad_parts & set(attempt.parts[:-1]):
+            due_ms = self.now_ms + CRASH_AFTER_MS
+            self.at(due_ms, self._crash, engine, key)
+        else:
+            due_ms = self.now_ms + self.rng.randint(60, 300)
+            self.at(due_ms, self._begin, engine, key)
+
+    def _crash(self, engine, key):
+        if engine.is_alive and key in engine.calls:
+            parts = set(engine.calls[key][3].parts[:-1])
+            for part in self.bad_parts & parts:
+                self.crashes_ms.setdefault(part, []).append(self.now_ms)
+            self.end_engine(engine)
+
+    def _begin(self, engine, key):
+        if key not in engine.calls:
+            return
+        node, incarnation, effect, attempt = engine.calls[key]
+        if effect.call == 1:
+            attempt.begun_ms = self.now_ms
+        message = messages.StreamStarted(effect.request_id, effect.call)
+        self._post_to(node, incarnation, message)
+        due_ms = self.now_ms + self.rng.randint(300, 2_500)
+        self.at(due_ms, self._complete, engine, key)
+
+    def _complete(self, engine, key):
+        if key in engine.calls:
+            node, incarnation, effect, _ = engine.calls.pop(key)
+            message = messages.ResponseCompleted(
+                effect.request_id, effect.call, 200
+            )
+            self._post_to(node, incarnation, message)
+
+    def _cancel_call(self, _node, effect):
+        for engine in self.engines:
+            engine.calls.pop((effect.request_id, effect.call), None)
+
+    # Callers
+
+    def send(self, parts, path='/a/x'):
+        """Send a request to a running host, chosen at random."""
+        running = [n for n in self.nodes.values() if n.host is not None]
+        if not running:
+            return
+        node = self.rng.choice(running)
+        attempt = Attempt(parts, self.now_ms)
+        self.attempts.append(attempt)
+        name = f'r{next(self._numbers)}'
+        self._open[name] = attempt
+        arrived = builders.arrived(
+            name,
+            path,
+            self.now_ms,
+            prompt=tuple(messages.PromptPart(p, 100) for p in parts),
+        )
+        self._post(node, arrived)
+
+    def _answer(self, _node, effect):
+        self._open[effect.request_id].status = effect.status
+
+    _HANDLERS = {
+        shared_effects.StartTimer: _start_timer,
+        shared_effects.SendPeer: _send_peer,
+        shared_effects.ReplyPeer: _reply_peer,
+        effects.Forward: _forward,
+        effects.CancelCall: _cancel_call,
+        effects.Answer: _answer,
+    }
