Quarantine copies of a request that crash targets

Cause: the same as for prompt parts. Change: a request's fingerprint, of path, key and body, is one of its traits, also on routes without prompts.

With other targets ending, and with a restart of all hosts, at most 3 arrivals.

--- a/packages/routing/src/godwitglade/routing/admission.py
+++ b/packages/routing/src/godwitglade/routing/admission.py
@@ -70,7 +70,7 @@
             deadline_ms=message.read_ms + budget_ms,
             due_ms=message.read_ms + min(budget_ms, route.objective_ms),
             progress=progress,
-            traits=traits.traits_of(message) if route.has_prompt else (),
+            traits=traits.traits_of(message, route.has_prompt),
         )
 
     def _select_pool(self, route: documents.Route) -> str:
--- a/packages/routing/src/godwitglade/routing/quarantine.py
+++ b/packages/routing/src/godwitglade/routing/quarantine.py
@@ -161,13 +161,13 @@
         now_ms: int,
     ) -> Effects:
         """Record that the process of a target ended under a request."""
-        if is_settled(request, now_ms):
-            return []
+        settled = settled_traits(request, now_ms)
         # What was served elsewhere in that time does not crash targets.
         suspected = [
             trait
             for trait in request.traits
-            if self._successes_ms.get(trait, -1) < request.sent_ms
+            if trait not in settled
+            and self._successes_ms.get(trait, -1) < request.sent_ms
         ]
         if not suspected:
             return []
@@ -366,13 +366,15 @@
         return started + ended
 
 
-def is_settled(request: request_.Request, now_ms: int) -> bool:
-    """Return whether the parts of a request do not crash its target.
+def settled_traits(request: request_.Request, now_ms: int) -> tuple[str, ...]:
+    """Return the traits that do not crash the target of a request.
 
     A target reads the whole prompt before it starts to respond.
     """
     started_ms = request.response_started_ms
-    return started_ms is not None and now_ms - started_ms >= SETTLED_MS
+    if started_ms is None or now_ms - started_ms < SETTLED_MS:
+        return ()
+    return tuple(filter(traits.is_part, request.traits))
 
 
 def _crash_id(target: targets.TargetEntry) -> str:
--- a/packages/routing/src/godwitglade/routing/request_lifecycle.py
+++ b/packages/routing/src/godwitglade/routing/request_lifecycle.py
@@ -308,8 +308,9 @@
         return [
             effect
             for request in self._requests.values()
-            if quarantine.is_settled(request, now_ms)
-            for effect in self._quarantine.clear(request.traits)
+            for effect in self._quarantine.clear(
+                quarantine.settled_traits(request, now_ms)
+            )
         ]
 
     def refuse_quarantined(self, now_ms: int) -> Effects:
--- a/packages/routing/src/godwitglade/routing/traits.py
+++ b/packages/routing/src/godwitglade/routing/traits.py
@@ -1,4 +1,8 @@
-"""What a request may have in common with others that crash targets."""
+"""What a request may have in common with others that crash targets.
+
+These are the parts of its prompt, and its fingerprint, which is that of its
+copies too.
+"""
 
 import typing
 
@@ -6,19 +10,33 @@
 
 from godwitglade.routing import messages
 
+PART = 'part'
+REQUEST = 'request'
 #: Prompt parts of a request that are considered.
 MAX_PARTS = 32
 #: Longer names, and those with other characters, are hashed.
 MAX_NAME_LENGTH = 24
 
 
-def traits_of(arrived: messages.RequestArrived) -> tuple[str, ...]:
+def traits_of(
+    arrived: messages.RequestArrived, has_prompt: bool
+) -> tuple[str, ...]:
     """Return the traits of a request, each a short text.
 
     The last part of a prompt belongs to the request itself.
     """
-    parts = (part.name for part in arrived.prompt[:-1][:MAX_PARTS])
-    return tuple(f'part:{_short(name)}' for name in dict.fromkeys(parts))
+    shared = arrived.prompt[:-1][:MAX_PARTS] if has_prompt else ()
+    names = dict.fromkeys(part.name for part in shared)
+    copies = (arrived.fingerprint,) if arrived.fingerprint else ()
+    return (
+        *(f'{PART}:{_short(name)}' for name in names),
+        *(f'{REQUEST}:{_short(name)}' for name in copies),
+    )
+
+
+def is_part(trait: str) -> bool:
+    """Return whether a trait is a part of a prompt."""
+    return trait.startswith(f'{PART}:')
 
 
 def is_trait(value: typing.Any) -> bool:
@@ -26,7 +44,7 @@
     if not isinstance(value, str):
         return False
     kind, _, name = value.partition(':')
-    return kind == 'part' and name == _short(name) != ''
+    return kind in (PART, REQUEST) and name == _short(name) != ''
 
 
 def _short(name: str) -> str:
--- a/tests/routing/fleet.py
+++ b/tests/routing/fleet.py
@@ -32,6 +32,9 @@
 RESUMABLE = attrs.evolve(
     ROUTE, name='resumable', prefix='/b/', is_resumable=True, max_targets=3
 )
+WITHOUT_PROMPT = attrs.evolve(
+    ROUTE, name='without prompt', prefix='/c/', has_prompt=False
+)
 
 
 @attrs.define(eq=False)
@@ -73,8 +76,8 @@
 class Fleet:
     """Hosts, engines and callers with a virtual clock.
 
-    A request with a part in ``bad_parts``, not the last, ends the process of
-    each engine that begins to answer it.
+    A request with a part in ``bad_parts`` ends the process of each engine
+    that begins to answer it. The last part is also its fingerprint.
     """
 
     def __init__(self, seed, host_count=9, engine_count=6):
@@ -130,7 +133,7 @@
             routing_host.Settings(),
         )
         node.host = routing_host.Host(components)
-        document = builders.document(ROUTE, RESUMABLE)
+        document = builders.document(ROUTE, RESUMABLE, WITHOUT_PROMPT)
         self._post(node, messages.DocumentRead(document, self.now_ms))
         entries = tuple(
             members.HostEntry(n.name, f'z{int(n.name[1:]) % 3}', n.address)
@@ -265,7 +268,7 @@
             attempt.arrivals_ms.append(self.now_ms)
         key = (effect.request_id, effect.call)
         engine.calls[key] = (node, incarnation, effect, attempt)
-        if self.bad_parts & set(attempt.parts[:-1]):
+        if self.bad_parts & set(attempt.parts):
             due_ms = self.now_ms + CRASH_AFTER_MS
             self.at(due_ms, self._crash, engine, key)
         else:
@@ -274,7 +277,7 @@
 
     def _crash(self, engine, key):
         if engine.is_alive and key in engine.calls:
-            parts = set(engine.calls[key][3].parts[:-1])
+            parts = set(engine.calls[key][3].parts)
             for part in self.bad_parts & parts:
                 self.crashes_ms.setdefault(part, []).append(self.now_ms)
             self.end_engine(engine)
@@ -319,6 +322,7 @@
             path,
             self.now_ms,
             prompt=tuple(messages.PromptPart(p, 100) for p in parts),
+            fingerprint=parts[-1],
         )
         self._post(node, arrived)
 
--- a/tests/routing/test_crashing_parts.py
+++ b/tests/routing/test_crashing_parts.py
@@ -35,6 +35,10 @@
         self.fleet.send((*parts, f'own{number}'), self.path)
         self._again(lambda until: self.bad(part, until), until_ms, 200, 600)
 
+    def copies(self, name, until_ms):
+        self.fleet.send((FIRST_PARTS[0], 'subject1', name), '/c/x')
+        self._again(lambda until: self.copies(name, until), until_ms, 200, 600)
+
     def _again(self, function, until_ms, low_ms, high_ms):
         due_ms = self.fleet.now_ms + self.fleet.rng.randint(low_ms, high_ms)
         if due_ms < until_ms:
@@ -87,12 +91,12 @@
     return fleet_
 
 
-def late_arrivals(fleet_, part):
+def late_arrivals(fleet_, part, crash_count=5):
     """Return how many requests reached engines too late for the part."""
     crashes_ms = fleet_.crashes_ms.get(part, [])
-    if len(crashes_ms) < 5:
+    if len(crashes_ms) < crash_count:
         return 0
-    from_ms = crashes_ms[4] + fleet.CONTACT_MS
+    from_ms = crashes_ms[crash_count - 1] + fleet.CONTACT_MS
     return sum(
         at_ms > from_ms
         for attempt in fleet_.attempts
@@ -135,6 +139,22 @@
     check(play(seed, host_count=60))
 
 
+@pytest.mark.parametrize('fault', ['none', 'all restart', 'engines end'])
+def test_copies_of_a_request_that_crashes_engines_are_not_sent_on(fault):
+    fleet_ = fleet.Fleet(31)
+    load = Load(fleet_, 1, '/a/x')
+    fleet_.run(5_000)
+    load.sound(65_000)
+    fleet_.run(20_000)
+    fleet_.bad_parts = {'copied'}
+    load.copies('copied', 65_000)
+    FAULTS[fault](fleet_)
+    fleet_.run(45_000)
+    assert late_arrivals(fleet_, 'copied', 3) <= ALLOWED_ARRIVALS
+    before = begun_share(fleet_, 8_000, 24_000)
+    assert begun_share(fleet_, 34_000, 64_000) >= before / 2
+
+
 @pytest.mark.parametrize('path', ['/a/x', '/b/x'])
 def test_two_parts_that_crash_engines_are_not_sent_on(path):
     check(play(21, path=path, bad=2))
