Follow a store that goes back to an older state

Cause of what failed: versions were taken to grow for ever. The list of targets ignored every change until the store had caught up with the versions seen before, a document whose row version was given out again was not decoded, and a host whose registration was lost stayed unlisted.

Change: the era goes before the version wherever versions are compared. A feed of a new era is followed by a full read. An entry of a target that had gone is used again only if the target has reported since. A document older than the one in force was never applied and still is not.

--- a/bench/standins/edge_platform.py
+++ b/bench/standins/edge_platform.py
@@ -157,6 +157,7 @@
         self._rows: dict[tuple[str, str], dict[str, typing.Any]] = {}
         self._version = 0
         self._oldest_version = 0
+        self._era = 1
         self._changed = threading.Condition()
         self._is_stopped = False
         self.is_down = False
@@ -189,6 +190,17 @@
         self._version += 1
         self._oldest_version = self._version
 
+    def copy(self) -> typing.Any:
+        """Return a copy of all rows, for `restore`."""
+        return dict(self._rows), self._version
+
+    def restore(self, copied: typing.Any) -> None:
+        """Go back to a copy; its later versions are given out again."""
+        rows, self._version = copied
+        self._rows = dict(rows)
+        self._era += 1
+        self._notify()
+
     def answer(self, request: Request) -> bytes | None:
         """Answer one call."""
         if self._is_stopped:
@@ -224,8 +236,8 @@
 
     def _feed(self, query: dict[str, str]) -> bytes:
         after = int(query['after'])
-        if after < self._oldest_version:
-            return response(410, {})
+        if not self._oldest_version <= after <= self._version:
+            return response(410, {'Store-Era': str(self._era)})
         until_s = time.monotonic() + int(query['waitMs']) / 1_000
         with self._changed:
             while not (rows := self._rows_after(query['table'], after)):
@@ -249,7 +261,10 @@
             'schemaVersion': self._version,
             'nowMs': 0,
         }
-        headers = {'Content-Type': 'application/json'}
+        headers = {
+            'Content-Type': 'application/json',
+            'Store-Era': str(self._era),
+        }
         return response(200, headers, codec.to_json(plain))
 
 
--- a/packages/daemon/src/godwitglade/daemon/loop.py
+++ b/packages/daemon/src/godwitglade/daemon/loop.py
@@ -138,3 +138,14 @@
     def _carry_out_all(self, effects: typing.Iterable[typing.Any]) -> None:
         for effect in effects:
             self._carry_out(effect)
+
+
+class Inbox:
+    """Forwards messages to a loop that is created after its clients."""
+
+    def __init__(self) -> None:
+        self.loop: Loop | None = None
+
+    def post(self, message: typing.Any) -> None:
+        """Post a message to the loop."""
+        self.loop.post(message)
--- a/packages/platform/src/godwitglade/platform/follower.py
+++ b/packages/platform/src/godwitglade/platform/follower.py
@@ -35,12 +35,15 @@
 class Rows:
     """Rows of a table as of ``version``.
 
-    ``outage_ms`` is the length of the outage that preceded this read.
+    ``outage_ms`` is the length of the outage that preceded this read. In
+    each new ``era`` the store has gone back to an older state, and versions
+    are given out again.
     """
 
     rows: list[dict[str, typing.Any]]
     version: int
     outage_ms: int = 0
+    era: int = 0
 
 
 class Client(typing.Protocol):
@@ -115,6 +118,7 @@
         self._availability = Availability(log, table)
         self._pace = pace
         self._version: int | None = None
+        self._era = 0
         self._full_read_started_ms: int | None = None
         self._last_response_ms = clock.monotonic_ms()
         self._wake_event = threading.Event()
@@ -155,6 +159,11 @@
             self._availability.record_failure(str(error))
             self._version = None
             return RETRY_MS
+        is_new_era, self._era = result.era != self._era, result.era
+        if is_new_era and not is_full_read:
+            # The feed may have left out changes between two equal versions.
+            self._version = None
+            return 0
         response_ms = self._clock.monotonic_ms()
         if self._availability.is_lost:
             outage_ms = response_ms - self._last_response_ms
--- a/packages/platform/src/godwitglade/platform/registration.py
+++ b/packages/platform/src/godwitglade/platform/registration.py
@@ -1,5 +1,6 @@
-"""Registers a host in a table of the store when it starts."""
+"""Registers a host in a table of the store."""
 
+import threading
 import typing
 
 from godwitglade.common import clock as clocks
@@ -20,15 +21,21 @@
     key: str,
     value: typing.Any,
     log: follower.Log,
-    wait: typing.Callable[[float], typing.Any],
+    is_lost: threading.Event,
 ) -> None:
-    """Write a row, retrying until that succeeds."""
+    """Write a row, and again each time that ``is_lost`` is set.
+
+    Meant to run on a dedicated thread.
+    """
     availability = follower.Availability(log, table)
+    pause = threading.Event()
     while True:
         try:
             client.write(table, key, value)
-            availability.record_success()
-            return
         except errors.CodedError as error:
             availability.record_failure(str(error))
-        wait(follower.RETRY_MS / clocks.SECOND_MS)
+            pause.wait(follower.RETRY_MS / clocks.SECOND_MS)
+            continue
+        availability.record_success()
+        is_lost.wait()
+        is_lost.clear()
--- a/packages/platform/src/godwitglade/platform/service.py
+++ b/packages/platform/src/godwitglade/platform/service.py
@@ -5,6 +5,7 @@
 """
 
 import random as random_module
+import typing
 
 import attrs
 import urllib3
@@ -32,6 +33,7 @@
     status: int
     content: bytes
     etag: str = ''
+    headers: typing.Mapping[str, str] = attrs.Factory(dict)
 
 
 @attrs.frozen
@@ -130,7 +132,7 @@
         if content is None:
             return NoAnswer()
         etag = response.headers.get('ETag', '')
-        return Answer(response.status, content, etag)
+        return Answer(response.status, content, etag, response.headers)
 
     def _read(
         self, response: urllib3.BaseHTTPResponse, deadline_ms: int
--- a/packages/routing/src/godwitglade/routing/host.py
+++ b/packages/routing/src/godwitglade/routing/host.py
@@ -246,14 +246,22 @@
     @_dispatch.register
     def _(self, message: messages.TargetsRead, now_ms: int) -> Effects:
         changes = self.components.directory.replace(
-            message.listed, message.version, now_ms, message.outage_ms
+            message.listed,
+            message.version,
+            now_ms,
+            message.outage_ms,
+            message.era,
         )
         return self._report_changes(changes, message.version)
 
     @_dispatch.register
     def _(self, message: messages.TargetsChanged, now_ms: int) -> Effects:
         changes = self.components.directory.update(
-            message.present, message.removed, message.version, now_ms
+            message.present,
+            message.removed,
+            message.version,
+            now_ms,
+            message.era,
         )
         return self._report_changes(changes, message.version)
 
--- a/packages/routing/src/godwitglade/routing/messages.py
+++ b/packages/routing/src/godwitglade/routing/messages.py
@@ -154,12 +154,14 @@
 class TargetsRead:
     """The complete list of targets as of a store version.
 
-    ``outage_ms`` is how long the store did not answer before this read.
+    ``outage_ms`` is how long the store did not answer before this read. In
+    each new ``era`` the store has gone back to an older state.
     """
 
     listed: tuple[targets.TargetEntry, ...]
     version: int
     outage_ms: int = 0
+    era: int = 0
 
 
 @attrs.frozen
@@ -169,6 +171,7 @@
     present: tuple[targets.TargetEntry, ...]
     removed: tuple[str, ...]
     version: int
+    era: int = 0
 
 
 @attrs.frozen
--- a/packages/routing/src/godwitglade/routing/targets.py
+++ b/packages/routing/src/godwitglade/routing/targets.py
@@ -4,6 +4,7 @@
 store is unavailable, and names and addresses that are reused.
 """
 
+import collections
 import typing
 
 import attrs
@@ -14,6 +15,8 @@
 #: Entries may expire in an outage of the store of at least this time: the
 #: store drops targets after three missed check-ins, over a second apart.
 MIN_LAPSE_OUTAGE_MS = 2_000
+#: Targets that have gone, kept for a store that goes back.
+MAX_GONE = 1_024
 
 
 @attrs.frozen
@@ -22,6 +25,7 @@
 
     ``name`` is unique to one incarnation of the target unless it restarts
     under its old name; ``started_ms`` (Unix time) then distinguishes them.
+    ``sequence`` grows with what it reports of itself.
     """
 
     name: str
@@ -32,6 +36,7 @@
     is_leaving: bool = False
     warmup_ms: int = 0
     started_ms: int = 0
+    sequence: int = 0
 
 
 @attrs.frozen
@@ -65,12 +70,22 @@
         return not self.listed.is_leaving and now_ms >= self.suspended_until_ms
 
 
+@attrs.frozen
+class _Gone:
+    entry: TargetEntry
+    era: int
+
+
 class Directory:
     """All known targets."""
 
     def __init__(self) -> None:
         self._targets: dict[str, Target] = {}
         self._store_returned_ms: int | None = None
+        self._gone: collections.OrderedDict[str, _Gone] = (
+            collections.OrderedDict()
+        )
+        self._era = 0
         self.version = 0
 
     def __len__(self) -> int:
@@ -103,6 +118,7 @@
         version: int,
         now_ms: int,
         outage_ms: int = 0,
+        era: int = 0,
     ) -> list['Change']:
         """Apply the complete list as read now; return the changes.
 
@@ -110,11 +126,11 @@
         Entries missing after a long outage may have expired during it, and
         are retained for LAPSE_GRACE_MS.
         """
-        if version < self.version:
+        if (era, version) < (self._era, self.version):
             return []
-        if outage_ms >= MIN_LAPSE_OUTAGE_MS:
+        if outage_ms >= MIN_LAPSE_OUTAGE_MS or era > self._era > 0:
             self._store_returned_ms = now_ms
-        self.version = version
+        self._era, self.version = era, version
         entries = {entry.name: entry for entry in listed}
         changes = [
             self._apply_entry(entry, now_ms) for entry in entries.values()
@@ -129,11 +145,12 @@
         removed: typing.Iterable[str],
         version: int,
         now_ms: int,
+        era: int = 0,
     ) -> list['Change']:
         """Apply changed entries of a newer version; return the changes."""
-        if version < self.version:
+        if (era, version) < (self._era, self.version):
             return []
-        self.version = version
+        self._era, self.version = era, version
         changes = [self._apply_entry(entry, now_ms) for entry in present]
         changes += [
             self._remove_missing(n, now_ms) for n in removed if self.find(n)
@@ -141,6 +158,8 @@
         return [change for change in changes if change is not None]
 
     def _apply_entry(self, entry: TargetEntry, now_ms: int) -> 'Change | None':
+        if self._is_outdated(entry):
+            return None
         target = self._targets.get(entry.name)
         if target is None or target.listed.started_ms != entry.started_ms:
             self._targets[entry.name] = Target(entry)
@@ -153,6 +172,25 @@
         target.listed = entry
         return Change(entry, 'leaving') if is_newly_leaving else None
 
+    def _is_outdated(self, entry: TargetEntry) -> bool:
+        """Return whether an entry is one that the store went back to.
+
+        A target that had gone before is used only if it has reported since.
+        """
+        gone = self._gone.get(entry.name)
+        return (
+            gone is not None
+            and self._era > gone.era
+            and entry.started_ms == gone.entry.started_ms
+            and entry.sequence <= gone.entry.sequence
+        )
+
+    def _record_gone(self, entry: TargetEntry) -> None:
+        self._gone[entry.name] = _Gone(entry, self._era)
+        self._gone.move_to_end(entry.name)
+        if len(self._gone) > MAX_GONE:
+            self._gone.popitem(last=False)
+
     def _remove_missing(self, name: str, now_ms: int) -> 'Change | None':
         target = self._targets[name]
         may_have_lapsed = (
@@ -164,6 +202,7 @@
             target.missing_since_ms = target.missing_since_ms or now_ms
             return None
         del self._targets[name]
+        self._record_gone(target.listed)
         return Change(target.listed, 'gone')
 
     def remove_expired(self, now_ms: int) -> list['Change']:
@@ -174,9 +213,10 @@
             if target.missing_since_ms is not None
             and now_ms - target.missing_since_ms >= LAPSE_GRACE_MS
         ]
-        return [
-            Change(self._targets.pop(name).listed, 'gone') for name in expired
-        ]
+        removed = [self._targets.pop(name).listed for name in expired]
+        for entry in removed:
+            self._record_gone(entry)
+        return [Change(entry, 'gone') for entry in removed]
 
 
 @attrs.frozen
--- a/tests/edge/test_edge.py
+++ b/tests/edge/test_edge.py
@@ -275,6 +275,57 @@
     )
 
 
+def test_store_that_goes_back_does_not_restore_a_withdrawn_key(edge):
+    copied = edge.store.copy()
+    edge.store.put('op', 'config', edge_document.document(2, keys=('key-2',)))
+    edge.wait_for(
+        lambda: edge.send_request('/once/x', key='key-2').status == 200
+    )
+    edge.store.restore(copied)
+    time.sleep(0.6)
+    assert edge.send_request('/once/x', key='key-1').status == 401
+    assert edge.send_request('/once/x', key='key-2').status == 200
+
+
+def test_change_with_a_version_given_out_again_is_applied(edge):
+    copied = edge.store.copy()
+    edge.store.put('op', 'config', edge_document.document(2, keys=('key-2',)))
+    edge.wait_for(
+        lambda: edge.send_request('/once/x', key='key-2').status == 200
+    )
+    edge.store.restore(copied)
+    edge.store.put('op', 'config', edge_document.document(3, keys=('key-3',)))
+    edge.wait_for(
+        lambda: edge.send_request('/once/x', key='key-3').status == 200
+    )
+
+
+def test_target_changes_are_applied_after_the_store_went_back(edge):
+    copied = edge.store.copy()
+    for number in range(4):
+        entry = edge.target('app-1').entry(sequence=number)
+        edge.store.put('servers', 'app-1', entry)
+    gone = edge.target('app-2')
+    edge.store.delete('servers', 'app-2')
+    edge.wait_for(lambda: not edge.has_all_targets())
+    edge.store.restore(copied)
+    added = edge_platform.Target('app-3', 'app')
+    edge.targets.append(added)
+    edge.store.put('servers', 'app-3', added.entry())
+    edge.wait_for(lambda: '"app-3"' in edge.log.text)
+    before = len(gone.runs)
+    assert all(edge.send_request('/once/x').status == 200 for _ in range(8))
+    assert len(gone.runs) == before
+
+
+def test_host_that_the_store_lost_is_registered_again(edge):
+    edge.wait_for(lambda: ('hosts', 'h1') in edge.store.copy()[0])
+    rows, version = edge.store.copy()
+    del rows['hosts', 'h1']
+    edge.store.restore((rows, version))
+    edge.wait_for(lambda: ('hosts', 'h1') in edge.store.copy()[0])
+
+
 def test_unreadable_rows_do_not_affect_other_targets(edge):
     edge.store.put('servers', 'bytes', b'\xff\x00')
     edge.store.put('servers', 'odd', {'service': 'app', 'address': 7})
--- a/tests/platform/test_follower.py
+++ b/tests/platform/test_follower.py
@@ -1,7 +1,9 @@
 """Following a table: few calls, prompt changes, bounded staleness."""
 
 import base64
+import threading
 
+import attrs
 import pytest
 
 from godwitglade.common import codec
@@ -145,7 +147,7 @@
 )
 def test_host_changes_are_merged_into_the_known_hosts(rows, posts, expected):
     posted = []
-    reader = edge_store.RowReader(posted.append, lambda *_: None)
+    reader = make_reader(posted)
     first = follower.Rows([host_row('h1', 'z1')], 1)
     reader.apply_hosts(first, True, 0)
     reader.apply_hosts(
@@ -167,13 +169,41 @@
 )
 def test_capacity_of_a_host_is_read_if_it_is_known(fields, capacities):
     posted = []
-    reader = edge_store.RowReader(posted.append, lambda *_: None)
+    reader = make_reader(posted)
     reader.apply_hosts(
         follower.Rows([host_row('h1', 'z1', **fields)], 1), True, 0
     )
     assert [e.jobs_per_s for e in posted[-1].entries] == capacities
 
 
+def test_feed_of_a_new_era_is_replaced_by_a_full_read():
+    def prepare(store):
+        store.change_after_ms = 100
+        feed = store.feed
+        eras = iter([1, 1, 2])
+
+        def feed_in_era(table, after, wait_ms):
+            rows = feed(table, after, wait_ms)
+            store.era = next(eras, 2)
+            return attrs.evolve(rows, era=store.era)
+
+        read = store.read
+        store.era = 1
+        store.feed = feed_in_era
+        store.read = lambda table: attrs.evolve(read(table), era=store.era)
+
+    _, applied = follow(follower.Pace(2_000, 60_000), 600, prepare)
+    assert [
+        (result.era, is_full_read) for _, _, is_full_read, result in applied
+    ][:5] == [(1, True), (1, False), (1, False), (2, True), (2, False)]
+
+
+def make_reader(posted):
+    return edge_store.RowReader(
+        posted.append, lambda *_: None, 'h1', threading.Event()
+    )
+
+
 def host_row(name, zone, **fields):
     """Return a host's row; one without a zone is a removal."""
     if zone is None:
