End calls whose target sends bytes without end

A target in trouble may send bytes that are no answer without end, in a head or a body. What failed, each shown by a new test in tests/edge: a stage call to a target that sends a byte of a status line or header now and then never ended, since the timeout limits each read only; its thread and the target's place in the pool were lost. A stream of bytes without the end of an event was collected up to 64 MB and searched again with each chunk, which held the interpreter, so that the request was not resumed in time.

Change: reads of a target's connection fail once the deadline of the call has passed; an event is limited to 256 KB. Requests were ended by their own deadline before. Answers and streams with neither a length nor chunks, which end with their connection, and a stream that ends inside an event were handled already; the new tests keep that.

--- a/bench/standins/edge_platform.py
+++ b/bench/standins/edge_platform.py
@@ -313,7 +313,8 @@
 
     def answer(self, request: Request) -> typing.Any:
         """Return the response to a call under the present behaviour."""
-        if request.path == '/api/stage-run':
+        is_endless = self.behaviours[0].startswith('endless')
+        if request.path == '/api/stage-run' and not is_endless:
             return self._run_stage(request)
         if request.path == '/api/stage-free':
             self.freed_handles += codec.parse_json(request.body)['handles']
@@ -444,6 +445,48 @@
         time.sleep(0.05)
 
 
+def _head_without_length(target: Target, request: Request) -> bytes:
+    head, _, _ = head_of_stream(target, request).partition(b'Transfer-')
+    return head + b'\r\n'
+
+
+def _unframed(target: Target, request: Request) -> typing.Iterator[bytes]:
+    yield _head_without_length(target, request)
+    yield b'whole'
+
+
+def _stream_unframed(
+    target: Target, request: Request
+) -> typing.Iterator[bytes]:
+    yield _head_without_length(target, request)
+    first = int(request.headers.get('Last-Event-Id') or 0) + 1
+    for number in range(first, 7):
+        yield event(number)
+
+
+def _stream_unframed_cut(
+    target: Target, request: Request
+) -> typing.Iterator[bytes]:
+    yield _head_without_length(target, request)
+    yield event(1) + event(2)[:9]
+
+
+def _endless(start: bytes) -> typing.Callable[[Target, Request], typing.Any]:
+    def behaviour(target: Target, request: Request) -> typing.Iterator[bytes]:
+        yield start
+        while True:
+            time.sleep(0.03)
+            yield b'x'
+
+    return behaviour
+
+
+def _stream_flood(target: Target, request: Request) -> typing.Iterator[bytes]:
+    yield head_of_stream(target, request)
+    while True:
+        yield chunk(b'x' * 60_000)
+
+
 BEHAVIOURS: dict[str, typing.Callable[[Target, Request], typing.Any]] = {
     'ok': _ok,
     'error': _error,
@@ -463,4 +506,11 @@
     'stream_slow': _stream_slow,
     'stream_crash': _stream_crash,
     'crash': _crash,
+    'unframed': _unframed,
+    'stream_unframed': _stream_unframed,
+    'stream_unframed_cut': _stream_unframed_cut,
+    'endless_status': _endless(b''),
+    'endless_head': _endless(b'HTTP/1.1 200 OK\r\nX-A: '),
+    'endless_body': _endless(b'HTTP/1.1 200 OK\r\n\r\n'),
+    'stream_flood': _stream_flood,
 }
--- a/packages/targets/src/godwitglade/targets/connections.py
+++ b/packages/targets/src/godwitglade/targets/connections.py
@@ -30,6 +30,22 @@
 _DISCARD_ON_CLOSE = struct.pack('ii', 1, 0)
 
 
+class _DeadlineSocket(socket.socket):
+    """A socket whose reads fail once the deadline of a call has passed.
+
+    A timeout limits each read only, so that a peer which sends a byte now
+    and then could hold a call for ever.
+    """
+
+    before_read: typing.Callable[[], None] | None = None
+
+    def recv_into(self, *args: typing.Any) -> int:
+        """Receive bytes; raises TimeoutError after the deadline."""
+        if self.before_read is not None:
+            self.before_read()
+        return super().recv_into(*args)
+
+
 class Connection:
     """An HTTP connection to ``address``, used by one call at a time."""
 
@@ -41,6 +57,7 @@
         self._clock = clock
         self._socket: socket.socket | None = None
         self._timeout_ms = 0
+        self._deadline_ms: int | None = None
         self.opened_ms = 0
         self.last_contact_ms = 0
 
@@ -48,7 +65,12 @@
         """Open the connection; raises urllib3's HTTPError or OSError."""
         self._http.timeout = timeout_ms / clocks.SECOND_MS
         self._http.connect()
-        self._socket = self._http.sock
+        plain = self._http.sock
+        timeout_s = plain.gettimeout()
+        self._socket = _DeadlineSocket(fileno=plain.detach())
+        self._socket.settimeout(timeout_s)
+        self._socket.before_read = self._limit_read
+        self._http.sock = self._socket
         self.opened_ms = self._clock.monotonic_ms()
         self.record_contact()
 
@@ -76,6 +98,19 @@
             decode_content=False,
         )
 
+    def limit_reads(self, deadline_ms: int) -> None:
+        """Make reads fail once the clock shows ``deadline_ms``."""
+        self._deadline_ms = deadline_ms
+
+    def _limit_read(self) -> None:
+        if self._deadline_ms is None:
+            return
+        left_ms = self._deadline_ms - self._clock.monotonic_ms()
+        if left_ms <= 0:
+            raise TimeoutError('the deadline of the call has passed')
+        if left_ms < self._timeout_ms:
+            self.set_timeout(left_ms)
+
     def receive(self, timeout_ms: int) -> urllib3_response.HTTPResponse:
         """Wait for the status and headers of the reply.
 
--- a/packages/targets/src/godwitglade/targets/event_reader.py
+++ b/packages/targets/src/godwitglade/targets/event_reader.py
@@ -8,6 +8,14 @@
 _EVENT_ID = re.compile(rb'^id: ?([^\r\n]*)', re.MULTILINE)
 
 
+#: Limit for the length of one event.
+MAX_EVENT_BYTES = 256 * 1024
+
+
+class EventTooLongError(ValueError):
+    """An event of a stream does not end."""
+
+
 @attrs.define
 class EventReader:
     """Returns only complete events of a byte stream.
@@ -19,11 +27,16 @@
     _rest: bytes = b''
 
     def feed(self, chunk: bytes) -> bytes:
-        """Return the bytes up to the end of the last complete event."""
+        """Return the bytes up to the end of the last complete event.
+
+        Raises EventTooLongError if an event exceeds MAX_EVENT_BYTES.
+        """
         buffered = self._rest + chunk
         ends = [match.end() for match in _EVENT_END.finditer(buffered)]
         if not ends:
             self._rest = buffered
+            if len(buffered) > MAX_EVENT_BYTES:
+                raise EventTooLongError()
             return b''
         complete, self._rest = buffered[: ends[-1]], buffered[ends[-1] :]
         ids = _EVENT_ID.findall(complete)
--- a/packages/targets/src/godwitglade/targets/forwarding.py
+++ b/packages/targets/src/godwitglade/targets/forwarding.py
@@ -333,7 +333,12 @@
             call.budget,
             http_exchange.MAX_STREAM_BYTES,
         ):
-            complete_events = reader.feed(chunk)
+            try:
+                complete_events = reader.feed(chunk)
+            except event_reader.EventTooLongError as error:
+                raise faults.CallFaultError(
+                    http_exchange.FaultKind.ERROR, 'an event does not end'
+                ) from error
             if not complete_events:
                 continue
             if not caller.has_started:
--- a/packages/targets/src/godwitglade/targets/http_exchange.py
+++ b/packages/targets/src/godwitglade/targets/http_exchange.py
@@ -46,19 +46,19 @@
         self, clock: clocks.Clock, timeout_ms: int, read_timeout_ms: int
     ) -> None:
         self._clock = clock
-        self._deadline_ms = clock.monotonic_ms() + timeout_ms
+        self.deadline_ms = clock.monotonic_ms() + timeout_ms
         self._read_timeout_ms = read_timeout_ms
 
     def wait_ms(self) -> int:
         """Return the timeout of the next wait; raises CallFaultError."""
-        remaining_ms = self._deadline_ms - self._clock.monotonic_ms()
+        remaining_ms = self.deadline_ms - self._clock.monotonic_ms()
         if remaining_ms <= 0:
             raise self.timeout_fault()
         return min(remaining_ms, self._read_timeout_ms)
 
     def timeout_fault(self) -> faults.CallFaultError:
         """Return the fault of a wait in which no data arrived."""
-        remaining_ms = self._deadline_ms - self._clock.monotonic_ms()
+        remaining_ms = self.deadline_ms - self._clock.monotonic_ms()
         if remaining_ms <= 0:
             return faults.CallFaultError(
                 FaultKind.TIMEOUT, 'the call exceeded its timeout'
@@ -101,6 +101,7 @@
 
     After an error it is unknown how much of the request was sent.
     """
+    connection.limit_reads(budget.deadline_ms)
     try:
         connection.send(method, path, body, budget.wait_ms(), headers)
     except TRANSPORT_ERRORS as error:
--- a/tests/edge/test_edge.py
+++ b/tests/edge/test_edge.py
@@ -29,6 +29,7 @@
     ('path', 'behaviours', 'status', 'runs'),
     [
         ('/once/x', ['ok'], 200, 1),
+        ('/once/x', ['unframed'], 200, 1),
         ('/once/x', ['error'], 500, 1),
         ('/once/x', ['not_run', 'ok'], 200, 2),
         ('/once/x', ['not_run'], 503, 2),
@@ -101,6 +102,9 @@
         ('/resume/x', ['stream_cut', 'stream'], 2),
         ('/resume/x', ['reset', 'stream'], 2),
         ('/resume/x', ['not_run', 'stream'], 2),
+        ('/stream/x', ['stream_unframed'], 1),
+        ('/resume/x', ['stream_unframed_cut', 'stream_unframed'], 2),
+        ('/resume/x', ['stream_flood', 'stream'], 2),
     ],
 )
 def test_stream_is_complete_without_gap_or_repeat(
@@ -119,6 +123,27 @@
     assert caught.value.partial == EVENTS[: len(caught.value.partial)]
 
 
+@pytest.mark.parametrize(
+    'behaviour', ['endless_status', 'endless_head', 'endless_body']
+)
+@pytest.mark.parametrize('path', ['/once/x', '/stream/x'])
+def test_bytes_without_end_do_not_hold_a_request(edge, path, behaviour):
+    edge.set_behaviours('app' if path == '/once/x' else 'engine', behaviour)
+    started_s = time.monotonic()
+    response = edge.send_request(path, X_Deadline_Ms='500')
+    assert response.status in (502, 504)
+    assert time.monotonic() - started_s < 1
+
+
+@pytest.mark.parametrize(
+    'behaviour', ['endless_status', 'endless_head', 'endless_body']
+)
+def test_bytes_without_end_do_not_hold_a_stage_call(edge, behaviour):
+    edge.set_behaviours('encode', behaviour)
+    edge.send_request('/staged/x', X_Chunks='2', X_Chunk_Key='k1')
+    edge.wait_for(lambda: 'batch_lost' in edge.log.text)
+
+
 def test_stages_run_before_the_request_and_free_their_results(edge):
     edge.set_behaviours('engine', 'stream')
     response = edge.send_request('/staged/x', X_Chunks='6', X_Chunk_Key='k1')
