--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -27,12 +27,15 @@
     hosts: typing.Annotated[
         int, typer.Option(help='Number of edge processes.')
     ] = core.Plan().hosts,
+    crash_s: typing.Annotated[
+        float, typer.Option(help='Let a prompt part crash engines so long.')
+    ] = 12.0,
     failed: typing.Annotated[
         bool, typer.Option(help='Run the seeds that failed before first.')
     ] = False,
 ) -> None:
     """Run soak tests; exit with 1 if a guarantee was violated."""
-    plan = core.Plan(hosts=hosts, callers=3 * hosts)
+    plan = core.Plan(hosts=hosts, callers=3 * hosts, crash_s=crash_s)
     queue = _seeds_to_run(seeds, seed, minutes, failed)
     results = [_run_seed(number, plan) for number in queue]
     typer.echo(f'{len(results)} seeds, {sum(results)} with violations')
--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -14,6 +14,8 @@
 from bench.standins import edge_document
 
 MEAN_PAUSE_S = 0.03
+#: Share of requests with a part that crashes engines, while there is one.
+BAD_SHARE = 0.03
 #: Callers wait this much longer than the deadline that they send.
 RESPONSE_MARGIN_S = 2.5
 HEADERS_BY_PATH = {
@@ -23,6 +25,9 @@
     '/resume/x': {},
     '/staged/x': {'X-Chunks': '3', 'X-Chunk-Key': 'k1'},
 }
+PROMPT_PATHS = ('/stream/x', '/resume/x')
+FIRST_PART = '5e1f'
+SUBJECT_COUNT = 12
 
 
 @attrs.frozen
@@ -44,6 +49,7 @@
     signature: str | None = None
     body: bytes = b''
     is_complete: bool = False
+    parts: tuple[str, ...] = ()
 
 
 class Callers:
@@ -77,9 +83,16 @@
         while not self._stopped.wait(rng.uniform(0, 2 * MEAN_PAUSE_S)):
             edge = rng.choice(self._cluster.edges)
             path = rng.choice(list(HEADERS_BY_PATH))
+            bad = sorted(self._cluster.bad_parts)
+            is_bad = bool(bad) and rng.random() < BAD_SHARE
+            if is_bad:
+                path = rng.choice(PROMPT_PATHS)
+            parts = (FIRST_PART, f'50{rng.randrange(SUBJECT_COUNT):02x}')
+            if is_bad:
+                parts = (*parts, rng.choice(bad))
             connection = idle.pop(edge.name, None) or _connect(edge)
             record, is_reusable = self._send_request(
-                connection, edge, path, rng
+                connection, edge, path, rng, parts
             )
             self.records.append(record)
             if is_reusable:
@@ -93,6 +106,7 @@
         edge: clusters.Edge,
         path: str,
         rng: random.Random,
+        parts: tuple[str, ...],
     ) -> tuple[RequestRecord, bool]:
         # Prefer the key that the last two documents have in common.
         recent = [validity.key for validity in self._cluster.keys[-3:]]
@@ -105,9 +119,19 @@
             'X-Deadline-Ms': str(int(clusters.TIMEOUT_S * 1_000)),
             **HEADERS_BY_PATH[path],
         }
+        if path in PROMPT_PATHS:
+            prompt = [*parts, f'f{attempt_id}']
+            headers['X-Prefix-Hash'] = ','.join(f'{p}:100' for p in prompt)
         sent_s = time.monotonic()
         record = RequestRecord(
-            attempt_id, path, edge.name, edge.incarnation, key, sent_s, 0
+            attempt_id,
+            path,
+            edge.name,
+            edge.incarnation,
+            key,
+            sent_s,
+            0,
+            parts=parts if path in PROMPT_PATHS else (),
         )
         is_reusable = False
         with contextlib.suppress(OSError, http.client.HTTPException):
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -27,6 +27,15 @@
 #: Minimum share of requests served after all faults.
 MIN_RECOVERED_SHARE = 0.9
 
+#: Requests with a part that crashed this many engines may reach others only
+#: this many times, later than contactMs after that.
+COUNTED_CRASHES = 5
+MAX_LATE_ARRIVALS = 3
+CONTACT_S = 3.0
+#: Share of sound requests that begin meanwhile, of this many at least.
+MIN_BEGUN_SHARE = 0.5
+MIN_SOUND = 20
+
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 KEY_REFUSAL_STATUSES = frozenset({401, 403, 404})
 NON_IDEMPOTENT_PATHS = frozenset({'/once/x', '/stream/x', '/staged/x'})
@@ -52,6 +61,20 @@
         )
 
 
+@attrs.frozen
+class EngineCrashes:
+    """A span in which requests with ``parts`` crash engines.
+
+    ``killed_s`` is when hosts were killed, ``crashed_s`` when engines ended.
+    """
+
+    parts: frozenset[str]
+    from_s: float
+    until_s: float
+    killed_s: float | None
+    crashed_s: list[float]
+
+
 @attrs.frozen(slots=False)
 class Record:
     """The records of one soak test.
@@ -67,6 +90,7 @@
     planned: Phase
     recovered: Phase
     link_stalls: list[stalls.Stall] = attrs.field(factory=list)
+    crashes: EngineCrashes | None = None
 
     @functools.cached_property
     def runs_by_id(self) -> dict[str, list[standins.Run]]:
@@ -260,6 +284,40 @@
     )
 
 
+def _bad_parts_are_not_sent_on(record: Record) -> Violations:
+    crashes = record.crashes
+    if crashes is None or len(crashes.crashed_s) < COUNTED_CRASHES:
+        return
+    from_s = crashes.crashed_s[COUNTED_CRASHES - 1] + CONTACT_S
+    late = [
+        run
+        for run in record.runs
+        if crashes.parts & set(run.parts) and run.at_s > from_s
+    ]
+    if len(late) > MAX_LATE_ARRIVALS:
+        yield (
+            f'BUDGET: {len(late)} requests with a part that had crashed '
+            f'{COUNTED_CRASHES} engines, {len(crashes.crashed_s)} in all'
+        )
+
+
+def _sound_requests_begin_beside_bad_parts(record: Record) -> Violations:
+    crashes = record.crashes
+    if crashes is None or not crashes.crashed_s:
+        return
+    from_s = crashes.crashed_s[:COUNTED_CRASHES][-1] + 2 * CONTACT_S
+    sound = [
+        request
+        for request in record.requests
+        if request.parts
+        and not crashes.parts & set(request.parts)
+        and from_s < request.sent_s < crashes.until_s
+    ]
+    begun = sum(bool(request.body) for request in sound)
+    if len(sound) >= MIN_SOUND and begun < MIN_BEGUN_SHARE * len(sound):
+        yield f'LOST: {begun} of {len(sound)} sound requests began'
+
+
 def _service_recovers(record: Record) -> Violations:
     allowed = {t.key for t in record.keys if t.until_s is None}
     sent = [
@@ -286,5 +344,7 @@
     _planned_changes_lose_no_requests,
     _responses_meet_the_timeout,
     _retries_stay_in_budget,
+    _bad_parts_are_not_sent_on,
+    _sound_requests_begin_beside_bad_parts,
     _service_recovers,
 )
--- a/bench/soak/clusters.py
+++ b/bench/soak/clusters.py
@@ -144,6 +144,7 @@
         self.retired_targets: list[standins.Target] = []
         self.keys: list[KeyValidity] = []
         self.version = 0
+        self.bad_parts: frozenset[str] = frozenset()
         self._change_lock = threading.Lock()
         self._target_count = 0
         network = _loopback_network()
@@ -180,10 +181,26 @@
             self._target_count += 1
             name = f'{pool}-{self._target_count}'
         target = standins.Target(name, pool, zone)
+        target.bad_parts = self.bad_parts
         self.targets.append(target)
         self.store.put('servers', name, target.entry())
         return target
 
+    def set_bad_parts(self, parts: frozenset[str]) -> None:
+        """Make prompt parts crash each engine, from now on."""
+        self.bad_parts = parts
+        for target in self.targets:
+            target.bad_parts = parts
+
+    def replace_crashed(self) -> None:
+        """Start another target for each that crashed, under a new name."""
+        for target in list(self.targets):
+            if target.crashed_s is not None:
+                self.targets.remove(target)
+                self.retired_targets.append(target)
+                self.add_target(target.pool, target.zone)
+                self.store.delete('servers', target.name)
+
     def retire(self, target: standins.Target) -> None:
         """Mark a target as draining; it still records the requests it gets."""
         self.store.put('servers', target.name, target.entry(state='draining'))
--- a/bench/soak/core.py
+++ b/bench/soak/core.py
@@ -20,6 +20,9 @@
 #: Pause at the end, whose last part is checked (recoverS is 12 s).
 RECOVERY_WAIT_S = 6.0
 CHECKED_S = 3.0
+#: A crashed engine is back after this time.
+BACK_S = 2.0
+BACK_POLL_S = 0.05
 
 
 @attrs.frozen
@@ -31,6 +34,7 @@
     faults_s: float = 10.0
     planned_s: float = 8.0
     mean_gap_s: float = 0.5
+    crash_s: float = 0.0
 
 
 @attrs.frozen
@@ -63,6 +67,7 @@
     load = callers.Callers(cluster, plan.callers)
     load.start()
     time.sleep(1)
+    crashes = _crash_engines(cluster, plan) if plan.crash_s else None
     faults.inject(cluster, faults.FAULTS, plan.faults_s, plan.mean_gap_s)
     _restart_exited(cluster.edges)
     time.sleep(CONTACT_WAIT_S)
@@ -91,9 +96,49 @@
         planned=checks.Phase(planned_s, until_s),
         recovered=checks.Phase(max(ended_s, until_s - CHECKED_S), until_s),
         link_stalls=detector.stalls,
+        crashes=crashes,
     )
 
 
+def _crash_engines(
+    cluster: clusters.Cluster, plan: Plan
+) -> checks.EngineCrashes:
+    """Let a prompt part crash engines, and kill hosts meanwhile."""
+    rng = cluster.rng
+    from_s = time.monotonic()
+    cluster.set_bad_parts(frozenset({f'bad{rng.randrange(16):x}'}))
+    victims = rng.sample(cluster.edges, len(cluster.edges) // 2)
+    kill_s = from_s + rng.uniform(0.5, 4.0)
+    while (now_s := time.monotonic()) < from_s + plan.crash_s:
+        time.sleep(BACK_POLL_S)
+        due = [
+            t
+            for t in cluster.targets
+            if t.crashed_s is not None and now_s - t.crashed_s > BACK_S
+        ]
+        if due:
+            cluster.replace_crashed()
+        if now_s > kill_s and victims:
+            for edge in victims:
+                edge.process.kill()
+                edge.start()
+            victims = []
+    crashes = checks.EngineCrashes(
+        cluster.bad_parts,
+        from_s,
+        time.monotonic(),
+        kill_s if plan.crash_s else None,
+        sorted(
+            t.crashed_s
+            for t in [*cluster.targets, *cluster.retired_targets]
+            if t.crashed_s is not None
+        ),
+    )
+    cluster.set_bad_parts(frozenset())
+    cluster.replace_crashed()
+    return crashes
+
+
 def _restart_exited(edges: typing.Iterable[clusters.Edge]) -> None:
     for edge in edges:
         if not edge.process.is_running:
--- a/bench/soak/proxy.py
+++ b/bench/soak/proxy.py
@@ -42,10 +42,19 @@
         self._open: set[asyncio.StreamWriter] = set()
         listener = socket.create_server(('127.0.0.1', 0), backlog=512)
         self.address = '127.0.0.1:%d' % listener.getsockname()[1]
-        asyncio.run_coroutine_threadsafe(
+        self._listener = asyncio.run_coroutine_threadsafe(
             asyncio.start_server(self._serve, sock=listener), LOOP
         ).result()
 
+    def close(self) -> None:
+        """Refuse connections from now on, and reset the open ones."""
+
+        def stop() -> None:
+            self._listener.close()
+            self._reset_all()
+
+        LOOP.call_soon_threadsafe(stop)
+
     @property
     def mode(self) -> Mode:
         """Return the present mode."""
--- a/bench/soak/standins.py
+++ b/bench/soak/standins.py
@@ -13,17 +13,22 @@
 EVENT_COUNT = 6
 EVENT_PAUSE_S = 0.02
 RUN_DURATION_S = 0.02
+CRASH_DELAY_S = 0.08
 
 
 @attrs.frozen
 class Run:
-    """A request that reached a target; ``has_run`` is False if refused."""
+    """A request that reached a target; ``has_run`` is False if refused.
+
+    ``parts`` are those of its prompt, without the last.
+    """
 
     attempt_id: str
     target: str
     pool: str
     at_s: float
     has_run: bool
+    parts: tuple[str, ...] = ()
 
 
 class Store(edge_platform.Store):
@@ -65,6 +70,8 @@
 
     def __init__(self, name: str, pool: str, zone: str) -> None:
         self.recorded_runs: list[Run] = []
+        self.bad_parts: frozenset[str] = frozenset()
+        self.crashed_s: float | None = None
         self.draining_since_s: float | None = None
         super().__init__(name, pool, zone)
         self.link = proxy.Link(self.address)
@@ -86,8 +93,11 @@
                 self.pool,
                 time.monotonic(),
                 behaviour != 'not_run',
+                parts_of(request),
             )
         )
+        if self.bad_parts & set(parts_of(request)):
+            return self._crash(request)
         if behaviour == 'ok' and self.pool == 'engine':
             return self._stream(request)
         if behaviour == 'ok':
@@ -96,6 +106,14 @@
             return edge_platform.response(200, self.headers(request), body)
         return super().answer(request)
 
+    def _crash(self, request: edge_platform.Request) -> typing.Iterator[bytes]:
+        yield edge_platform.head_of_stream(self, request)
+        time.sleep(CRASH_DELAY_S)
+        if self.crashed_s is None:
+            self.crashed_s = time.monotonic()
+            self.link.close()
+            self.crash()
+
     def _stream(
         self, request: edge_platform.Request
     ) -> typing.Iterator[bytes]:
@@ -107,6 +125,12 @@
         yield b'0\r\n\r\n'
 
 
+def parts_of(request: edge_platform.Request) -> tuple[str, ...]:
+    """Return the parts of a request's prompt, without the last."""
+    entries = request.headers.get('X-Prefix-Hash', '').split(',')
+    return tuple(entry.partition(':')[0] for entry in entries[:-1])
+
+
 def response_body(attempt_id: str) -> bytes:
     """Return the response body of a request that is not a stream."""
     return f'answer to {attempt_id}'.encode() * 20
