--- a/packages/platform/src/godwitglade/platform/follower.py
+++ b/packages/platform/src/godwitglade/platform/follower.py
@@ -153,7 +153,8 @@
             # A lagging store may return a version whose history it has
             # already dropped.
             self._version = None
-            is_repeated = started_ms - self._full_read_started_ms < RETRY_MS
+            last_ms = self._full_read_started_ms
+            is_repeated = last_ms is None or started_ms - last_ms < RETRY_MS
             return RETRY_MS if is_repeated else 0
         except (errors.CodedError, KeyError, TypeError) as error:
             self._availability.record_failure(str(error))
@@ -171,7 +172,13 @@
         self._last_response_ms = response_ms
         self._availability.record_success()
         self._version = result.version
-        self._apply(result, is_full_read, started_ms)
+        try:
+            self._apply(result, is_full_read, started_ms)
+        except Exception as error:
+            # Otherwise one odd row would end the thread, and all news.
+            self._availability.record_failure(repr(error))
+            self._version = None
+            return RETRY_MS
         return 0 if is_full_read else self._pace.pause_ms
 
     def _is_full_read_due(self, now_ms: int) -> bool:
--- a/tests/edge/test_edge.py
+++ b/tests/edge/test_edge.py
@@ -144,6 +144,17 @@
     edge.wait_for(lambda: 'batch_lost' in edge.log.text)
 
 
+@pytest.mark.parametrize(
+    'content', [b'{}', b'[]', b'{"entries": [7, 7]}', b'{"entries": 7}', b'x']
+)
+def test_malformed_stage_answer_does_not_hold_a_target(edge, content):
+    for target in edge.targets:
+        if target.pool == 'encode':
+            target.answer = lambda _: edge_platform.response(200, {}, content)
+    edge.send_request('/staged/x', X_Chunks='2', X_Chunk_Key='k1')
+    edge.wait_for(lambda: 'batch_lost' in edge.log.text)
+
+
 def test_stages_run_before_the_request_and_free_their_results(edge):
     edge.set_behaviours('engine', 'stream')
     response = edge.send_request('/staged/x', X_Chunks='6', X_Chunk_Key='k1')
--- a/tests/platform/test_follower.py
+++ b/tests/platform/test_follower.py
@@ -198,6 +198,39 @@
     ][:5] == [(1, True), (1, False), (1, False), (2, True), (2, False)]
 
 
+def test_rows_that_cannot_be_applied_do_not_end_the_follower():
+    clock = Clock()
+    results = iter([KeyError('key'), None])
+    applied = []
+
+    def apply(result, is_full_read, at_ms):
+        error = next(results, None)
+        if error is not None:
+            raise error
+        applied.append(is_full_read)
+
+    made = follower.Follower(
+        Store(clock), 't', apply, clock, lambda *_: None, follower.Pace(1, 1)
+    )
+    assert made.run_once() == follower.RETRY_MS
+    made.run_once()
+    assert applied == [True]
+
+
+def test_first_read_without_history_does_not_end_the_follower():
+    clock = Clock()
+    store = Store(clock)
+
+    def read(table):
+        raise follower.HistoryGoneError(table)
+
+    store.read = read
+    made = follower.Follower(
+        store, 't', print, clock, lambda *_: None, follower.Pace(1, 1)
+    )
+    assert made.run_once() == follower.RETRY_MS
+
+
 def make_reader(posted):
     return edge_store.RowReader(
         posted.append, lambda *_: None, 'h1', threading.Event()
