--- a/packages/routing/src/godwitglade/routing/quarantine.py
+++ b/packages/routing/src/godwitglade/routing/quarantine.py
@@ -169,10 +169,12 @@
             if trait not in settled
             and self._successes_ms.get(trait, -1) < request.sent_ms
         ]
+        is_trial = request.request_id == self._trial_id
+        if is_trial:
+            suspected = [t for t in suspected if t in self._blocked]
         if not suspected:
             return []
-        if request.request_id == self._trial_id:
-            suspected = [t for t in suspected if t in self._blocked]
+        if is_trial:
             key = f'{_trial_crash_id(target)}|0'
             return [_publish(CRASH_KIND, key, suspected, is_urgent=True)]
         crash = _crash_id(target)
@@ -221,7 +223,10 @@
             return []
         if message.kind == CRASH_KIND:
             report = f'{message.origin}|{message.key}'
-            self._evidence.add(report, subject, tuple(value))
+            if value:
+                self._evidence.add(report, subject, tuple(value))
+            else:
+                self._evidence.remove(report)
             if subject.startswith(TRIAL_PREFIX):
                 self._record_failed_trial(value, now_ms)
         else:
