Count every report of dropped log lines in the test of the queue

The test took one report for granted. It now counts all of them, and also checks that the kept lines are in order and none comes twice.

--- a/tests/daemon/test_log_queue.py
+++ b/tests/daemon/test_log_queue.py
@@ -52,8 +52,11 @@
     stream.opened.set()
     log_queue_.close()
     lines = stream.text.splitlines()
-    dropped = sum(int(x.split()[1]) for x in lines if x.startswith('dropped'))
-    assert dropped and len(lines) - 1 + dropped == 100
+    reports = [line for line in lines if line.startswith('dropped')]
+    kept = [int(line) for line in lines if line not in reports]
+    dropped = sum(int(report.split()[1]) for report in reports)
+    assert dropped and len(kept) + dropped == 100
+    assert kept == sorted(set(kept))
 
 
 def test_broken_stream_does_not_block_writers():
