Break the feeds of the stand-in store when it goes back

Cause: a feed that waited when the stand-in store went back was left waiting, up to its 10 s; the test passed only where no feed of the hosts table was open in that moment. A store that goes back has been away, so its feeds are broken; the stand-in now resets them.

--- a/bench/standins/edge_platform.py
+++ b/bench/standins/edge_platform.py
@@ -234,8 +234,8 @@
         }
         self._notify()
 
-    def _feed(self, query: dict[str, str]) -> bytes:
-        after = int(query['after'])
+    def _feed(self, query: dict[str, str]) -> bytes | None:
+        after, era = int(query['after']), self._era
         if not self._oldest_version <= after <= self._version:
             return response(410, {'Store-Era': str(self._era)})
         until_s = time.monotonic() + int(query['waitMs']) / 1_000
@@ -245,6 +245,9 @@
                 if left_s <= 0 or self._is_stopped:
                     break
                 self._changed.wait(left_s)
+                if self._era != era:
+                    # The store was away for a moment.
+                    return None
         return self._rows_response(rows)
 
     def _rows_after(
