Do not take a failure of a target for a proof that a request is sound

Callers of a pool of which some targets fail requests lost targets again and again: a copy that a faulty target answered with 500 cleared the request of the crashes known then, on all hosts, so that three more targets ended before it was refused again.

A target that fails a request need not have begun to run it, so only a complete success clears a request now.

--- a/packages/routing/src/godwitglade/routing/request_lifecycle.py
+++ b/packages/routing/src/godwitglade/routing/request_lifecycle.py
@@ -249,10 +249,7 @@
         target_selection.record_load(request.target, message.load, now_ms)
         detail = f'status {message.status}'
         held = effects.ForwardHeldResponse(request.request_id)
-        cleared = self._quarantine.record_success(request, now_ms)
-        return cleared + self._handle_failure(
-            request, detail, 'failed', held, now_ms
-        )
+        return self._handle_failure(request, detail, 'failed', held, now_ms)
 
     @_apply.register
     def _(
--- a/tests/routing/fleet.py
+++ b/tests/routing/fleet.py
@@ -77,7 +77,8 @@
     """Hosts, engines and callers with a virtual clock.
 
     A request with a part in ``bad_parts`` ends the process of each engine
-    that begins to answer it. The last part is also its fingerprint.
+    that begins to answer it. The last part is also its fingerprint. Engines
+    fail ``failing_share`` of the requests at once.
     """
 
     def __init__(self, seed, host_count=9, engine_count=6):
@@ -88,6 +89,7 @@
         self.attempts = []
         self.engines = []
         self.lost_share = 0.0
+        self.failing_share = 0.0
         self.cut_names = frozenset()
         self.store_is_down = False
         self.rows = {}
@@ -266,6 +268,10 @@
         attempt = self._open[effect.request_id]
         if self.now_ms >= node.in_touch_ms:
             attempt.arrivals_ms.append(self.now_ms)
+        if self.failing_share and self.rng.random() < self.failing_share:
+            message = messages.CallFailed(effect.request_id, effect.call, 500)
+            self._later(self._post_to, node, incarnation, message)
+            return
         key = (effect.request_id, effect.call)
         engine.calls[key] = (node, incarnation, effect, attempt)
         if self.bad_parts & set(attempt.parts):
--- a/tests/routing/test_crashing_parts.py
+++ b/tests/routing/test_crashing_parts.py
@@ -73,6 +73,7 @@
     'engines end': kill_engines,
     'messages lost': lambda fleet_: setattr(fleet_, 'lost_share', 0.2),
     'store is down': lambda fleet_: setattr(fleet_, 'store_is_down', True),
+    'engines fail': lambda fleet_: setattr(fleet_, 'failing_share', 0.3),
 }
 
 
@@ -139,9 +140,17 @@
     check(play(seed, host_count=60))
 
 
-@pytest.mark.parametrize('fault', ['none', 'all restart', 'engines end'])
-def test_copies_of_a_request_that_crashes_engines_are_not_sent_on(fault):
-    fleet_ = fleet.Fleet(31)
+@pytest.mark.parametrize(
+    ('fault', 'seed'),
+    [
+        ('none', 31),
+        ('all restart', 31),
+        ('engines end', 31),
+        *(('engines fail', seed) for seed in (36, 38)),
+    ],
+)
+def test_copies_of_a_request_that_crashes_engines_are_not_sent_on(fault, seed):
+    fleet_ = fleet.Fleet(seed)
     load = Load(fleet_, 1, '/a/x')
     fleet_.run(5_000)
     load.sound(65_000)
