Recognize copies of a request whose caller uses another key

Callers whose copies of a request end targets got their targets ended three more times for each key that they used: the fingerprint covered path, API key and body, and operators replace the keys of a workspace.

The fingerprint is now of path, workspace and body, taken once the key has been checked, so that copies are the same for every host whatever their key, id, time left and moment. Requests without keys have one caller.

--- a/packages/routing/src/godwitglade/routing/admission.py
+++ b/packages/routing/src/godwitglade/routing/admission.py
@@ -70,7 +70,9 @@
             deadline_ms=message.read_ms + budget_ms,
             due_ms=message.read_ms + min(budget_ms, route.objective_ms),
             progress=progress,
-            traits=traits.traits_of(message, route.has_prompt),
+            traits=traits.traits_of(
+                message, workspace.name if workspace else '', route.has_prompt
+            ),
         )
 
     def _select_pool(self, route: documents.Route) -> str:
--- a/packages/routing/src/godwitglade/routing/messages.py
+++ b/packages/routing/src/godwitglade/routing/messages.py
@@ -23,7 +23,7 @@
     ``request_id`` is assigned by this host, ``attempt_id`` by the caller.
     ``budget_ms`` is the time that the caller will wait, None if it did not
     send one. ``item_counts`` has the number of items of each stage.
-    ``fingerprint`` is equal for copies of one request of one caller.
+    ``body_digest`` is empty if copies of the request are not recognized.
     """
 
     request_id: str
@@ -39,7 +39,7 @@
     prompt: tuple[PromptPart, ...] = ()
     prompt_tokens: int = 0
     output_tokens: int = 0
-    fingerprint: str = ''
+    body_digest: str = ''
 
 
 @attrs.frozen
--- a/packages/routing/src/godwitglade/routing/traits.py
+++ b/packages/routing/src/godwitglade/routing/traits.py
@@ -1,7 +1,7 @@
 """What a request may have in common with others that crash targets.
 
-These are the parts of its prompt, and its fingerprint, which is that of its
-copies too.
+These are the parts of its prompt, and its fingerprint: copies have the same
+path, workspace and body. API keys are replaced and do not count.
 """
 
 import typing
@@ -19,7 +19,7 @@
 
 
 def traits_of(
-    arrived: messages.RequestArrived, has_prompt: bool
+    arrived: messages.RequestArrived, workspace_name: str, has_prompt: bool
 ) -> tuple[str, ...]:
     """Return the traits of a request, each a short text.
 
@@ -27,11 +27,10 @@
     """
     shared = arrived.prompt[:-1][:MAX_PARTS] if has_prompt else ()
     names = dict.fromkeys(part.name for part in shared)
-    copies = (arrived.fingerprint,) if arrived.fingerprint else ()
-    return (
-        *(f'{PART}:{_short(name)}' for name in names),
-        *(f'{REQUEST}:{_short(name)}' for name in copies),
-    )
+    parts = tuple(f'{PART}:{_short(name)}' for name in names)
+    if not arrived.body_digest:
+        return parts
+    return (*parts, f'{REQUEST}:{_fingerprint(arrived, workspace_name)}')
 
 
 def is_part(trait: str) -> bool:
@@ -52,3 +51,9 @@
     if is_plain and len(name) <= MAX_NAME_LENGTH:
         return name
     return xxhash.xxh3_64_hexdigest(name.encode())
+
+
+def _fingerprint(arrived: messages.RequestArrived, workspace_name: str) -> str:
+    """Return what copies of a request have in common, in hexadecimal."""
+    content = '\n'.join((arrived.path, workspace_name, arrived.body_digest))
+    return xxhash.xxh3_64_hexdigest(content.encode())
--- a/tests/routing/fleet.py
+++ b/tests/routing/fleet.py
@@ -77,7 +77,7 @@
     """Hosts, engines and callers with a virtual clock.
 
     A request with a part in ``bad_parts`` ends the process of each engine
-    that begins to answer it. The last part is also its fingerprint. Engines
+    that begins to answer it. The last part is also that of its body. Engines
     fail ``failing_share`` of the requests at once.
     """
 
@@ -328,7 +328,7 @@
             path,
             self.now_ms,
             prompt=tuple(messages.PromptPart(p, 100) for p in parts),
-            fingerprint=parts[-1],
+            body_digest=parts[-1],
         )
         self._post(node, arrived)
 
