Let copies of a request crash targets in the soak, while keys change

Copies now crash the plain pool beside the prompt part, hosts are killed and keys replaced three times.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -28,7 +28,7 @@
         int, typer.Option(help='Number of edge processes.')
     ] = core.Plan().hosts,
     crash_s: typing.Annotated[
-        float, typer.Option(help='Let a prompt part crash engines so long.')
+        float, typer.Option(help='Let requests crash targets so long.')
     ] = 12.0,
     failed: typing.Annotated[
         bool, typer.Option(help='Run the seeds that failed before first.')
--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -26,6 +26,7 @@
     '/staged/x': {'X-Chunks': '3', 'X-Chunk-Key': 'k1'},
 }
 PROMPT_PATHS = ('/stream/x', '/resume/x')
+COPIES_PREFIX = '/read/bad-'
 FIRST_PART = '5e1f'
 SUBJECT_COUNT = 12
 
@@ -35,7 +36,8 @@
     """A request and its response; times are monotonic seconds.
 
     ``status`` is None without a response; ``is_complete`` tells whether the
-    whole response body was received.
+    whole response body was received. ``parts`` are those of its prompt and
+    its path.
     """
 
     attempt_id: str
@@ -85,11 +87,12 @@
             path = rng.choice(list(HEADERS_BY_PATH))
             bad = sorted(self._cluster.bad_parts)
             is_bad = bool(bad) and rng.random() < BAD_SHARE
-            if is_bad:
-                path = rng.choice(PROMPT_PATHS)
             parts = (FIRST_PART, f'50{rng.randrange(SUBJECT_COUNT):02x}')
             if is_bad:
-                parts = (*parts, rng.choice(bad))
+                part = rng.choice(bad)
+                is_copy = part.startswith(COPIES_PREFIX)
+                path = part if is_copy else rng.choice(PROMPT_PATHS)
+                parts = (*parts, part)
             connection = idle.pop(edge.name, None) or _connect(edge)
             record, is_reusable = self._send_request(
                 connection, edge, path, rng, parts
@@ -117,7 +120,7 @@
             'Authorization': f'Bearer {key}',
             'X-Attempt-Id': attempt_id,
             'X-Deadline-Ms': str(int(clusters.TIMEOUT_S * 1_000)),
-            **HEADERS_BY_PATH[path],
+            **HEADERS_BY_PATH.get(path, {}),
         }
         if path in PROMPT_PATHS:
             prompt = [*parts, f'f{attempt_id}']
@@ -131,7 +134,7 @@
             key,
             sent_s,
             0,
-            parts=parts if path in PROMPT_PATHS else (),
+            parts=(*(parts if path in PROMPT_PATHS else ()), path),
         )
         is_reusable = False
         with contextlib.suppress(OSError, http.client.HTTPException):
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -27,9 +27,11 @@
 #: Minimum share of requests served after all faults.
 MIN_RECOVERED_SHARE = 0.9
 
-#: Requests with a part that crashed this many engines may reach others only
-#: this many times, later than contactMs after that.
+#: Requests with a part that crashed this many targets, and copies of a
+#: request that did, may reach others only this many times, later than
+#: contactMs after that.
 COUNTED_CRASHES = 5
+COUNTED_CRASHES_OF_COPIES = 3
 MAX_LATE_ARRIVALS = 3
 CONTACT_S = 3.0
 #: Share of sound requests that begin meanwhile, of this many at least.
@@ -40,7 +42,7 @@
 KEY_REFUSAL_STATUSES = frozenset({401, 403, 404})
 NON_IDEMPOTENT_PATHS = frozenset({'/once/x', '/stream/x', '/staged/x'})
 STREAM_PATHS = frozenset({'/stream/x', '/resume/x', '/staged/x'})
-POOL_BY_PATH = {'/once/x': 'app', '/read/x': 'app'}
+APP_PREFIXES = ('/once/', '/read/')
 
 
 @attrs.frozen
@@ -62,18 +64,32 @@
 
 
 @attrs.frozen
-class EngineCrashes:
-    """A span in which requests with ``parts`` crash engines.
+class Crashes:
+    """A span in which requests with ``part`` crash targets.
 
-    ``killed_s`` is when hosts were killed, ``crashed_s`` when engines ended.
+    ``part`` is one of a prompt, or the path that copies have in common.
+    ``all_parts`` do so in that span; ``crashed_s`` is when targets ended.
     """
 
-    parts: frozenset[str]
-    from_s: float
+    part: str
+    all_parts: frozenset[str]
     until_s: float
-    killed_s: float | None
     crashed_s: list[float]
 
+    @property
+    def pool(self) -> str:
+        """Return the pool whose targets crash."""
+        return pool_of(self.part) if self.part.startswith('/') else 'engine'
+
+    @property
+    def counted_s(self) -> float | None:
+        """Return the crash from which on requests are counted, if any."""
+        is_copy = self.part.startswith('/')
+        count = COUNTED_CRASHES_OF_COPIES if is_copy else COUNTED_CRASHES
+        return (
+            self.crashed_s[count - 1] if len(self.crashed_s) >= count else None
+        )
+
 
 @attrs.frozen(slots=False)
 class Record:
@@ -90,7 +106,7 @@
     planned: Phase
     recovered: Phase
     link_stalls: list[stalls.Stall] = attrs.field(factory=list)
-    crashes: EngineCrashes | None = None
+    crashes: tuple[Crashes, ...] = ()
 
     @functools.cached_property
     def runs_by_id(self) -> dict[str, list[standins.Run]]:
@@ -252,7 +268,7 @@
         sent = sorted(
             request.sent_s
             for request in record.requests
-            if POOL_BY_PATH.get(request.path, 'engine') == pool
+            if pool_of(request.path) == pool
         )
         arrived = sorted(r.at_s for r in record.runs if r.pool == pool)
         retries = sorted(
@@ -285,37 +301,45 @@
 
 
 def _bad_parts_are_not_sent_on(record: Record) -> Violations:
-    crashes = record.crashes
-    if crashes is None or len(crashes.crashed_s) < COUNTED_CRASHES:
-        return
-    from_s = crashes.crashed_s[COUNTED_CRASHES - 1] + CONTACT_S
-    late = [
-        run
-        for run in record.runs
-        if crashes.parts & set(run.parts) and run.at_s > from_s
-    ]
-    if len(late) > MAX_LATE_ARRIVALS:
-        yield (
-            f'BUDGET: {len(late)} requests with a part that had crashed '
-            f'{COUNTED_CRASHES} engines, {len(crashes.crashed_s)} in all'
-        )
+    for crashes in record.crashes:
+        if crashes.counted_s is None:
+            continue
+        late = [
+            run
+            for run in record.runs
+            if crashes.part in run.parts
+            and run.at_s > crashes.counted_s + CONTACT_S
+        ]
+        if len(late) > MAX_LATE_ARRIVALS:
+            yield (
+                f'BUDGET: {len(late)} requests with {crashes.part} came late, '
+                f'{len(crashes.crashed_s)} targets ended in all'
+            )
 
 
 def _sound_requests_begin_beside_bad_parts(record: Record) -> Violations:
-    crashes = record.crashes
-    if crashes is None or not crashes.crashed_s:
-        return
-    from_s = crashes.crashed_s[:COUNTED_CRASHES][-1] + 2 * CONTACT_S
-    sound = [
-        request
-        for request in record.requests
-        if request.parts
-        and not crashes.parts & set(request.parts)
-        and from_s < request.sent_s < crashes.until_s
-    ]
-    begun = sum(bool(request.body) for request in sound)
-    if len(sound) >= MIN_SOUND and begun < MIN_BEGUN_SHARE * len(sound):
-        yield f'LOST: {begun} of {len(sound)} sound requests began'
+    for crashes in record.crashes:
+        if not crashes.crashed_s:
+            continue
+        from_s = crashes.counted_s or crashes.crashed_s[-1]
+        sound = [
+            request
+            for request in record.requests
+            if pool_of(request.path) == crashes.pool
+            and not crashes.all_parts & set(request.parts)
+            and from_s + 2 * CONTACT_S < request.sent_s < crashes.until_s
+        ]
+        begun = sum(r.status == 200 and bool(r.body) for r in sound)
+        if len(sound) >= MIN_SOUND and begun < MIN_BEGUN_SHARE * len(sound):
+            yield (
+                f'LOST: {begun} of {len(sound)} sound requests began beside '
+                f'{crashes.part}'
+            )
+
+
+def pool_of(path: str) -> str:
+    """Return the pool that runs the requests of a path."""
+    return 'app' if path.startswith(APP_PREFIXES) else 'engine'
 
 
 def _service_recovers(record: Record) -> Violations:
--- a/bench/soak/core.py
+++ b/bench/soak/core.py
@@ -67,7 +67,7 @@
     load = callers.Callers(cluster, plan.callers)
     load.start()
     time.sleep(1)
-    crashes = _crash_engines(cluster, plan) if plan.crash_s else None
+    crashes = _crash_targets(cluster, plan) if plan.crash_s else ()
     faults.inject(cluster, faults.FAULTS, plan.faults_s, plan.mean_gap_s)
     _restart_exited(cluster.edges)
     time.sleep(CONTACT_WAIT_S)
@@ -100,15 +100,21 @@
     )
 
 
-def _crash_engines(
+def _crash_targets(
     cluster: clusters.Cluster, plan: Plan
-) -> checks.EngineCrashes:
-    """Let a prompt part crash engines, and kill hosts meanwhile."""
+) -> tuple[checks.Crashes, ...]:
+    """Let a prompt part and copies of a request crash targets.
+
+    Hosts are killed and keys replaced meanwhile.
+    """
     rng = cluster.rng
     from_s = time.monotonic()
-    cluster.set_bad_parts(frozenset({f'bad{rng.randrange(16):x}'}))
+    copies = f'{callers.COPIES_PREFIX}{rng.randrange(16):x}'
+    bad_parts = frozenset({f'bad{rng.randrange(16):x}', copies})
+    cluster.set_bad_parts(bad_parts)
     victims = rng.sample(cluster.edges, len(cluster.edges) // 2)
     kill_s = from_s + rng.uniform(0.5, 4.0)
+    rotations_s = [from_s + rng.uniform(0.5, plan.crash_s) for _ in range(3)]
     while (now_s := time.monotonic()) < from_s + plan.crash_s:
         time.sleep(BACK_POLL_S)
         due = [
@@ -123,16 +129,19 @@
                 edge.process.kill()
                 edge.start()
             victims = []
-    crashes = checks.EngineCrashes(
-        cluster.bad_parts,
-        from_s,
-        time.monotonic(),
-        kill_s if plan.crash_s else None,
-        sorted(
-            t.crashed_s
-            for t in [*cluster.targets, *cluster.retired_targets]
-            if t.crashed_s is not None
-        ),
+        if rotations_s and now_s > min(rotations_s):
+            rotations_s.remove(min(rotations_s))
+            cluster.rotate_keys()
+    until_s = time.monotonic()
+    targets = [*cluster.targets, *cluster.retired_targets]
+    crashes = tuple(
+        checks.Crashes(
+            part,
+            bad_parts,
+            until_s,
+            sorted(t.crashed_s for t in targets if part in t.crashed_by),
+        )
+        for part in sorted(bad_parts)
     )
     cluster.set_bad_parts(frozenset())
     cluster.replace_crashed()
--- a/bench/soak/standins.py
+++ b/bench/soak/standins.py
@@ -20,7 +20,7 @@
 class Run:
     """A request that reached a target; ``has_run`` is False if refused.
 
-    ``parts`` are those of its prompt, without the last.
+    ``parts`` are those of its prompt, without the last, and its path.
     """
 
     attempt_id: str
@@ -72,6 +72,7 @@
         self.recorded_runs: list[Run] = []
         self.bad_parts: frozenset[str] = frozenset()
         self.crashed_s: float | None = None
+        self.crashed_by: frozenset[str] = frozenset()
         self.draining_since_s: float | None = None
         super().__init__(name, pool, zone)
         self.link = proxy.Link(self.address)
@@ -107,10 +108,12 @@
         return super().answer(request)
 
     def _crash(self, request: edge_platform.Request) -> typing.Iterator[bytes]:
-        yield edge_platform.head_of_stream(self, request)
+        if self.pool == 'engine':
+            yield edge_platform.head_of_stream(self, request)
         time.sleep(CRASH_DELAY_S)
         if self.crashed_s is None:
             self.crashed_s = time.monotonic()
+            self.crashed_by = self.bad_parts & set(parts_of(request))
             self.link.close()
             self.crash()
 
@@ -126,9 +129,13 @@
 
 
 def parts_of(request: edge_platform.Request) -> tuple[str, ...]:
-    """Return the parts of a request's prompt, without the last."""
+    """Return the parts of a request's prompt, without the last, and its path.
+
+    Requests with the same path are copies of one another.
+    """
     entries = request.headers.get('X-Prefix-Hash', '').split(',')
-    return tuple(entry.partition(':')[0] for entry in entries[:-1])
+    parts = (entry.partition(':')[0] for entry in entries[:-1])
+    return (*parts, request.path)
 
 
 def response_body(attempt_id: str) -> bytes:
--- a/bench/standins/edge_platform.py
+++ b/bench/standins/edge_platform.py
@@ -316,6 +316,8 @@
 
     def answer(self, request: Request) -> typing.Any:
         """Return the response to a call under the present behaviour."""
+        if request.headers.get('X-Expect-Instance', self.name) != self.name:
+            return response(421, {'X-Instance-Id': self.name})
         is_endless = self.behaviours[0].startswith('endless')
         if request.path == '/api/stage-run' and not is_endless:
             return self._run_stage(request)
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -151,3 +151,44 @@
 def test_failed_seeds_are_parsed_from_the_list():
     text = 'Seeds that ever failed.\n12 the store lost an answer\n\n7 same\n'
     assert command.parse_failed_seeds(text) == [12, 7]
+
+
+COPIES = '/read/bad-1'
+
+
+@pytest.mark.parametrize(
+    ('crashes_s', 'late', 'begun', 'expected'),
+    [
+        ([30, 31, 32], 3, 20, []),
+        ([30, 31, 32], 4, 20, ['BUDGET']),
+        ([30, 31], 4, 20, []),
+        ([30, 31, 32], 0, 9, ['LOST']),
+    ],
+)
+def test_copies_sent_on_or_sound_requests_lost_are_reported(
+    crashes_s, late, begun, expected
+):
+    sound = [
+        make_request(
+            path='/read/x',
+            sent_s=39,
+            ended_s=39.1,
+            status=200 if n < begun else 503,
+        )
+        for n in range(20)
+    ]
+    runs = [
+        make_run(attempt_id='a1', parts=(COPIES,), at_s=35.5, has_run=False)
+        for _ in range(late)
+    ]
+    record = checks.Record(
+        requests=[*sound, RECOVERED],
+        runs=runs,
+        keys=KEYS,
+        draining_since_s={},
+        planned=checks.Phase(50.0, 50.0),
+        recovered=checks.Phase(40.0, 50.0),
+        crashes=(checks.Crashes(COPIES, frozenset({COPIES}), 45, crashes_s),),
+    )
+    lines = checks.find_violations(record)
+    assert sorted({line.split(':')[0] for line in lines}) == expected
