Read and log the limit that a target names

Responses now carry it to the loop as thousandths of a request a second, bounded; what is no decimal number is told apart from no header. target_limited logs a limit that differs from the one before. No request is routed differently.

--- a/bench/standins/edge_platform.py
+++ b/bench/standins/edge_platform.py
@@ -20,6 +20,8 @@
 from bench.standins import server
 from godwitglade.common import codec
 
+LIMIT = 'Server-Limit'
+
 
 @attrs.frozen
 class Request:
@@ -290,6 +292,7 @@
         self.zone = zone
         self.behaviours: list[str] = ['ok']
         self.freed_handles: list[str] = []
+        self.named_limit: str | None = None
         self._numbers = itertools.count()
         super().__init__()
 
@@ -331,10 +334,12 @@
 
     def headers(self, request: Request) -> dict[str, str]:
         """Return the headers of a correct response."""
+        named = {} if self.named_limit is None else {LIMIT: self.named_limit}
         return {
             'X-Attempt-Id': request.attempt_id,
             'X-Server-Signature': f'signed-{self.name}',
             'X-Instance-Load': '1,0,4',
+            **named,
         }
 
     def _run_stage(self, request: Request) -> bytes:
--- a/packages/common/src/godwitglade/common/events.py
+++ b/packages/common/src/godwitglade/common/events.py
@@ -96,6 +96,14 @@
         logging.INFO,
         'A prompt part or a request is no longer refused.',
     )
+    TARGET_LIMITED = EventDescription(
+        3009,
+        logging.WARNING,
+        'A target named a limit of the requests that it takes from all hosts.',
+    )
+    TARGET_LIMIT_ENDED = EventDescription(
+        3010, logging.INFO, 'A target no longer limits its requests.'
+    )
     LOGS_DROPPED = EventDescription(
         1012,
         logging.WARNING,
--- a/packages/routing/src/godwitglade/routing/messages.py
+++ b/packages/routing/src/godwitglade/routing/messages.py
@@ -57,6 +57,7 @@
     call: int
     status: int
     load: targets.Load | None = None
+    limit: targets.NamedLimit | None = None
 
 
 @attrs.frozen
@@ -66,6 +67,7 @@
     request_id: str
     call: int
     load: targets.Load | None = None
+    limit: targets.NamedLimit | None = None
 
 
 @attrs.frozen
@@ -82,6 +84,7 @@
     is_input_gone: bool = False
     is_misdirected: bool = False
     load: targets.Load | None = None
+    limit: targets.NamedLimit | None = None
 
 
 @attrs.frozen
@@ -118,6 +121,7 @@
     call: int
     status: int
     load: targets.Load | None = None
+    limit: targets.NamedLimit | None = None
 
 
 @attrs.frozen
--- a/packages/routing/src/godwitglade/routing/request_lifecycle.py
+++ b/packages/routing/src/godwitglade/routing/request_lifecycle.py
@@ -156,6 +156,16 @@
         """Apply the result of the current call of a request."""
         raise TypeError(type(message).__name__)
 
+    def _record_limit(
+        self, target: targets.Target, limit: targets.NamedLimit | None
+    ) -> Effects:
+        """Record the limit named in a response; return log events."""
+        if limit is None or limit == target.limit:
+            return []
+        target.limit = limit
+        fields = {'target': target.name, 'milli_per_s': limit.milli_per_s}
+        return [shared_effects.LogEvent(events.Event.TARGET_LIMITED, fields)]
+
     @_apply.register
     def _(
         self,
@@ -167,8 +177,9 @@
         if not request.has_response_started:
             self._record_start(request, now_ms)
         outcome = f'answered_{message.status}'
-        cleared = self._quarantine.record_success(request, now_ms)
-        return cleared + self._finish(
+        effects_ = self._record_limit(request.target, message.limit)
+        effects_ += self._quarantine.record_success(request, now_ms)
+        return effects_ + self._finish(
             request, outcome, [], now_ms, is_done=True
         )
 
@@ -183,7 +194,8 @@
         request.response_started_ms = now_ms
         target_selection.record_success(request.target, message.load, now_ms)
         self._record_start(request, now_ms)
-        return self._stage_jobs.release(request)
+        limited = self._record_limit(request.target, message.limit)
+        return limited + self._stage_jobs.release(request)
 
     @_apply.register
     def _(
@@ -249,7 +261,10 @@
         target_selection.record_load(request.target, message.load, now_ms)
         detail = f'status {message.status}'
         held = effects.ForwardHeldResponse(request.request_id)
-        return self._handle_failure(request, detail, 'failed', held, now_ms)
+        limited = self._record_limit(request.target, message.limit)
+        return limited + self._handle_failure(
+            request, detail, 'failed', held, now_ms
+        )
 
     @_apply.register
     def _(
--- a/packages/routing/src/godwitglade/routing/targets.py
+++ b/packages/routing/src/godwitglade/routing/targets.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+import re
 import typing
 
 import attrs
@@ -17,6 +18,9 @@
 MIN_LAPSE_OUTAGE_MS = 2_000
 #: Targets that have gone, kept for a store that goes back.
 MAX_GONE = 1_024
+#: A decimal number of requests per second, and the highest that is used.
+DECIMAL = re.compile(r'[0-9]{1,12}(\.[0-9]{0,12})?')
+MAX_LIMIT_MILLI_PER_S = 1_000_000_000
 
 
 @attrs.frozen
@@ -48,6 +52,17 @@
     slots: int
 
 
+@attrs.frozen
+class NamedLimit:
+    """Limit of the requests that a target takes from all hosts together.
+
+    ``milli_per_s`` is in thousandths of a request per second, None if what
+    the target named cannot be read.
+    """
+
+    milli_per_s: int | None
+
+
 @attrs.define(eq=False)
 class Target:
     """A listed target and its state as seen by this host."""
@@ -59,6 +74,7 @@
     failures: int = 0
     suspended_until_ms: int = 0
     missing_since_ms: int | None = None
+    limit: NamedLimit | None = None
 
     @property
     def name(self) -> str:
@@ -225,3 +241,13 @@
 
     listed: TargetEntry
     transition: str
+
+
+def parse_limit(value: str | None) -> NamedLimit | None:
+    """Return the limit that a target names in a response, None for none."""
+    if value is None:
+        return None
+    if not DECIMAL.fullmatch(value.strip()):
+        return NamedLimit(None)
+    milli_per_s = int(float(value) * 1_000)
+    return NamedLimit(min(milli_per_s, MAX_LIMIT_MILLI_PER_S))
--- a/packages/targets/src/godwitglade/targets/forwarding.py
+++ b/packages/targets/src/godwitglade/targets/forwarding.py
@@ -88,6 +88,7 @@
     is_input_gone: bool = False
     is_valid_reply: bool = True
     load: targets.Load | None = None
+    limit: targets.NamedLimit | None = None
 
 
 class HeaderCodec(typing.Protocol):
@@ -267,6 +268,7 @@
                 is_input_gone=classification.is_input_gone,
                 is_misdirected=classification.is_misdirected,
                 load=classification.load,
+                limit=classification.limit,
             )
             return message, True
         is_success = 200 <= status < 300
@@ -276,16 +278,21 @@
                 False,
             )
         if is_success and call.effect.is_stream:
-            return self._relay_stream(call, response, classification.load)
+            return self._relay_stream(call, response, classification)
         buffered = self._to_buffered(response, self._read_body(call, response))
         if is_success:
             relay(call.context.caller, buffered)
             return (
-                messages.ResponseCompleted(*ids, status, classification.load),
+                messages.ResponseCompleted(
+                    *ids, status, classification.load, classification.limit
+                ),
                 True,
             )
         call.context.failed_response = buffered
-        return messages.CallFailed(*ids, status, classification.load), True
+        message = messages.CallFailed(
+            *ids, status, classification.load, classification.limit
+        )
+        return message, True
 
     def _read_body(
         self, call: _Call, response: urllib3_response.HTTPResponse
@@ -321,10 +328,11 @@
         self,
         call: _Call,
         response: urllib3_response.HTTPResponse,
-        load: typing.Any,
+        classification: ResponseClassification,
     ) -> tuple[typing.Any, bool]:
         caller, reader = call.context.caller, call.context.reader
         ids = (call.effect.request_id, call.effect.call)
+        reported = (classification.load, classification.limit)
         reader.restart()
         has_reported = False
         for chunk in http_exchange.read_chunks(
@@ -346,12 +354,13 @@
             _write(caller, complete_events)
             if not has_reported:
                 has_reported = True
-                self._post(messages.StreamStarted(*ids, load))
+                self._post(messages.StreamStarted(*ids, *reported))
         if not reader.is_at_event_boundary:
             raise _lost_fault('the stream ended in the middle of an event')
         if not caller.has_started:
             self._start_stream(caller, response)
-        return messages.ResponseCompleted(*ids, response.status, load), True
+        message = messages.ResponseCompleted(*ids, response.status, *reported)
+        return message, True
 
 
 def relay(caller: Caller, response: BufferedResponse) -> None:
