Add tests of engines that name a limit, failing today

Nine and 60 hosts free of I/O, six engines, callers that return when they are told to; requests are counted as the rule does, with restarts, cuts, lost messages and replaced engines beside it.

--- a/tests/routing/fleet.py
+++ b/tests/routing/fleet.py
@@ -14,6 +14,7 @@
 from godwitglade.routing import effects
 from godwitglade.routing import host as routing_host
 from godwitglade.routing import messages
+from godwitglade.routing import targets
 from tests.routing import builders
 
 CONTACT_MS = 3_000
@@ -39,11 +40,24 @@
 
 @attrs.define(eq=False)
 class Engine:
-    """An engine with the calls that run on it."""
+    """An engine with the calls that run on it.
+
+    ``told_ms`` is when each process of a host passed on a response that named
+    the limit; ``arrivals`` are times with the process that sent.
+    """
 
     name: str
     calls: dict = attrs.field(factory=dict)
     is_alive: bool = True
+    limit: targets.NamedLimit | None = None
+    named_ms: int | None = None
+    told_ms: dict = attrs.field(factory=dict)
+    arrivals: list = attrs.field(factory=list)
+
+    def name_limit(self, milli_per_s, now_ms):
+        """Name a limit from now on."""
+        self.limit = targets.NamedLimit(milli_per_s)
+        self.named_ms = now_ms if self.named_ms is None else self.named_ms
 
     @property
     def listed(self):
@@ -70,6 +84,8 @@
     sent_ms: int
     begun_ms: int | None = None
     status: int | None = None
+    retry_after_ms: int | None = None
+    return_of: 'Attempt | None' = None
     arrivals_ms: list = attrs.field(factory=list)
 
 
@@ -92,6 +108,7 @@
         self.failing_share = 0.0
         self.cut_names = frozenset()
         self.store_is_down = False
+        self.on_refused = lambda attempt: None
         self.rows = {}
         self._events = []
         self._numbers = itertools.count(1)
@@ -268,6 +285,8 @@
         attempt = self._open[effect.request_id]
         if self.now_ms >= node.in_touch_ms:
             attempt.arrivals_ms.append(self.now_ms)
+            arrival = (self.now_ms, (node.name, incarnation))
+            engine.arrivals.append(arrival)
         if self.failing_share and self.rng.random() < self.failing_share:
             message = messages.CallFailed(effect.request_id, effect.call, 500)
             self._later(self._post_to, node, incarnation, message)
@@ -294,7 +313,11 @@
         node, incarnation, effect, attempt = engine.calls[key]
         if effect.call == 1:
             attempt.begun_ms = self.now_ms
-        message = messages.StreamStarted(effect.request_id, effect.call)
+        if engine.limit is not None:
+            engine.told_ms.setdefault((node.name, incarnation), self.now_ms)
+        message = messages.StreamStarted(
+            effect.request_id, effect.call, limit=engine.limit
+        )
         self._post_to(node, incarnation, message)
         due_ms = self.now_ms + self.rng.randint(300, 2_500)
         self.at(due_ms, self._complete, engine, key)
@@ -313,13 +336,13 @@
 
     # Callers
 
-    def send(self, parts, path='/a/x'):
+    def send(self, parts, path='/a/x', return_of=None):
         """Send a request to a running host, chosen at random."""
         running = [n for n in self.nodes.values() if n.host is not None]
         if not running:
             return
         node = self.rng.choice(running)
-        attempt = Attempt(parts, self.now_ms)
+        attempt = Attempt(parts, self.now_ms, return_of=return_of)
         self.attempts.append(attempt)
         name = f'r{next(self._numbers)}'
         self._open[name] = attempt
@@ -333,7 +356,11 @@
         self._post(node, arrived)
 
     def _answer(self, _node, effect):
-        self._open[effect.request_id].status = effect.status
+        attempt = self._open[effect.request_id]
+        attempt.status = effect.status
+        attempt.retry_after_ms = effect.retry_after_ms
+        if effect.retry_after_ms is not None:
+            self.on_refused(attempt)
 
     _HANDLERS = {
         shared_effects.StartTimer: _start_timer,
