Keep to the limits that targets name, over all hosts together

Engines that named a Server-Limit got as many requests as before: nothing read the header, and hosts that read it each for itself would exceed it in sum.

A host that hears a limit tells the others as a fact. A request for a limited target needs a permit, which its host asks of the first host in rendezvous order of the pool, by one message. That host spaces the permits of each target evenly (permit_schedule). Without a permit the request goes to a target without a limit; where all are limited it waits briefly, or is refused at once and its caller gets a place in the same schedule, so that its Retry-After comes true at any host. A host that takes over a schedule starts without permits. A limit ends when two responses to later requests do not name it and none has for 2 s; a response without the header to a request sent before is no evidence. Hosts of the build before do not reply to requests for permits; the target is then not used by the asking host.

--- a/packages/routing/src/godwitglade/routing/bodies.py
+++ b/packages/routing/src/godwitglade/routing/bodies.py
@@ -138,6 +138,33 @@
     coming: tuple[ComingJobs, ...] = ()
 
 
+@attrs.frozen
+class PermitRequest:
+    """A host asks for permits to send requests to limited targets of a pool.
+
+    ``limits`` has the incarnations that it can use, the preferred one first,
+    with their limits in thousandths of a request per second. The other fields
+    are those of `permit_schedule.Asked`.
+    """
+
+    pool: str
+    limits: dict[str, int]
+    count: int = 1
+    caller: str = ''
+    max_wait_ms: int = 0
+    max_return_ms: int = 0
+
+
+@attrs.frozen
+class PermitGranted:
+    """The reply to a request for permits; see `permit_schedule.Grant`."""
+
+    count: int
+    wait_ms: int
+    target: str = ''
+    is_kept: bool = False
+
+
 @attrs.frozen
 class Received:
     """The receiver has applied a message; ``life`` is its incarnation."""
@@ -151,4 +178,6 @@
     'work_released': WorkReleased,
     'work_received': Received,
     'work_waits': PoolWaits,
+    'permit_asked': PermitRequest,
+    'permit_granted': PermitGranted,
 }
--- a/packages/routing/src/godwitglade/routing/call_tracking.py
+++ b/packages/routing/src/godwitglade/routing/call_tracking.py
@@ -5,6 +5,7 @@
 
 from godwitglade.common import events
 from godwitglade.coordination import effects as shared_effects
+from godwitglade.routing import rate_limits
 from godwitglade.routing import request as request_
 from godwitglade.routing import request_logs
 from godwitglade.routing import target_selection
@@ -20,17 +21,29 @@
     """Chooses targets of a directory and tracks the calls made to them."""
 
     def __init__(
-        self, directory: targets.Directory, zone: str, random: randoms.Random
+        self,
+        directory: targets.Directory,
+        zone: str,
+        random: randoms.Random,
+        limits: rate_limits.RateLimits,
     ) -> None:
         self._directory = directory
+        self._limits = limits
         self._zone = zone
         self._random = random
 
     def choose(
         self, request: request_.Request, now_ms: int
     ) -> targets.Target | None:
-        """Return the target to send to, None if no untried one is left."""
-        usable = self._directory.usable(request.pool, now_ms)
+        """Return the target to send to, None if no untried one is left.
+
+        Targets whose limit is used up are left out.
+        """
+        usable = [
+            target
+            for target in self._directory.usable(request.pool, now_ms)
+            if not self._limits.wait_ms(target, now_ms)
+        ]
         affinity = ''
         if request.route.has_prompt:
             affinity = target_selection.shared_part(request.arrived.prompt)
@@ -46,6 +59,26 @@
             usable, preferences, self._zone, self._random, now_ms
         )
 
+    def limited(
+        self, request: request_.Request, now_ms: int
+    ) -> list[targets.Target]:
+        """Return the limited targets it may use, the first to open first."""
+        limited = [
+            target
+            for target in self._directory.usable(request.pool, now_ms)
+            if target.name not in request.tried
+            and self._limits.is_limited(target)
+        ]
+        return sorted(limited, key=lambda t: self._limits.wait_ms(t, now_ms))
+
+    def has_unlimited(self, request: request_.Request, now_ms: int) -> bool:
+        """Return whether a request can be sent without a permit."""
+        return any(
+            target.name not in request.tried
+            and not self._limits.is_limited(target)
+            for target in self._directory.usable(request.pool, now_ms)
+        )
+
     def start_call(
         self, request: request_.Request, target: targets.Target, now_ms: int
     ) -> None:
@@ -54,6 +87,7 @@
         request.target = target
         request.sent_ms = now_ms
         target.in_flight += 1
+        self._limits.record_send(target, now_ms)
 
     def end_call(self, request: request_.Request) -> None:
         """Record that a request's call to its target has ended."""
--- a/packages/routing/src/godwitglade/routing/host.py
+++ b/packages/routing/src/godwitglade/routing/host.py
@@ -29,6 +29,7 @@
 from godwitglade.routing import freshness
 from godwitglade.routing import messages
 from godwitglade.routing import quarantine
+from godwitglade.routing import rate_limits
 from godwitglade.routing import request_lifecycle
 from godwitglade.routing import stage_work
 from godwitglade.routing import stopping
@@ -40,7 +41,10 @@
 #: Interval at which expired entries and a stop in progress are checked.
 MAINTENANCE_INTERVAL_MS = 200
 
-WORK_BODIES = tuple(bodies.KINDS.values())
+PERMIT_BODIES = (bodies.PermitRequest, bodies.PermitGranted)
+WORK_BODIES = tuple(
+    body for body in bodies.KINDS.values() if body not in PERMIT_BODIES
+)
 
 
 @attrs.frozen
@@ -65,6 +69,7 @@
     members: membership.Membership
     facts: facts.Facts
     quarantine: quarantine.Quarantine
+    rate_limits: rate_limits.RateLimits
     document_state: document_state.DocumentState
     directory: targets.Directory
     requests: request_lifecycle.Requests
@@ -93,6 +98,7 @@
     quarantine_ = quarantine.Quarantine(
         self_id.name, lambda: [m.host.name for m in members.serving()]
     )
+    rate_limits_ = rate_limits.RateLimits(self_id.name, members)
     requests_ = request_lifecycle.Requests(
         self_id,
         document_state_,
@@ -101,6 +107,7 @@
         settings.retries,
         lambda: len(members.live()),
         quarantine_,
+        rate_limits_,
     )
     stage_work_ = stage_work.StageWork(
         self_id, address, members, document_state_, directory
@@ -113,6 +120,7 @@
         members,
         facts_,
         quarantine_,
+        rate_limits_,
         document_state_,
         directory,
         requests_,
@@ -190,6 +198,8 @@
     def _(self, message: shared_messages.PeerMessage, now_ms: int) -> Effects:
         if isinstance(message.body, WORK_BODIES):
             return self.components.work.handle(message, now_ms)
+        if isinstance(message.body, bodies.PermitRequest):
+            return self.components.rate_limits.handle(message, now_ms)
         if isinstance(message.body, shared_bodies.FactsRequest):
             return self.components.facts.handle(message, now_ms)
         return self.components.members.handle(message, now_ms)
@@ -200,6 +210,8 @@
             return self.components.work.handle(message, now_ms)
         if message.token.startswith('facts:'):
             return self.components.facts.handle(message, now_ms)
+        if message.token.startswith(rate_limits.TOKEN):
+            return self.components.requests.handle(message, now_ms)
         return self.components.members.handle(message, now_ms)
 
     @_dispatch.register
@@ -218,6 +230,8 @@
 
     @_dispatch.register
     def _(self, message: shared_messages.FactChanged, now_ms: int) -> Effects:
+        if message.kind == rate_limits.FACT_KIND:
+            return self.components.rate_limits.handle(message, now_ms)
         if message.kind not in quarantine.FACT_KINDS:
             return []
         return self._update_quarantine(message, now_ms)
@@ -306,6 +320,7 @@
         effects_ = self._report_changes(changes, directory.version)
         effects_ += self.components.requests.clear_running(now_ms)
         effects_ += self.components.quarantine.maintain(now_ms)
+        self.components.rate_limits.maintain(directory.all())
         if self.components.stopping.should_close(now_ms):
             effects_.append(effects.StopListening())
         return [timer, *effects_, *self._stop_if_done(now_ms)]
--- /dev/null
+++ b/packages/routing/src/godwitglade/routing/rate_limits.py
@@ -0,0 +1,324 @@
+"""Limits that targets name, and the permits to send to such targets.
+
+A host that hears a limit tells all others, as a fact. Before a request is
+sent to a limited target, its host asks the first host in rendezvous order of
+the pool for a permit (see `permit_schedule`). A host that gets none, or no
+reply, uses other targets until the time that it was told.
+"""
+
+import collections
+import functools
+import typing
+
+import attrs
+
+from godwitglade.common import clock as clocks
+from godwitglade.common import events
+from godwitglade.coordination import effects as shared_effects
+from godwitglade.coordination import membership as memberships
+from godwitglade.coordination import messages as shared_messages
+from godwitglade.routing import bodies
+from godwitglade.routing import permit_schedule
+from godwitglade.routing import rendezvous
+from godwitglade.routing import targets
+
+Effects = list[typing.Any]
+
+TOKEN = 'limits:'
+FACT_KIND = 'limit'
+
+#: Time for which a limit is known that no response has named again.
+TTL_MS = 10 * clocks.MINUTE_MS
+#: Intervals at which a host tells the others of a limit.
+MIN_PUBLISH_MS = clocks.SECOND_MS
+REPEAT_PUBLISH_MS = clocks.MINUTE_MS
+#: A limit ends after this many responses without it, and this time.
+ENDING_RESPONSES = 2
+ENDING_MS = 2 * clocks.SECOND_MS
+#: Time in which the host that schedules a target has to reply, and for which
+#: the target is not used if it does not.
+REPLY_TIMEOUT_MS = 150
+SILENCE_MS = 300
+#: A permit that is not used within this time is lost.
+PERMIT_TTL_MS = 250
+#: Bounds of what comes from other hosts, and of what is kept.
+MAX_PERMITS = 100
+MAX_WAIT_MS = 20 * clocks.SECOND_MS
+MAX_TEXT_LENGTH = 400
+MAX_LIMITS = 1_024
+MAX_SCHEDULES = 1_024
+MAX_CANDIDATES = 32
+
+
+@attrs.define(eq=False)
+class _Limit:
+    milli_per_s: int
+    heard_ms: int
+    told_ms: int | None = None
+    told_milli_per_s: int | None = None
+    responses_without: int = 0
+    closed_until_ms: int = 0
+    permits_until_ms: list[int] = attrs.Factory(list)
+    sent_ms: collections.deque[int] = attrs.Factory(collections.deque)
+
+
+class RateLimits:
+    """The limits known to this host, and the schedules that it keeps."""
+
+    def __init__(
+        self, self_name: str, members: memberships.Membership
+    ) -> None:
+        self._self_name = self_name
+        self._members = members
+        self._limits: dict[str, _Limit] = {}
+        self._schedules: collections.OrderedDict[
+            str, permit_schedule.PermitSchedule
+        ] = collections.OrderedDict()
+
+    # What targets name
+
+    def record_response(
+        self,
+        target: targets.Target | None,
+        named: targets.NamedLimit | None,
+        sent_ms: int,
+        now_ms: int,
+    ) -> Effects:
+        """Record what a target named in a response to a request."""
+        if target is None:
+            return []
+        if named is not None:
+            return self.record_limit(target, named, now_ms)
+        key = key_of(target)
+        limit = self._limits.get(key)
+        if limit is None or sent_ms < limit.heard_ms:
+            # Sent before the target named its limit.
+            return []
+        limit.responses_without += 1
+        is_quiet = now_ms - limit.heard_ms >= ENDING_MS
+        if limit.responses_without < ENDING_RESPONSES or not is_quiet:
+            return []
+        fact = shared_effects.PublishFact(FACT_KIND, key, None, TTL_MS, True)
+        return [*self._end(key), fact]
+
+    def record_limit(
+        self,
+        target: targets.Target | None,
+        named: targets.NamedLimit | None,
+        now_ms: int,
+    ) -> Effects:
+        """Record a limit that a target names, also if it ran nothing."""
+        if target is None or named is None or named.milli_per_s is None:
+            return []
+        key = key_of(target)
+        logs = self._set(key, named.milli_per_s, now_ms)
+        limit = self._limits[key]
+        since_ms = now_ms - (limit.told_ms or 0)
+        is_new = limit.told_ms is None
+        is_changed = (
+            limit.told_milli_per_s != limit.milli_per_s
+            and since_ms >= MIN_PUBLISH_MS
+        )
+        if not (is_new or is_changed or since_ms >= REPEAT_PUBLISH_MS):
+            return logs
+        _set_told(limit, now_ms)
+        value = [limit.milli_per_s]
+        return [
+            *logs,
+            shared_effects.PublishFact(FACT_KIND, key, value, TTL_MS, True),
+        ]
+
+    @functools.singledispatchmethod
+    def handle(self, message: typing.Any, now_ms: int) -> Effects:
+        """Handle a message; messages of other components are ignored."""
+        return []
+
+    @handle.register
+    def _(self, message: shared_messages.FactChanged, now_ms: int) -> Effects:
+        if len(message.key) > MAX_TEXT_LENGTH:
+            return []
+        if message.value is None:
+            return self._end(message.key)
+        if not _is_valid_value(message.value):
+            return []
+        logs = self._set(message.key, message.value[0], now_ms)
+        _set_told(self._limits[message.key], now_ms)
+        return logs
+
+    @handle.register
+    def _(self, message: shared_messages.PeerMessage, now_ms: int) -> Effects:
+        grant = self.grant(message.body, now_ms)
+        reply = bodies.PermitGranted(
+            grant.count, grant.wait_ms, grant.target, grant.is_kept
+        )
+        return [shared_effects.ReplyPeer(message.reply_token, reply)]
+
+    def maintain(self, listed: typing.Iterable[targets.Target]) -> None:
+        """Forget targets that are gone."""
+        keys = set(map(key_of, listed))
+        for key in [key for key in self._limits if key not in keys]:
+            del self._limits[key]
+        for schedule in self._schedules.values():
+            schedule.keep_only(keys)
+
+    def _set(self, key: str, milli_per_s: int, now_ms: int) -> Effects:
+        limit = self._limits.get(key)
+        if limit is None:
+            if len(self._limits) >= MAX_LIMITS:
+                del self._limits[next(iter(self._limits))]
+            limit = self._limits[key] = _Limit(milli_per_s, now_ms)
+        elif limit.milli_per_s == milli_per_s:
+            limit.heard_ms, limit.responses_without = now_ms, 0
+            return []
+        limit.milli_per_s = milli_per_s
+        limit.heard_ms, limit.responses_without = now_ms, 0
+        fields = {'target': key, 'milli_per_s': milli_per_s}
+        event = events.Event.TARGET_LIMITED
+        return [shared_effects.LogEvent(event, fields)]
+
+    def _end(self, key: str) -> Effects:
+        if self._limits.pop(key, None) is None:
+            return []
+        event = events.Event.TARGET_LIMIT_ENDED
+        return [shared_effects.LogEvent(event, {'target': key})]
+
+    # Sending to limited targets
+
+    def is_limited(self, target: targets.Target) -> bool:
+        """Return whether a target has named a limit."""
+        return key_of(target) in self._limits
+
+    def wait_ms(self, target: targets.Target, now_ms: int) -> int:
+        """Return the time for which a target is not to be used, 0 for none."""
+        limit = self._limits.get(key_of(target))
+        return 0 if limit is None else max(0, limit.closed_until_ms - now_ms)
+
+    def use_permit(self, target: targets.Target, now_ms: int) -> bool:
+        """Use a permit that was given out with an earlier one."""
+        limit = self._limits.get(key_of(target))
+        if limit is None:
+            return False
+        valid = [ms for ms in limit.permits_until_ms if ms > now_ms]
+        limit.permits_until_ms = valid[1:]
+        return bool(valid)
+
+    def record_send(self, target: targets.Target, now_ms: int) -> None:
+        """Record that a request is sent, for the number of permits to ask."""
+        limit = self._limits.get(key_of(target))
+        if limit is None:
+            return
+        limit.sent_ms.append(now_ms)
+        while limit.sent_ms[0] <= now_ms - permit_schedule.BATCH_MS:
+            limit.sent_ms.popleft()
+
+    def ask(
+        self,
+        token: str,
+        candidates: typing.Sequence[targets.Target],
+        asked: permit_schedule.Asked,
+        now_ms: int,
+    ) -> permit_schedule.Grant | shared_effects.SendPeer:
+        """Return the answer, or the message that asks another host for it.
+
+        ``candidates`` are limited targets of a pool, the preferred one first.
+        """
+        pool = candidates[0].listed.pool
+        known = {
+            key: self._limits[key]
+            for key in map(key_of, candidates[:MAX_CANDIDATES])
+        }
+        recent = max(len(limit.sent_ms) for limit in known.values())
+        body = bodies.PermitRequest(
+            pool,
+            {key: limit.milli_per_s for key, limit in known.items()},
+            min(MAX_PERMITS, recent + 1),
+            asked.caller,
+            asked.max_wait_ms,
+            asked.max_return_ms,
+        )
+        addresses = {m.host.name: m.address for m in self._members.serving()}
+        name = rendezvous.first(pool, addresses)
+        if name in (None, self._self_name):
+            return self.grant(body, now_ms)
+        return shared_effects.SendPeer(
+            TOKEN + token, addresses[name], body, REPLY_TIMEOUT_MS
+        )
+
+    def grant(
+        self, body: bodies.PermitRequest, now_ms: int
+    ) -> permit_schedule.Grant:
+        """Decide what a host gets that asks this one for permits."""
+        asked_limits = list(body.limits.items())[:MAX_CANDIDATES]
+        limits = {
+            key: self._lower(key, max(0, milli_per_s))
+            for key, milli_per_s in asked_limits
+            if len(key) <= MAX_TEXT_LENGTH
+        }
+        if not limits or len(body.pool) > MAX_TEXT_LENGTH:
+            return permit_schedule.Grant(0, SILENCE_MS)
+        schedule = self._schedules.setdefault(
+            body.pool, permit_schedule.PermitSchedule()
+        )
+        if len(self._schedules) > MAX_SCHEDULES:
+            self._schedules.popitem(last=False)
+        asked = permit_schedule.Asked(
+            max(1, min(MAX_PERMITS, body.count)),
+            body.caller[:MAX_TEXT_LENGTH],
+            max(0, min(MAX_WAIT_MS, body.max_wait_ms)),
+            max(0, min(MAX_WAIT_MS, body.max_return_ms)),
+        )
+        return schedule.ask(asked, limits, now_ms)
+
+    def _lower(self, key: str, milli_per_s: int) -> int:
+        """Return the lower of a limit and the one known to this host."""
+        limit = self._limits.get(key)
+        if limit is None:
+            return milli_per_s
+        return min(milli_per_s, limit.milli_per_s)
+
+    def apply_grant(
+        self,
+        candidates: typing.Iterable[targets.Target],
+        grant: permit_schedule.Grant,
+        now_ms: int,
+    ) -> None:
+        """Keep the permits beyond the first, or close the candidates."""
+        for key in map(key_of, candidates):
+            limit = self._limits.get(key)
+            if limit is None:
+                continue
+            if not grant.count:
+                limit.closed_until_ms = now_ms + max(1, grant.wait_ms)
+            elif key == grant.target:
+                until_ms = now_ms + grant.wait_ms + PERMIT_TTL_MS
+                limit.permits_until_ms += [until_ms] * (grant.count - 1)
+
+
+def decode_grant(body: typing.Any) -> permit_schedule.Grant:
+    """Return the checked answer of another host, None for no answer."""
+    if not isinstance(body, bodies.PermitGranted):
+        return permit_schedule.Grant(0, SILENCE_MS)
+    return permit_schedule.Grant(
+        max(0, min(MAX_PERMITS, body.count)),
+        max(0, min(MAX_WAIT_MS, body.wait_ms)),
+        body.target,
+        body.is_kept,
+    )
+
+
+def key_of(target: targets.Target) -> str:
+    """Return the key of one incarnation of a target."""
+    key = f'{target.name}@{target.listed.started_ms}'
+    return key[-MAX_TEXT_LENGTH:]
+
+
+def _set_told(limit: _Limit, now_ms: int) -> None:
+    limit.told_ms, limit.told_milli_per_s = now_ms, limit.milli_per_s
+
+
+def _is_valid_value(value: typing.Any) -> bool:
+    """Return whether a fact of another host holds a limit."""
+    if not isinstance(value, list) or len(value) != 1:
+        return False
+    is_number = type(value[0]) is int
+    return is_number and 0 <= value[0] <= targets.MAX_LIMIT_MILLI_PER_S
--- a/packages/routing/src/godwitglade/routing/request.py
+++ b/packages/routing/src/godwitglade/routing/request.py
@@ -6,6 +6,7 @@
 from godwitglade.routing import messages
 from godwitglade.routing import pipeline
 from godwitglade.routing import targets
+from godwitglade.routing import traits as traits_
 
 #: Targets that may end under one request.
 MAX_CRASHES = 2
@@ -16,6 +17,7 @@
     """A request in flight on this host.
 
     ``crashes`` counts the targets whose process ended under it.
+    ``permit_candidates`` are the limited targets for one of which it waits.
     ``has_run`` means that a target may have started to process it, and
     ``traits`` are what it may have in common with other requests.
     """
@@ -37,6 +39,10 @@
     has_run: bool = False
     response_started_ms: int | None = None
     crashes: int = 0
+    permits_asked: int = 0
+    permit_candidates: tuple[targets.Target, ...] = ()
+    may_wait_for_permit: bool = False
+    has_held_response: bool = False
     jobs: dict[str, int] = attrs.Factory(dict)
     past_jobs: set[str] = attrs.Factory(set)
     fetched: set[int] = attrs.Factory(set)
@@ -46,6 +52,11 @@
         """Return this host's id of the request."""
         return self.arrived.request_id
 
+    @property
+    def fingerprint(self) -> str:
+        """Return the trait that copies of the request have, if known."""
+        return next(filter(traits_.is_request, reversed(self.traits)), '')
+
     @property
     def has_response_started(self) -> bool:
         """Return whether the caller has received a part of a response."""
--- a/packages/routing/src/godwitglade/routing/request_lifecycle.py
+++ b/packages/routing/src/godwitglade/routing/request_lifecycle.py
@@ -22,7 +22,9 @@
 from godwitglade.routing import error_replies
 from godwitglade.routing import forecasts
 from godwitglade.routing import messages
+from godwitglade.routing import permit_schedule
 from godwitglade.routing import quarantine
+from godwitglade.routing import rate_limits
 from godwitglade.routing import request as request_
 from godwitglade.routing import request_logs
 from godwitglade.routing import stage_jobs
@@ -33,6 +35,7 @@
 
 DEADLINE_TOKEN = 'requests:deadline:'
 SLOW_CALL_TOKEN = 'requests:patience:'
+PERMIT_TOKEN = 'requests:permit:'
 
 #: A request is not sent with less time left: no target responds that fast.
 MIN_TIME_LEFT_MS = 20
@@ -41,6 +44,17 @@
 #: Share of the time left after which an idempotent request without a
 #: response is sent to another target.
 FIRST_SEND_SHARE = 0.6
+#: Share of the time to the objective, and of that to the deadline, for which
+#: a request may wait for a limited target, and the longest wait.
+WAIT_SHARE = 0.5
+LATE_WAIT_SHARE = 0.125
+MAX_PERMIT_WAIT_MS = 1_000
+#: Callers come back within this share of the time that they have left, and
+#: are told to come back after this time at most.
+RETURN_SHARE = 0.3
+MAX_RETURN_MS = 3_500
+#: Retry time of a caller for whom no place could be kept.
+FULL_WAIT_MS = error_replies.MAX_RETRY_AFTER_MS
 #: Times a request's stages are restarted because results are gone.
 MAX_RESTARTS = 2
 
@@ -57,12 +71,14 @@
         bounds: budget.Bounds,
         count_hosts: typing.Callable[[], int],
         quarantine_: quarantine.Quarantine,
+        limits: rate_limits.RateLimits,
     ) -> None:
         self._document_state = document_state_
         self._directory = directory
         self._quarantine = quarantine_
+        self._limits = limits
         self._tracker = call_tracking.CallTracker(
-            directory, self_id.zone, random
+            directory, self_id.zone, random, limits
         )
         self._requests: dict[str, request_.Request] = {}
         self.budgets = budget.Budgets(bounds, count_hosts)
@@ -115,11 +131,23 @@
             request = self._requests.get(name)
             if request is not None and request.calls == int(call):
                 return self._cancel_slow_call(request)
+        if message.token.startswith(PERMIT_TOKEN):
+            rest = message.token.removeprefix(PERMIT_TOKEN)
+            return self._use_permit(rest, now_ms)
         if message.token.startswith(stage_jobs.FETCHED_TOKEN):
             job_id = message.token.removeprefix(stage_jobs.FETCHED_TOKEN)
             return self._stage_jobs.inputs_fetched(job_id)
         return []
 
+    @handle.register
+    def _(self, message: shared_messages.PeerReply, now_ms: int) -> Effects:
+        token = message.token.removeprefix(rate_limits.TOKEN)
+        request = self._awaiting_permit(token)
+        if request is None:
+            return []
+        grant = rate_limits.decode_grant(message.body)
+        return self._apply_grant(request, grant, now_ms)
+
     @handle.register
     def _(self, message: messages.CallerDisconnected, now_ms: int) -> Effects:
         request = self._requests.get(message.request_id)
@@ -157,14 +185,12 @@
         raise TypeError(type(message).__name__)
 
     def _record_limit(
-        self, target: targets.Target, limit: targets.NamedLimit | None
+        self, request: request_.Request, message: typing.Any, now_ms: int
     ) -> Effects:
-        """Record the limit named in a response; return log events."""
-        if limit is None or limit == target.limit:
-            return []
-        target.limit = limit
-        fields = {'target': target.name, 'milli_per_s': limit.milli_per_s}
-        return [shared_effects.LogEvent(events.Event.TARGET_LIMITED, fields)]
+        """Record the limit that a target names at the start of a response."""
+        return self._limits.record_response(
+            request.target, message.limit, request.sent_ms, now_ms
+        )
 
     @_apply.register
     def _(
@@ -174,10 +200,11 @@
         now_ms: int,
     ) -> Effects:
         target_selection.record_success(request.target, message.load, now_ms)
+        outcome = f'answered_{message.status}'
+        effects_: Effects = []
         if not request.has_response_started:
             self._record_start(request, now_ms)
-        outcome = f'answered_{message.status}'
-        effects_ = self._record_limit(request.target, message.limit)
+            effects_ += self._record_limit(request, message, now_ms)
         effects_ += self._quarantine.record_success(request, now_ms)
         return effects_ + self._finish(
             request, outcome, [], now_ms, is_done=True
@@ -192,9 +219,9 @@
     ) -> Effects:
         request.has_run = True
         request.response_started_ms = now_ms
+        limited = self._record_limit(request, message, now_ms)
         target_selection.record_success(request.target, message.load, now_ms)
         self._record_start(request, now_ms)
-        limited = self._record_limit(request.target, message.limit)
         return limited + self._stage_jobs.release(request)
 
     @_apply.register
@@ -213,6 +240,10 @@
                 status=message.status,
             )
         ]
+        if not message.is_misdirected:
+            effects_ += self._limits.record_limit(
+                request.target, message.limit, now_ms
+            )
         self._tracker.end_call(request)
         if message.is_misdirected:
             effects_.append(effects.RefreshTargets())
@@ -261,7 +292,7 @@
         target_selection.record_load(request.target, message.load, now_ms)
         detail = f'status {message.status}'
         held = effects.ForwardHeldResponse(request.request_id)
-        limited = self._record_limit(request.target, message.limit)
+        limited = self._record_limit(request, message, now_ms)
         return limited + self._handle_failure(
             request, detail, 'failed', held, now_ms
         )
@@ -411,9 +442,21 @@
             return self._expire(request, now_ms)
         if self._quarantine.refuses(request, now_ms):
             return self._refuse_quarantined(request, now_ms)
+        request.has_held_response = has_held_response
         target = self._tracker.choose(request, now_ms)
-        if target is None:
-            return self._end_without_retry(request, has_held_response, now_ms)
+        is_limited = target is not None and self._limits.is_limited(target)
+        if target is not None and (
+            not is_limited or self._limits.use_permit(target, now_ms)
+        ):
+            return self._send_to(request, target, now_ms)
+        if not self._tracker.has_unlimited(request, now_ms):
+            return self._ask_to_wait(request, target, now_ms)
+        return self._ask(request, (target,), permit_schedule.Asked(), now_ms)
+
+    def _send_to(
+        self, request: request_.Request, target: targets.Target, now_ms: int
+    ) -> Effects:
+        left_ms = request.deadline_ms - ANSWER_MARGIN_MS - now_ms
         request.calls += 1
         request.sends += 1
         self._tracker.start_call(request, target, now_ms)
@@ -442,6 +485,118 @@
             *self._start_resend_timer(request, left_ms, now_ms),
         ]
 
+    def _ask_to_wait(
+        self,
+        request: request_.Request,
+        preferred: targets.Target | None,
+        now_ms: int,
+    ) -> Effects:
+        """Wait for one of the limited targets, or end the request at once.
+
+        A caller that is refused gets the time at which it will be served.
+        """
+        held = request.has_held_response
+        candidates = self._tracker.limited(request, now_ms)
+        if not candidates:
+            return self._end_without_retry(request, held, now_ms)
+        candidates.sort(key=lambda target: target is not preferred)
+        left_ms = request.deadline_ms - ANSWER_MARGIN_MS - now_ms
+        max_wait_ms = min(
+            MAX_PERMIT_WAIT_MS,
+            max(
+                WAIT_SHARE * (request.due_ms - now_ms),
+                LATE_WAIT_SHARE * left_ms,
+            ),
+        )
+        is_sent = held or request.has_run
+        max_return_ms = min(
+            MAX_RETURN_MS, 0 if is_sent else RETURN_SHARE * left_ms
+        )
+        wait_ms = min(self._limits.wait_ms(t, now_ms) for t in candidates)
+        if wait_ms > MAX_RETURN_MS:
+            return self._end_without_retry(request, held, now_ms, FULL_WAIT_MS)
+        asked = permit_schedule.Asked(
+            caller=request.fingerprint,
+            max_wait_ms=int(max_wait_ms),
+            max_return_ms=int(max_return_ms),
+        )
+        request.may_wait_for_permit = True
+        return self._ask(request, tuple(candidates), asked, now_ms)
+
+    def _ask(
+        self,
+        request: request_.Request,
+        candidates: tuple[targets.Target, ...],
+        asked: permit_schedule.Asked,
+        now_ms: int,
+    ) -> Effects:
+        request.permits_asked += 1
+        request.permit_candidates = candidates
+        token = f'{request.request_id}:{request.permits_asked}'
+        answer = self._limits.ask(token, candidates, asked, now_ms)
+        if isinstance(answer, permit_schedule.Grant):
+            return self._apply_grant(request, answer, now_ms)
+        return [answer]
+
+    def _apply_grant(
+        self,
+        request: request_.Request,
+        grant: permit_schedule.Grant,
+        now_ms: int,
+    ) -> Effects:
+        candidates = request.permit_candidates
+        self._limits.apply_grant(candidates, grant, now_ms)
+        if grant.count and grant.target in map(rate_limits.key_of, candidates):
+            return self._await_permit(request, grant, now_ms)
+        request.permit_candidates = ()
+        if not request.may_wait_for_permit:
+            return self._send(request, now_ms, request.has_held_response)
+        wait_ms = grant.wait_ms if grant.is_kept else FULL_WAIT_MS
+        return self._end_without_retry(
+            request, request.has_held_response, now_ms, wait_ms
+        )
+
+    def _await_permit(
+        self,
+        request: request_.Request,
+        grant: permit_schedule.Grant,
+        now_ms: int,
+    ) -> Effects:
+        request.permit_candidates = tuple(
+            target
+            for target in request.permit_candidates
+            if rate_limits.key_of(target) == grant.target
+        )
+        token = f'{request.request_id}:{request.permits_asked}'
+        if not grant.wait_ms:
+            return self._use_permit(token, now_ms)
+        due_ms = now_ms + grant.wait_ms
+        return [shared_effects.StartTimer(PERMIT_TOKEN + token, due_ms)]
+
+    def _awaiting_permit(self, token: str) -> request_.Request | None:
+        """Return the request that asked for a permit, if it still waits."""
+        name, _, number = token.rpartition(':')
+        request = self._requests.get(name)
+        if request is None or not request.permit_candidates:
+            return None
+        return request if request.permits_asked == int(number) else None
+
+    def _use_permit(self, token: str, now_ms: int) -> Effects:
+        """Send a request to the limited target that it has a permit for."""
+        request = self._awaiting_permit(token)
+        if request is None:
+            return []
+        (target,), request.permit_candidates = request.permit_candidates, ()
+        is_listed = self._directory.find(target.name) is target
+        left_ms = request.deadline_ms - ANSWER_MARGIN_MS - now_ms
+        if (
+            left_ms < MIN_TIME_LEFT_MS
+            or self._quarantine.refuses(request, now_ms)
+            or not (is_listed and target.is_usable(now_ms))
+        ):
+            return self._send(request, now_ms, request.has_held_response)
+        return self._send_to(request, target, now_ms)
+
     def _start_resend_timer(
         self, request: request_.Request, left_ms: int, now_ms: int
     ) -> Effects:
@@ -473,12 +628,17 @@
         return self._send(request, now_ms, has_held_response)
 
     def _end_without_retry(
-        self, request: request_.Request, has_held_response: bool, now_ms: int
+        self,
+        request: request_.Request,
+        has_held_response: bool,
+        now_ms: int,
+        wait_ms: int = 0,
     ) -> Effects:
         if has_held_response:
             held = [effects.ForwardHeldResponse(request.request_id)]
             return self._finish(request, 'failed', held, now_ms)
-        return self._refuse(request, 'no_target', 0, now_ms)
+        reason = 'limited' if wait_ms else 'no_target'
+        return self._refuse(request, reason, wait_ms, now_ms)
 
     def _refuse(
         self, request: request_.Request, reason: str, wait_ms: int, now_ms: int
--- a/packages/routing/src/godwitglade/routing/targets.py
+++ b/packages/routing/src/godwitglade/routing/targets.py
@@ -74,7 +74,6 @@
     failures: int = 0
     suspended_until_ms: int = 0
     missing_since_ms: int | None = None
-    limit: NamedLimit | None = None
 
     @property
     def name(self) -> str:
@@ -115,6 +114,10 @@
         """Return the targets of a pool, leaving ones included."""
         return [t for t in self._targets.values() if t.listed.pool == name]
 
+    def all(self) -> list[Target]:
+        """Return all known targets."""
+        return list(self._targets.values())
+
     def usable(self, pool: str, now_ms: int) -> list[Target]:
         """Return the targets of a pool that accept new work.
 
--- a/packages/routing/src/godwitglade/routing/traits.py
+++ b/packages/routing/src/godwitglade/routing/traits.py
@@ -38,6 +38,11 @@
     return trait.startswith(f'{PART}:')
 
 
+def is_request(trait: str) -> bool:
+    """Return whether a trait is the fingerprint of a request."""
+    return trait.startswith(f'{REQUEST}:')
+
+
 def is_trait(value: typing.Any) -> bool:
     """Return whether a value from outside has the form of a trait."""
     if not isinstance(value, str):
--- a/tests/routing/test_request_lifecycle.py
+++ b/tests/routing/test_request_lifecycle.py
@@ -6,6 +6,7 @@
 
 from godwitglade.coordination import effects as shared_effects
 from godwitglade.coordination import hosts
+from godwitglade.coordination import membership
 from godwitglade.coordination import messages as shared_messages
 from godwitglade.routing import bodies
 from godwitglade.routing import budget
@@ -14,6 +15,7 @@
 from godwitglade.routing import effects
 from godwitglade.routing import messages
 from godwitglade.routing import quarantine
+from godwitglade.routing import rate_limits
 from godwitglade.routing import request_lifecycle
 from godwitglade.routing import stage_jobs
 from godwitglade.routing import targets
@@ -48,6 +50,10 @@
             budget.Bounds(allowance=allowance),
             lambda: 1,
             quarantine.Quarantine('h1', lambda: ['h1']),
+            rate_limits.RateLimits(
+                'h1',
+                membership.Membership(SELF, '10.0.1.1:1', random.Random(1)),
+            ),
         )
 
     def handle(self, message, now_ms=10):
