Let targets name limits in the soak

Two of three targets of two pools name 0.2, 1.3 or 4 requests a second for some seconds while one host is killed and one terminated; all requests that reach them are counted, also those of hosts that were not told.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -30,12 +30,17 @@
     crash_s: typing.Annotated[
         float, typer.Option(help='Let requests crash targets so long.')
     ] = 12.0,
+    limit_s: typing.Annotated[
+        float, typer.Option(help='Let targets name limits so long.')
+    ] = 10.0,
     failed: typing.Annotated[
         bool, typer.Option(help='Run the seeds that failed before first.')
     ] = False,
 ) -> None:
     """Run soak tests; exit with 1 if a guarantee was violated."""
-    plan = core.Plan(hosts=hosts, callers=3 * hosts, crash_s=crash_s)
+    plan = core.Plan(
+        hosts=hosts, callers=3 * hosts, crash_s=crash_s, limit_s=limit_s
+    )
     queue = _seeds_to_run(seeds, seed, minutes, failed)
     results = [_run_seed(number, plan) for number in queue]
     typer.echo(f'{len(results)} seeds, {sum(results)} with violations')
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -34,6 +34,10 @@
 COUNTED_CRASHES_OF_COPIES = 3
 MAX_LATE_ARRIVALS = 3
 CONTACT_S = 3.0
+#: Requests in a window that a target may get beyond the limit it names.
+LIMIT_WINDOW_S = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_EXTRA = 5
 #: Share of sound requests that begin meanwhile, of this many at least.
 MIN_BEGUN_SHARE = 0.5
 MIN_SOUND = 20
@@ -91,6 +95,16 @@
         )
 
 
+@attrs.frozen
+class Limit:
+    """A span in which a target names a limit of requests."""
+
+    target: str
+    milli_per_s: int
+    from_s: float
+    until_s: float
+
+
 @attrs.frozen(slots=False)
 class Record:
     """The records of one soak test.
@@ -107,6 +121,7 @@
     recovered: Phase
     link_stalls: list[stalls.Stall] = attrs.field(factory=list)
     crashes: tuple[Crashes, ...] = ()
+    limits: tuple[Limit, ...] = ()
 
     @functools.cached_property
     def runs_by_id(self) -> dict[str, list[standins.Run]]:
@@ -337,6 +352,29 @@
             )
 
 
+def _limits_are_kept(record: Record) -> Violations:
+    for limit in record.limits:
+        allowed = (
+            LIMIT_FACTOR * limit.milli_per_s / 1_000 * LIMIT_WINDOW_S
+            + LIMIT_EXTRA
+        )
+        arrived = [
+            run.at_s
+            for run in record.runs
+            if run.target == limit.target
+            and limit.from_s + CONTACT_S <= run.at_s <= limit.until_s
+        ]
+        worst = max(
+            (_count(arrived, s, s + LIMIT_WINDOW_S) for s in arrived),
+            default=0,
+        )
+        if worst > allowed:
+            yield (
+                f'LIMIT: {worst} requests in {LIMIT_WINDOW_S:.0f} s at '
+                f'{limit.target}, allowed {allowed:.1f}'
+            )
+
+
 def pool_of(path: str) -> str:
     """Return the pool that runs the requests of a path."""
     return 'app' if path.startswith(APP_PREFIXES) else 'engine'
@@ -370,5 +408,6 @@
     _retries_stay_in_budget,
     _bad_parts_are_not_sent_on,
     _sound_requests_begin_beside_bad_parts,
+    _limits_are_kept,
     _service_recovers,
 )
--- a/bench/soak/core.py
+++ b/bench/soak/core.py
@@ -23,6 +23,8 @@
 #: A crashed engine is back after this time.
 BACK_S = 2.0
 BACK_POLL_S = 0.05
+#: Limits that targets name, one of them below what a host alone would send.
+LIMITS_MILLI_PER_S = (200, 1_300, 4_000)
 
 
 @attrs.frozen
@@ -35,6 +37,7 @@
     planned_s: float = 8.0
     mean_gap_s: float = 0.5
     crash_s: float = 0.0
+    limit_s: float = 0.0
 
 
 @attrs.frozen
@@ -68,6 +71,7 @@
     load.start()
     time.sleep(1)
     crashes = _crash_targets(cluster, plan) if plan.crash_s else ()
+    limits = _limit_targets(cluster, plan) if plan.limit_s else ()
     faults.inject(cluster, faults.FAULTS, plan.faults_s, plan.mean_gap_s)
     _restart_exited(cluster.edges)
     time.sleep(CONTACT_WAIT_S)
@@ -97,6 +101,7 @@
         recovered=checks.Phase(max(ended_s, until_s - CHECKED_S), until_s),
         link_stalls=detector.stalls,
         crashes=crashes,
+        limits=limits,
     )
 
 
@@ -148,6 +153,35 @@
     return crashes
 
 
+def _limit_targets(
+    cluster: clusters.Cluster, plan: Plan
+) -> tuple[checks.Limit, ...]:
+    """Let targets name limits, and terminate and kill hosts meanwhile."""
+    rng = cluster.rng
+    limited = {
+        target: rng.choice(LIMITS_MILLI_PER_S)
+        for pool in ('app', 'engine')
+        for target in [t for t in cluster.targets if t.pool == pool][1:]
+    }
+    from_s = time.monotonic()
+    for target, milli_per_s in limited.items():
+        target.named_limit = f'{milli_per_s / 1_000}'
+    killed, terminated = rng.sample(cluster.edges, 2)
+    time.sleep(plan.limit_s * rng.uniform(0.2, 0.5))
+    killed.process.kill()
+    killed.start()
+    terminated.stop()
+    terminated.start()
+    time.sleep(max(0.0, from_s + plan.limit_s - time.monotonic()))
+    until_s = time.monotonic()
+    for target in limited:
+        target.named_limit = None
+    return tuple(
+        checks.Limit(target.name, milli_per_s, from_s, until_s)
+        for target, milli_per_s in limited.items()
+    )
+
+
 def _restart_exited(edges: typing.Iterable[clusters.Edge]) -> None:
     for edge in edges:
         if not edge.process.is_running:
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -192,3 +192,23 @@
     )
     lines = checks.find_violations(record)
     assert sorted({line.split(':')[0] for line in lines}) == expected
+
+
+@pytest.mark.parametrize(
+    ('count', 'milli_per_s', 'expected'),
+    [(13, 1_400, []), (14, 1_400, ['LIMIT']), (6, 0, ['LIMIT'])],
+)
+def test_requests_beyond_a_named_limit_are_reported(
+    count, milli_per_s, expected
+):
+    record = checks.Record(
+        requests=[make_request(), RECOVERED],
+        runs=[make_run(at_s=34 + n / 10, has_run=False) for n in range(count)],
+        keys=KEYS,
+        draining_since_s={},
+        planned=checks.Phase(50.0, 50.0),
+        recovered=checks.Phase(40.0, 50.0),
+        limits=(checks.Limit('app-1', milli_per_s, 30, 40),),
+    )
+    lines = checks.find_violations(record)
+    assert {line.split(':')[0] for line in lines} == set(expected)
