--- a/tests/routing/test_limited_targets.py
+++ b/tests/routing/test_limited_targets.py
@@ -166,3 +166,10 @@
 
 def test_callers_are_served_by_engines_without_a_limit():
     assert outcomes(play(4))['in_time'] >= 0.9
+
+
+def test_refused_callers_are_served_when_they_return():
+    result = outcomes(play(5, limits=(1_400,) * 6))
+    assert result['kept'] >= 0.95
+    # The limits leave room for two in five requests.
+    assert result['in_time'] + result['late'] >= 0.3
