Do not use a permit for a target that was not asked for

A reply that named another target made its host ask again at once, without end until the request's deadline, and a request whose target had gone while it waited for a permit could be refused although a target without a limit was left.

--- a/packages/routing/src/godwitglade/routing/rate_limits.py
+++ b/packages/routing/src/godwitglade/routing/rate_limits.py
@@ -278,11 +278,16 @@
 
     def apply_grant(
         self,
-        candidates: typing.Iterable[targets.Target],
+        candidates: typing.Sequence[targets.Target],
         grant: permit_schedule.Grant,
         now_ms: int,
-    ) -> None:
-        """Keep the permits beyond the first, or close the candidates."""
+    ) -> permit_schedule.Grant:
+        """Keep the permits beyond the first, or close the candidates.
+
+        Returns the grant, without permits if it names no candidate.
+        """
+        if grant.count and grant.target not in map(key_of, candidates):
+            grant = permit_schedule.Grant(0, SILENCE_MS)
         for key in map(key_of, candidates):
             limit = self._limits.get(key)
             if limit is None:
@@ -292,6 +297,7 @@
             elif key == grant.target:
                 until_ms = now_ms + grant.wait_ms + PERMIT_TTL_MS
                 limit.permits_until_ms += [until_ms] * (grant.count - 1)
+        return grant
 
 
 def decode_grant(body: typing.Any) -> permit_schedule.Grant:
--- a/packages/routing/src/godwitglade/routing/request_lifecycle.py
+++ b/packages/routing/src/godwitglade/routing/request_lifecycle.py
@@ -451,6 +451,7 @@
             return self._send_to(request, target, now_ms)
         if not self._tracker.has_unlimited(request, now_ms):
             return self._ask_to_wait(request, target, now_ms)
+        request.may_wait_for_permit = False
         return self._ask(request, (target,), permit_schedule.Asked(), now_ms)
 
     def _send_to(
@@ -545,8 +546,8 @@
         now_ms: int,
     ) -> Effects:
         candidates = request.permit_candidates
-        self._limits.apply_grant(candidates, grant, now_ms)
-        if grant.count and grant.target in map(rate_limits.key_of, candidates):
+        grant = self._limits.apply_grant(candidates, grant, now_ms)
+        if grant.count:
             return self._await_permit(request, grant, now_ms)
         request.permit_candidates = ()
         if not request.may_wait_for_permit:
--- a/tests/routing/test_permits.py
+++ b/tests/routing/test_permits.py
@@ -158,3 +158,11 @@
     assert rate_limits.decode_grant(granted) == permit_schedule.Grant(
         rate_limits.MAX_PERMITS, 0, KEY
     )
+
+
+def test_permit_for_another_target_closes_those_that_were_asked_for():
+    limits = make_limits()
+    limits.record_response(TARGET, NAMED, 0, 10)
+    foreign = permit_schedule.Grant(1, 0, 'other@0')
+    assert limits.apply_grant([TARGET], foreign, 20).count == 0
+    assert limits.wait_ms(TARGET, 20) > 0
