--- a/packages/routing/src/godwitglade/routing/rate_limits.py
+++ b/packages/routing/src/godwitglade/routing/rate_limits.py
@@ -75,8 +75,6 @@
             str, permit_schedule.PermitSchedule
         ] = collections.OrderedDict()
 
-    # What targets name
-
     def record_response(
         self,
         target: targets.Target | None,
@@ -182,8 +180,6 @@
         event = events.Event.TARGET_LIMIT_ENDED
         return [shared_effects.LogEvent(event, {'target': key})]
 
-    # Sending to limited targets
-
     def is_limited(self, target: targets.Target) -> bool:
         """Return whether a target has named a limit."""
         return key_of(target) in self._limits
