--- a/packages/routing/src/godwitglade/routing/host.py
+++ b/packages/routing/src/godwitglade/routing/host.py
@@ -352,6 +352,7 @@
                     'target': change.listed.name,
                     'pool': change.listed.pool,
                     'change': change.transition,
+                    'version': change.listed.version,
                     'list_version': version,
                 },
             )
--- a/packages/routing/src/godwitglade/routing/messages.py
+++ b/packages/routing/src/godwitglade/routing/messages.py
@@ -24,6 +24,8 @@
     ``budget_ms`` is the time that the caller will wait, None if it did not
     send one. ``item_counts`` has the number of items of each stage.
     ``body_digest`` is empty if copies of the request are not recognized.
+    ``resumes`` is the id of the attempt that brought the first event of a
+    stream that the caller takes up after ``last_event_id``.
     """
 
     request_id: str
@@ -40,6 +42,8 @@
     prompt_tokens: int = 0
     output_tokens: int = 0
     body_digest: str = ''
+    resumes: str = ''
+    last_event_id: str = ''
 
 
 @attrs.frozen
--- a/packages/routing/src/godwitglade/routing/request_lifecycle.py
+++ b/packages/routing/src/godwitglade/routing/request_lifecycle.py
@@ -476,6 +476,8 @@
             events.Event.REQUEST_SENT,
             request,
             target=target.name,
+            version=target.listed.version,
+            resumes=request.arrived.resumes or None,
             fullness=round(target_selection.fullness(target, now_ms), 2),
             load_age_ms=now_ms - target.load_ms if target.load else None,
             list_version=self._directory.version,
--- a/packages/routing/src/godwitglade/routing/targets.py
+++ b/packages/routing/src/godwitglade/routing/targets.py
@@ -29,7 +29,8 @@
 
     ``name`` is unique to one incarnation of the target unless it restarts
     under its old name; ``started_ms`` (Unix time) then distinguishes them.
-    ``sequence`` grows with what it reports of itself.
+    ``sequence`` grows with what it reports of itself. ``version`` is that of
+    its software, empty if unknown.
     """
 
     name: str
@@ -41,6 +42,7 @@
     warmup_ms: int = 0
     started_ms: int = 0
     sequence: int = 0
+    version: str = ''
 
 
 @attrs.frozen
