--- a/tests/routing/fleet.py
+++ b/tests/routing/fleet.py
@@ -24,6 +24,7 @@
 LIST_DELAY_MS = (200, 500)
 EXPIRY_MS = 1_200
 PROCESS_START_MS = 1_000
+DRAIN_MS = 2_000
 ROUTE = builders.route(
     documents.RequestKind.STREAM,
     timeout_ms=6_000,
@@ -47,6 +48,8 @@
     """
 
     name: str
+    version: str = 'v1'
+    started_ms: int = 0
     calls: dict = attrs.field(factory=dict)
     is_alive: bool = True
     limit: targets.NamedLimit | None = None
@@ -62,7 +65,13 @@
     @property
     def listed(self):
         """Return the entry of the list of targets."""
-        return builders.listed(self.name, 'engine', slots=48)
+        return builders.listed(
+            self.name,
+            'engine',
+            slots=48,
+            version=self.version,
+            started_ms=self.started_ms,
+        )
 
 
 @attrs.define(eq=False)
@@ -78,10 +87,17 @@
 
 @attrs.define(eq=False)
 class Attempt:
-    """A request with the parts of its prompt, and when it began."""
+    """A request with the parts of its prompt, and when it began.
+
+    ``versions`` are those of the engines whose events its caller has.
+    """
 
     parts: tuple
     sent_ms: int
+    name: str = ''
+    host_name: str = ''
+    versions: set = attrs.field(factory=set)
+    is_ended: bool = False
     begun_ms: int | None = None
     status: int | None = None
     retry_after_ms: int | None = None
@@ -106,6 +122,8 @@
         self.engines = []
         self.lost_share = 0.0
         self.failing_share = 0.0
+        self.breaking_share = 0.0
+        self.on_broken = lambda attempt: None
         self.cut_names = frozenset()
         self.store_is_down = False
         self.on_refused = lambda attempt: None
@@ -172,6 +190,13 @@
             node = self.nodes[name]
             node.host = None
             self.at(self.now_ms + PROCESS_START_MS, self.start, node)
+        lost = [
+            attempt
+            for attempt in self._open.values()
+            if attempt.host_name in names and not attempt.is_ended
+        ]
+        for attempt in lost:
+            self._break(attempt)
 
     def _post(self, node, message):
         if node.host is not None:
@@ -239,19 +264,37 @@
 
     # Engines
 
-    def start_engine(self):
+    def start_engine(self, version='v1'):
         """Start an engine under a new name."""
-        engine = Engine(f'e{len(self.engines)}')
+        name = f'e{len(self.engines)}'
+        engine = Engine(name, version, self.now_ms + 1)
         self.engines.append(engine)
         self._tell_later(messages.TargetsChanged((engine.listed,), (), 1))
 
+    def restart_engine(self, engine, version):
+        """Start an engine again under its name, soon after it ended."""
+        self.end_engine(engine, is_replaced=False)
+        back_ms = self.now_ms + self.rng.randint(1_000, 2_000)
+        self.at(back_ms, self._start_again, engine, version)
+
+    def _start_again(self, engine, version):
+        engine.is_alive = True
+        engine.version, engine.started_ms = version, self.now_ms + 1
+        self._tell_later(messages.TargetsChanged((engine.listed,), (), 1))
+
+    def drain_engine(self, engine):
+        """Let an engine leave, which serves on for a while."""
+        listed = attrs.evolve(engine.listed, is_leaving=True)
+        self._tell_later(messages.TargetsChanged((listed,), (), 1))
+        self.at(self.now_ms + DRAIN_MS, self.end_engine, engine, False)
+
     def _tell_later(self, message, extra_ms=0):
         for node in getattr(self, 'nodes', {}).values():
             delay_ms = extra_ms + self.rng.randint(*LIST_DELAY_MS)
             self.at(self.now_ms + delay_ms, self._post, node, message)
 
-    def end_engine(self, engine):
-        """End the process of an engine; another one starts later."""
+    def end_engine(self, engine, is_replaced=True):
+        """End the process of an engine; another one may start later."""
         if not engine.is_alive:
             return
         engine.is_alive = False
@@ -268,6 +311,8 @@
         engine.calls.clear()
         removed = messages.TargetsChanged((), (engine.name,), 1)
         self._tell_later(removed, EXPIRY_MS)
+        if not is_replaced:
+            return
         back_ms = self.now_ms + self.rng.randint(2_000, 4_000)
         self.at(back_ms, self.start_engine)
 
@@ -311,7 +356,11 @@
         if key not in engine.calls:
             return
         node, incarnation, effect, attempt = engine.calls[key]
-        if effect.call == 1:
+        if node.incarnation != incarnation or node.host is None:
+            del engine.calls[key]
+            return
+        attempt.versions.add(engine.version)
+        if attempt.begun_ms is None:
             attempt.begun_ms = self.now_ms
         if engine.limit is not None:
             engine.told_ms.setdefault((node.name, incarnation), self.now_ms)
@@ -320,11 +369,23 @@
         )
         self._post_to(node, incarnation, message)
         due_ms = self.now_ms + self.rng.randint(300, 2_500)
-        self.at(due_ms, self._complete, engine, key)
+        if self.rng.random() < self.breaking_share:
+            self.at(due_ms, self._break_off, engine, key)
+        else:
+            self.at(due_ms, self._complete, engine, key)
 
-    def _complete(self, engine, key):
+    def _break_off(self, engine, key):
         if key in engine.calls:
             node, incarnation, effect, _ = engine.calls.pop(key)
+            broken = messages.StreamBroken(
+                effect.request_id, effect.call, True, 'lost'
+            )
+            self._post_to(node, incarnation, broken)
+
+    def _complete(self, engine, key):
+        if key in engine.calls:
+            node, incarnation, effect, attempt = engine.calls.pop(key)
+            attempt.is_ended |= node.incarnation == incarnation
             message = messages.ResponseCompleted(
                 effect.request_id, effect.call, 200
             )
@@ -336,15 +397,22 @@
 
     # Callers
 
-    def send(self, parts, path='/a/x', return_of=None):
-        """Send a request to a running host, chosen at random."""
+    def send(self, parts, path='/a/x', return_of=None, stream=None, **fields):
+        """Send a request to a running host, chosen at random.
+
+        ``stream`` has the versions of the events that its caller has.
+        """
         running = [n for n in self.nodes.values() if n.host is not None]
         if not running:
-            return
+            return None
         node = self.rng.choice(running)
-        attempt = Attempt(parts, self.now_ms, return_of=return_of)
-        self.attempts.append(attempt)
         name = f'r{next(self._numbers)}'
+        attempt = Attempt(
+            parts, self.now_ms, name, node.name, return_of=return_of
+        )
+        if stream is not None:
+            attempt.versions = stream
+        self.attempts.append(attempt)
         self._open[name] = attempt
         arrived = builders.arrived(
             name,
@@ -352,12 +420,24 @@
             self.now_ms,
             prompt=tuple(messages.PromptPart(p, 100) for p in parts),
             body_digest=parts[-1],
+            **fields,
         )
         self._post(node, arrived)
+        return attempt
+
+    def _break(self, attempt):
+        attempt.is_ended = True
+        self._later(self.on_broken, attempt)
+
+    def _abort(self, _node, effect):
+        attempt = self._open[effect.request_id]
+        if not attempt.is_ended:
+            self._break(attempt)
 
     def _answer(self, _node, effect):
         attempt = self._open[effect.request_id]
         attempt.status = effect.status
+        attempt.is_ended = True
         attempt.retry_after_ms = effect.retry_after_ms
         if effect.retry_after_ms is not None:
             self.on_refused(attempt)
@@ -368,6 +448,7 @@
         shared_effects.ReplyPeer: _reply_peer,
         effects.Forward: _forward,
         effects.CancelCall: _cancel_call,
+        effects.AbortResponse: _abort,
         effects.Answer: _answer,
         effects.WriteQuarantine: _write_row,
         effects.RemoveQuarantine: _remove_row,
