Let a stream go on only at the software version that began it

Hosts did not read the version of targets nor Resumes, so both a host's own resume within one answer and a caller's resume at another host went to any engine.

A host now knows the version of each target and records at which version a stream began (stream_versions). While a pool has several versions, it tells two other hosts, in batches, and keeps the streams that have not ended in its row of the store, at most 20 rows a second over all hosts; a host that starts reads these rows once. A host that gets a resume it does not know asks three hosts; resumption decides. A stream of which nobody knows goes on only if all targets have had one version for a minute. What cannot go on is refused at once, with a retry time only if a host did not reply. Beside one version no message is sent but the questions about resumes.

--- a/packages/common/src/godwitglade/common/events.py
+++ b/packages/common/src/godwitglade/common/events.py
@@ -155,6 +155,12 @@
         'A row about what crashes targets could not be changed in the store; '
         'it is tried again.',
     )
+    STREAM_ROW_FAILED = EventDescription(
+        4005,
+        logging.WARNING,
+        'The row about the versions of streams could not be changed in the '
+        'store; it is tried again.',
+    )
     STORE_LOST = EventDescription(
         4001, logging.WARNING, 'The platform store does not respond.'
     )
--- a/packages/daemon/src/godwitglade/daemon/routing_effect_runner.py
+++ b/packages/daemon/src/godwitglade/daemon/routing_effect_runner.py
@@ -47,6 +47,16 @@
         """Remove the row of a trait."""
 
 
+class StreamRows(typing.Protocol):
+    """Keeps the versions of streams in the store; raises CodedError."""
+
+    def write(self, effect: effects.WriteStreams) -> None:
+        """Write the row of this host."""
+
+    def remove(self) -> None:
+        """Remove the row of this host."""
+
+
 @attrs.frozen
 class Clients:
     """The clients that carry out effects.
@@ -60,6 +70,7 @@
     peer_replies: replies.PendingReplies
     exchanges: routed_exchanges.Exchanges
     quarantine_rows: QuarantineRows
+    stream_rows: StreamRows
     refresh_targets: typing.Callable[[], None]
 
 
@@ -112,16 +123,29 @@
             logs.log_event(self._logger, events.Event.FREE_FAILED, fields)
 
     def _change_row(
-        self, trait: str, change: typing.Callable[[], None]
+        self,
+        event: events.Event,
+        fields: dict[str, typing.Any],
+        change: typing.Callable[[], None],
     ) -> None:
         """Write or remove a row; the loop asks for it again if it fails."""
         try:
             change()
         except errors.CodedError as error:
-            fields = {'trait': trait, 'reason': str(error)}
-            logs.log_event(
-                self._logger, events.Event.QUARANTINE_ROW_FAILED, fields
-            )
+            fields = fields | {'reason': str(error)}
+            logs.log_event(self._logger, event, fields)
+
+    def _change_quarantine_row(
+        self, trait: str, change: typing.Callable[[], None]
+    ) -> None:
+        event = events.Event.QUARANTINE_ROW_FAILED
+        self._row_threads.submit(
+            self._change_row, event, {'trait': trait}, change
+        )
+
+    def _change_stream_row(self, change: typing.Callable[[], None]) -> None:
+        event = events.Event.STREAM_ROW_FAILED
+        self._row_threads.submit(self._change_row, event, {}, change)
 
     @carry_out.register(effects.Forward)
     @carry_out.register(effects.ForwardHeldResponse)
@@ -148,14 +172,23 @@
     def _(self, effect: effects.WriteQuarantine) -> None:
         rows = self._clients.quarantine_rows
         write = functools.partial(rows.write, effect.trait, effect.crashes)
-        self._row_threads.submit(self._change_row, effect.trait, write)
+        self._change_quarantine_row(effect.trait, write)
 
     @carry_out.register
     def _(self, effect: effects.RemoveQuarantine) -> None:
         remove = functools.partial(
             self._clients.quarantine_rows.remove, effect.trait
         )
-        self._row_threads.submit(self._change_row, effect.trait, remove)
+        self._change_quarantine_row(effect.trait, remove)
+
+    @carry_out.register
+    def _(self, effect: effects.WriteStreams) -> None:
+        write = functools.partial(self._clients.stream_rows.write, effect)
+        self._change_stream_row(write)
+
+    @carry_out.register
+    def _(self, effect: effects.RemoveStreams) -> None:
+        self._change_stream_row(self._clients.stream_rows.remove)
 
     @carry_out.register
     def _(self, effect: effects.RefreshTargets) -> None:
--- a/packages/routing/src/godwitglade/routing/bodies.py
+++ b/packages/routing/src/godwitglade/routing/bodies.py
@@ -165,6 +165,29 @@
     is_kept: bool = False
 
 
+@attrs.frozen
+class StreamsBegun:
+    """Streams, by key, with the pool and the version at which they began."""
+
+    streams: dict[str, tuple[str, ...]]
+
+
+@attrs.frozen
+class StreamQuery:
+    """A host asks where a stream began."""
+
+    key: str
+
+
+@attrs.frozen
+class StreamAnswer:
+    """The reply to a `StreamQuery`; ``version`` is empty if it is unknown."""
+
+    is_known: bool = False
+    pool: str = ''
+    version: str = ''
+
+
 @attrs.frozen
 class Received:
     """The receiver has applied a message; ``life`` is its incarnation."""
@@ -180,4 +203,7 @@
     'work_waits': PoolWaits,
     'permit_asked': PermitRequest,
     'permit_granted': PermitGranted,
+    'streams_begun': StreamsBegun,
+    'stream_asked': StreamQuery,
+    'stream_known': StreamAnswer,
 }
--- a/packages/routing/src/godwitglade/routing/call_tracking.py
+++ b/packages/routing/src/godwitglade/routing/call_tracking.py
@@ -41,7 +41,7 @@
         """
         usable = [
             target
-            for target in self._directory.usable(request.pool, now_ms)
+            for target in self._usable(request, now_ms)
             if not self._limits.wait_ms(target, now_ms)
         ]
         affinity = ''
@@ -59,13 +59,18 @@
             usable, preferences, self._zone, self._random, now_ms
         )
 
+    def _usable(
+        self, request: request_.Request, now_ms: int
+    ) -> list[targets.Target]:
+        return self._directory.usable(request.pool, now_ms, request.version)
+
     def limited(
         self, request: request_.Request, now_ms: int
     ) -> list[targets.Target]:
         """Return the limited targets it may use, the first to open first."""
         limited = [
             target
-            for target in self._directory.usable(request.pool, now_ms)
+            for target in self._usable(request, now_ms)
             if target.name not in request.tried
             and self._limits.is_limited(target)
         ]
@@ -76,7 +81,7 @@
         return any(
             target.name not in request.tried
             and not self._limits.is_limited(target)
-            for target in self._directory.usable(request.pool, now_ms)
+            for target in self._usable(request, now_ms)
         )
 
     def start_call(
@@ -128,5 +133,7 @@
                     },
                 )
             )
+        if is_unreachable or is_target_gone:
+            target.record_unreachable(now_ms)
         self.end_call(request)
         return effects_
--- a/packages/routing/src/godwitglade/routing/effects.py
+++ b/packages/routing/src/godwitglade/routing/effects.py
@@ -145,6 +145,19 @@
     trait: str
 
 
+@attrs.frozen
+class WriteStreams:
+    """Write this host's row about versions; see `messages.StreamsRow`."""
+
+    versions: dict[str, tuple[str, ...]]
+    streams: dict[str, tuple[str, ...]]
+
+
+@attrs.frozen
+class RemoveStreams:
+    """Remove this host's row about versions from the store."""
+
+
 @attrs.frozen
 class CloseOtherConnections:
     """Close the connections to all addresses except these."""
--- a/packages/routing/src/godwitglade/routing/error_replies.py
+++ b/packages/routing/src/godwitglade/routing/error_replies.py
@@ -31,6 +31,14 @@
     return [effects.Answer(request.request_id, 503, reason, after_ms)]
 
 
+def cannot_resume(request: request_.Request, reason: str) -> Effects:
+    """Return the effects that end a request whose stream cannot go on.
+
+    It gets no retry time, since no later attempt could go on either.
+    """
+    return [effects.Answer(request.request_id, 503, reason)]
+
+
 def quarantined(request: request_.Request) -> Effects:
     """Return the effects that end a request which crashes targets."""
     if request.has_response_started or request.has_run:
--- a/packages/routing/src/godwitglade/routing/host.py
+++ b/packages/routing/src/godwitglade/routing/host.py
@@ -28,11 +28,14 @@
 from godwitglade.routing import effects
 from godwitglade.routing import freshness
 from godwitglade.routing import messages
+from godwitglade.routing import pool_versions
 from godwitglade.routing import quarantine
 from godwitglade.routing import rate_limits
 from godwitglade.routing import request_lifecycle
+from godwitglade.routing import resumption
 from godwitglade.routing import stage_work
 from godwitglade.routing import stopping
+from godwitglade.routing import stream_versions
 from godwitglade.routing import targets
 
 Effects = list[typing.Any]
@@ -42,8 +45,15 @@
 MAINTENANCE_INTERVAL_MS = 200
 
 PERMIT_BODIES = (bodies.PermitRequest, bodies.PermitGranted)
+STREAM_BODIES = (
+    bodies.StreamsBegun,
+    bodies.StreamQuery,
+    bodies.StreamAnswer,
+)
 WORK_BODIES = tuple(
-    body for body in bodies.KINDS.values() if body not in PERMIT_BODIES
+    body
+    for body in bodies.KINDS.values()
+    if body not in PERMIT_BODIES + STREAM_BODIES
 )
 
 
@@ -70,6 +80,8 @@
     facts: facts.Facts
     quarantine: quarantine.Quarantine
     rate_limits: rate_limits.RateLimits
+    versions: pool_versions.PoolVersions
+    streams: stream_versions.StreamVersions
     document_state: document_state.DocumentState
     directory: targets.Directory
     requests: request_lifecycle.Requests
@@ -99,6 +111,8 @@
         self_id.name, lambda: [m.host.name for m in members.serving()]
     )
     rate_limits_ = rate_limits.RateLimits(self_id.name, members)
+    versions = pool_versions.PoolVersions()
+    streams = stream_versions.StreamVersions(self_id, members, versions)
     requests_ = request_lifecycle.Requests(
         self_id,
         document_state_,
@@ -108,6 +122,7 @@
         lambda: len(members.live()),
         quarantine_,
         rate_limits_,
+        resumption.Resumptions(versions, streams, directory),
     )
     stage_work_ = stage_work.StageWork(
         self_id, address, members, document_state_, directory
@@ -121,6 +136,8 @@
         facts_,
         quarantine_,
         rate_limits_,
+        versions,
+        streams,
         document_state_,
         directory,
         requests_,
@@ -198,6 +215,8 @@
     def _(self, message: shared_messages.PeerMessage, now_ms: int) -> Effects:
         if isinstance(message.body, WORK_BODIES):
             return self.components.work.handle(message, now_ms)
+        if isinstance(message.body, STREAM_BODIES):
+            return self.components.streams.handle(message, now_ms)
         if isinstance(message.body, bodies.PermitRequest):
             return self.components.rate_limits.handle(message, now_ms)
         if isinstance(message.body, shared_bodies.FactsRequest):
@@ -210,7 +229,11 @@
             return self.components.work.handle(message, now_ms)
         if message.token.startswith('facts:'):
             return self.components.facts.handle(message, now_ms)
-        if message.token.startswith(rate_limits.TOKEN):
+        if message.token.startswith(stream_versions.TOLD_TOKEN):
+            return self.components.streams.handle(message, now_ms)
+        if message.token.startswith(
+            (rate_limits.TOKEN, stream_versions.ASKED_TOKEN)
+        ):
             return self.components.requests.handle(message, now_ms)
         return self.components.members.handle(message, now_ms)
 
@@ -226,6 +249,8 @@
             return self.components.facts.handle(message, now_ms)
         if message.token.startswith(quarantine.TOKEN):
             return self.components.quarantine.handle(message, now_ms)
+        if message.token == stream_versions.FLUSH_TOKEN:
+            return self.components.streams.handle(message, now_ms)
         return self.components.requests.handle(message, now_ms)
 
     @_dispatch.register
@@ -240,6 +265,10 @@
     def _(self, message: messages.QuarantineRead, now_ms: int) -> Effects:
         return self._update_quarantine(message, now_ms)
 
+    @_dispatch.register
+    def _(self, message: messages.StreamsRead, now_ms: int) -> Effects:
+        return self.components.streams.handle(message, now_ms)
+
     @_dispatch.register
     def _(self, message: messages.DocumentRead, now_ms: int) -> Effects:
         document_state_ = self.components.document_state
@@ -266,7 +295,8 @@
             message.outage_ms,
             message.era,
         )
-        return self._report_changes(changes, message.version)
+        self.components.versions.confirmed_ms = now_ms
+        return self._report_changes(changes, message.version, now_ms)
 
     @_dispatch.register
     def _(self, message: messages.TargetsChanged, now_ms: int) -> Effects:
@@ -277,7 +307,8 @@
             now_ms,
             message.era,
         )
-        return self._report_changes(changes, message.version)
+        self.components.versions.confirmed_ms = now_ms
+        return self._report_changes(changes, message.version, now_ms)
 
     @_dispatch.register
     def _(self, message: messages.HostsRead, now_ms: int) -> Effects:
@@ -317,7 +348,8 @@
         )
         directory = self.components.directory
         changes = directory.remove_expired(now_ms)
-        effects_ = self._report_changes(changes, directory.version)
+        effects_ = self._report_changes(changes, directory.version, now_ms)
+        effects_ += self.components.streams.maintain(now_ms)
         effects_ += self.components.requests.clear_running(now_ms)
         effects_ += self.components.quarantine.maintain(now_ms)
         self.components.rate_limits.maintain(directory.all())
@@ -341,10 +373,22 @@
         return [effects.Stop()] if may_end else []
 
     def _report_changes(
-        self, changes: list[targets.Change], version: int
+        self, changes: list[targets.Change], version: int, now_ms: int
     ) -> Effects:
         if not changes:
             return []
+        directory, streams = self.components.directory, self.components.streams
+        for pool in {change.listed.pool for change in changes}:
+            self.components.versions.set_listed(
+                pool, directory.versions(pool), now_ms
+            )
+        told = [
+            effect
+            for change in changes
+            if change.transition == targets.RESTARTED
+            for effect in streams.record_replaced(change.listed.name, now_ms)
+        ]
+        told += streams.update_pools(now_ms)
         logs = [
             shared_effects.LogEvent(
                 events.Event.TARGET_CHANGED,
@@ -358,8 +402,8 @@
             )
             for change in changes
         ]
-        addresses = frozenset(self.components.directory.addresses())
-        return [*logs, effects.CloseOtherConnections(addresses)]
+        addresses = frozenset(directory.addresses())
+        return [*logs, *told, effects.CloseOtherConnections(addresses)]
 
 
 def kinds() -> dict[str, type]:
--- a/packages/routing/src/godwitglade/routing/messages.py
+++ b/packages/routing/src/godwitglade/routing/messages.py
@@ -210,6 +210,27 @@
     is_complete: bool = False
 
 
+@attrs.frozen
+class StreamsRow:
+    """What a host keeps in the store about versions.
+
+    ``versions`` has those of each pool that has several; ``streams`` the
+    pool and the version at which streams began, by key. ``at_ms`` is the
+    Unix time of the write.
+    """
+
+    versions: dict[str, tuple[str, ...]] = attrs.Factory(dict)
+    streams: dict[str, tuple[str, ...]] = attrs.Factory(dict)
+    at_ms: int = 0
+
+
+@attrs.frozen
+class StreamsRead:
+    """The rows of all hosts about versions, read after the start."""
+
+    rows: tuple[StreamsRow, ...] = ()
+
+
 @attrs.frozen
 class SettingsReloaded:
     """The settings were reloaded; ``bounds`` are `host.Settings`."""
--- /dev/null
+++ b/packages/routing/src/godwitglade/routing/pool_versions.py
@@ -0,0 +1,93 @@
+"""Software versions that the targets of each pool have, or had lately.
+
+A stream can outlive the targets of its version by the time that its caller
+waits, so a version is remembered for longer than that.
+"""
+
+import typing
+
+from godwitglade.common import clock as clocks
+
+#: A version is remembered for this time after its last target has gone.
+KEPT_MS = clocks.MINUTE_MS
+MAX_VERSIONS = 32
+MAX_POOLS = 1_024
+
+
+class PoolVersions:
+    """The versions known to this host, by pool.
+
+    ``is_complete`` means that this host has also read what the hosts knew
+    before it started. ``confirmed_ms`` is when the list of targets was last
+    confirmed.
+    """
+
+    def __init__(self) -> None:
+        self._listed: dict[str, frozenset[str]] = {}
+        self._past_ms: dict[str, dict[str, int]] = {}
+        self.is_complete = False
+        self.confirmed_ms: int | None = None
+
+    def set_listed(
+        self, pool: str, versions: frozenset[str], now_ms: int
+    ) -> None:
+        """Set the versions of the listed targets of a pool."""
+        for version in self._listed.get(pool, frozenset()) - versions:
+            self._remember(pool, version, now_ms)
+        self._listed[pool] = versions
+
+    def record(self, pool: str, version: str, now_ms: int) -> None:
+        """Record a version of which another host has told."""
+        if version not in self._listed.get(pool, ()):
+            self._remember(pool, version, now_ms)
+
+    def known(self, pool: str, now_ms: int) -> frozenset[str]:
+        """Return the versions that the targets of a pool have or had."""
+        past = self._past_ms.get(pool)
+        listed = self._listed.get(pool, frozenset())
+        if not past:
+            return listed
+        return listed.union(
+            version for version, ms in past.items() if now_ms - ms < KEPT_MS
+        )
+
+    def is_mixed(self, pools: typing.Iterable[str], now_ms: int) -> bool:
+        """Return whether the pools have or had more than one version."""
+        return len(self.known_of(pools, now_ms)) > 1
+
+    def known_of(
+        self, pools: typing.Iterable[str], now_ms: int
+    ) -> frozenset[str]:
+        """Return the versions that targets of any of the pools have or had."""
+        return frozenset().union(*(self.known(p, now_ms) for p in pools))
+
+    def mixed(self, now_ms: int) -> dict[str, tuple[str, ...]]:
+        """Return the versions of each pool that has or had several."""
+        known = {
+            pool: self.known(pool, now_ms)
+            for pool in self._listed.keys() | self._past_ms.keys()
+        }
+        return {
+            pool: tuple(sorted(versions))
+            for pool, versions in sorted(known.items())
+            if len(versions) > 1
+        }
+
+    def maintain(self, now_ms: int) -> None:
+        """Forget versions whose last target has gone long ago."""
+        self._past_ms = {
+            pool: kept
+            for pool, past in self._past_ms.items()
+            if (
+                kept := {v: t for v, t in past.items() if now_ms - t < KEPT_MS}
+            )
+        }
+
+    def _remember(self, pool: str, version: str, now_ms: int) -> None:
+        if pool not in self._past_ms and len(self._past_ms) >= MAX_POOLS:
+            return
+        past = self._past_ms.setdefault(pool, {})
+        past.pop(version, None)
+        past[version] = now_ms
+        if len(past) > MAX_VERSIONS:
+            del past[next(iter(past))]
--- a/packages/routing/src/godwitglade/routing/request.py
+++ b/packages/routing/src/godwitglade/routing/request.py
@@ -12,14 +12,27 @@
 MAX_CRASHES = 2
 
 
+@attrs.define(eq=False)
+class Inquiry:
+    """Replies of other hosts for which a request waits."""
+
+    asked: int
+    pending: int = attrs.field(init=False)
+    replies: int = 0
+
+    def __attrs_post_init__(self) -> None:
+        self.pending = self.asked
+
+
 @attrs.define(eq=False)
 class Request:
     """A request in flight on this host.
 
     ``crashes`` counts the targets whose process ended under it.
     ``permit_candidates`` are the limited targets for one of which it waits.
-    ``has_run`` means that a target may have started to process it, and
-    ``traits`` are what it may have in common with other requests.
+    ``version`` is that of the targets at which its stream may go on, None
+    for any. ``has_run`` means that a target may have started to process it,
+    and ``traits`` are what it may have in common with other requests.
     """
 
     arrived: messages.RequestArrived
@@ -43,6 +56,8 @@
     permit_candidates: tuple[targets.Target, ...] = ()
     may_wait_for_permit: bool = False
     has_held_response: bool = False
+    version: str | None = None
+    inquiry: Inquiry | None = None
     jobs: dict[str, int] = attrs.Factory(dict)
     past_jobs: set[str] = attrs.Factory(set)
     fetched: set[int] = attrs.Factory(set)
@@ -52,6 +67,14 @@
         """Return this host's id of the request."""
         return self.arrived.request_id
 
+    @property
+    def is_resume(self) -> bool:
+        """Return whether its caller has a part of the stream already."""
+        has_events = self.arrived.last_event_id not in ('', '0')
+        return self.route.is_resumable and bool(
+            has_events or self.arrived.resumes
+        )
+
     @property
     def fingerprint(self) -> str:
         """Return the trait that copies of the request have, if known."""
--- a/packages/routing/src/godwitglade/routing/request_lifecycle.py
+++ b/packages/routing/src/godwitglade/routing/request_lifecycle.py
@@ -27,7 +27,9 @@
 from godwitglade.routing import rate_limits
 from godwitglade.routing import request as request_
 from godwitglade.routing import request_logs
+from godwitglade.routing import resumption
 from godwitglade.routing import stage_jobs
+from godwitglade.routing import stream_versions
 from godwitglade.routing import target_selection
 from godwitglade.routing import targets
 
@@ -72,7 +74,9 @@
         count_hosts: typing.Callable[[], int],
         quarantine_: quarantine.Quarantine,
         limits: rate_limits.RateLimits,
+        resumptions: resumption.Resumptions,
     ) -> None:
+        self._resumptions = resumptions
         self._document_state = document_state_
         self._directory = directory
         self._quarantine = quarantine_
@@ -117,7 +121,7 @@
             document_age_ms=self._document_state.age_ms(now_ms),
             left_ms=request.deadline_ms - now_ms,
         )
-        return [timer, admitted, *self._advance(request, now_ms)]
+        return [timer, admitted, *self._begin(request, now_ms)]
 
     @handle.register
     def _(self, message: shared_messages.TimerFired, now_ms: int) -> Effects:
@@ -141,6 +145,8 @@
 
     @handle.register
     def _(self, message: shared_messages.PeerReply, now_ms: int) -> Effects:
+        if message.token.startswith(stream_versions.ASKED_TOKEN):
+            return self._apply_stream_reply(message, now_ms)
         token = message.token.removeprefix(rate_limits.TOKEN)
         request = self._awaiting_permit(token)
         if request is None:
@@ -222,7 +228,8 @@
         limited = self._record_limit(request, message, now_ms)
         target_selection.record_success(request.target, message.load, now_ms)
         self._record_start(request, now_ms)
-        return limited + self._stage_jobs.release(request)
+        told = self._resumptions.record_event(request, now_ms)
+        return limited + told + self._stage_jobs.release(request)
 
     @_apply.register
     def _(
@@ -418,6 +425,42 @@
         request.progress.started.discard(stage)
         return self._advance(request, now_ms)
 
+    def _begin(self, request: request_.Request, now_ms: int) -> Effects:
+        """Start a request; a stream that goes on needs its version first."""
+        if not request.is_resume:
+            return self._advance(request, now_ms)
+        decision = self._resumptions.start(request, now_ms)
+        if isinstance(decision, list):
+            return decision
+        return self._resume(request, decision, now_ms)
+
+    def _apply_stream_reply(
+        self, message: shared_messages.PeerReply, now_ms: int
+    ) -> Effects:
+        name = message.token.removeprefix(stream_versions.ASKED_TOKEN)
+        request = self._requests.get(name)
+        if request is None:
+            return []
+        decision = self._resumptions.apply_reply(request, message.body, now_ms)
+        if decision is None:
+            return []
+        return self._resume(request, decision, now_ms)
+
+    def _resume(
+        self,
+        request: request_.Request,
+        decision: resumption.Decision,
+        now_ms: int,
+    ) -> Effects:
+        if isinstance(decision, resumption.Refusal):
+            reason = decision.value
+            if decision is resumption.Refusal.UNCONFIRMED:
+                return self._refuse(request, reason, 0, now_ms)
+            ending = error_replies.cannot_resume(request, reason)
+            return self._finish(request, reason, ending, now_ms)
+        request.pool, request.version = decision.pool, decision.version
+        return self._advance(request, now_ms)
+
     def _advance(self, request: request_.Request, now_ms: int) -> Effects:
         """Start the stages that are ready, or send the request."""
         if request.progress.is_complete:
@@ -669,6 +712,7 @@
     ) -> Effects:
         """End a request; cancel its open call and release its jobs."""
         del self._requests[request.request_id]
+        self._resumptions.record_end(request, is_done, now_ms)
         self._quarantine.end_request(request)
         cancelled: Effects = []
         if request.target is not None and not is_done:
--- /dev/null
+++ b/packages/routing/src/godwitglade/routing/stream_versions.py
@@ -0,0 +1,343 @@
+"""Software versions at which streams began, known beyond their hosts.
+
+What targets of two versions write does not fit together, and targets do not
+check it. So a caller's stream goes on only at the version that began it. The
+host that began it may be gone, so while a pool has several versions, each
+host tells two others of the streams that begin there, and keeps those that
+have not ended in its row of the store, for the time after a restart of all
+hosts. A host that does not know a stream asks those that would.
+"""
+
+import collections
+import functools
+import itertools
+import typing
+
+import attrs
+import xxhash
+
+from godwitglade.common import clock as clocks
+from godwitglade.coordination import effects as shared_effects
+from godwitglade.coordination import hosts
+from godwitglade.coordination import membership as memberships
+from godwitglade.coordination import messages as shared_messages
+from godwitglade.routing import bodies
+from godwitglade.routing import effects
+from godwitglade.routing import messages
+from godwitglade.routing import pool_versions
+from godwitglade.routing import rendezvous
+from godwitglade.routing import request as request_
+
+Effects = list[typing.Any]
+
+TOKEN = 'streams:'
+TOLD_TOKEN = f'{TOKEN}told:'
+ASKED_TOKEN = f'{TOKEN}asked:'
+FLUSH_TOKEN = f'{TOKEN}flush'
+
+#: Hosts that are told of a stream, and hosts that are asked: one of those
+#: told may have gone or be unknown to the one that asks.
+TOLD_HOSTS = 2
+ASKED_HOSTS = 3
+FLUSH_DELAY_MS = 50
+TELL_TIMEOUT_MS = 500
+ASK_TIMEOUT_MS = 150
+MAX_TELLS = 3
+MAX_BATCH = 500
+#: Streams that are remembered, and for how long.
+MAX_STREAMS = 16_384
+KEPT_MS = pool_versions.KEPT_MS
+#: Streams in the row of a host, and the time for which one stays there that
+#: broke off.
+MAX_ROW_STREAMS = 256
+BROKEN_MS = 10 * clocks.SECOND_MS
+#: Interval between the writes of a row: all hosts together make at most one
+#: write in WRITE_SPACING_MS.
+MIN_WRITE_INTERVAL_MS = 500
+WRITE_SPACING_MS = 50
+REPEAT_WRITE_MS = 10 * clocks.SECOND_MS
+#: A target's entry may be this old when a stream begins there.
+LIST_LAG_MS = 3 * clocks.SECOND_MS
+MAX_TEXT_LENGTH = 200
+
+
+@attrs.frozen
+class Begun:
+    """Where a stream began; ``version`` is empty if it is not known."""
+
+    pool: str
+    version: str
+
+
+@attrs.define
+class _Stream:
+    begun: Begun
+    at_ms: int
+    target: str = ''
+    is_open: bool = False
+
+
+class StreamVersions:
+    """The streams known to this host, its own and those of others."""
+
+    def __init__(
+        self,
+        self_id: hosts.HostId,
+        members: memberships.Membership,
+        versions: pool_versions.PoolVersions,
+    ) -> None:
+        self._self_id = self_id
+        self._members = members
+        self._versions = versions
+        self._streams: collections.OrderedDict[str, _Stream] = (
+            collections.OrderedDict()
+        )
+        self._own: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
+        self._untold: dict[str, int] = {}
+        self._told: dict[str, tuple[tuple[str, ...], int]] = {}
+        self._numbers = itertools.count(1)
+        self._is_flush_due = False
+        self._mixed_pools: frozenset[str] = frozenset()
+        self._row: effects.WriteStreams | None = None
+        self._row_ms = -REPEAT_WRITE_MS
+
+    def __len__(self) -> int:
+        return len(self._streams)
+
+    def find(self, key: str) -> Begun | None:
+        """Return where a stream began, None if this host does not know."""
+        stream = self._streams.get(key)
+        return None if stream is None else stream.begun
+
+    def record_begun(
+        self, key: str, begun: Begun, target: str, now_ms: int
+    ) -> Effects:
+        """Record that an event of a stream arrived from a target."""
+        known = self._streams.get(key)
+        if known is not None and known.begun.version:
+            # Only what brought the first event counts.
+            begun = known.begun
+        self._put(key, _Stream(begun, now_ms, target, True))
+        self._own[key] = None
+        self._own.move_to_end(key)
+        if begun.pool not in self._mixed_pools:
+            return []
+        return self._tell([key], now_ms)
+
+    def record_end(self, key: str, is_complete: bool, now_ms: int) -> None:
+        """Record that this host no longer brings a stream to its caller."""
+        stream = self._streams.get(key)
+        if stream is None:
+            return
+        stream.is_open = False
+        stream.at_ms = now_ms
+        if is_complete:
+            self._own.pop(key, None)
+
+    def record_replaced(self, target: str, now_ms: int) -> Effects:
+        """Distrust the streams that began at a target lately.
+
+        It has started again, maybe before they began.
+        """
+        doubtful = [
+            key
+            for key, stream in self._streams.items()
+            if stream.target == target and now_ms - stream.at_ms < LIST_LAG_MS
+        ]
+        for key in doubtful:
+            stream = self._streams[key]
+            stream.begun = Begun(stream.begun.pool, '')
+        return self._tell(doubtful, now_ms)
+
+    def update_pools(self, now_ms: int) -> Effects:
+        """Tell of the streams of pools that have several versions now."""
+        mixed = frozenset(self._versions.mixed(now_ms))
+        new, self._mixed_pools = mixed - self._mixed_pools, mixed
+        if not new:
+            return []
+        keys = [k for k in self._own if self._streams[k].begun.pool in new]
+        return self._tell(keys, now_ms)
+
+    def ask(self, key: str, request_id: str) -> Effects:
+        """Ask the hosts that would know of a stream."""
+        body = bodies.StreamQuery(key)
+        return [
+            shared_effects.SendPeer(
+                f'{ASKED_TOKEN}{request_id}', address, body, ASK_TIMEOUT_MS
+            )
+            for address in self._keepers(key, ASKED_HOSTS)
+        ]
+
+    @functools.singledispatchmethod
+    def handle(self, message: typing.Any, now_ms: int) -> Effects:
+        """Handle a message; messages of other components are ignored."""
+        return []
+
+    @handle.register
+    def _(self, message: shared_messages.PeerMessage, now_ms: int) -> Effects:
+        if isinstance(message.body, bodies.StreamQuery):
+            found = self.find(message.body.key)
+            answer = bodies.StreamAnswer()
+            if found is not None:
+                answer = bodies.StreamAnswer(True, found.pool, found.version)
+            return [shared_effects.ReplyPeer(message.reply_token, answer)]
+        received = bodies.Received(self._self_id.incarnation)
+        reply = shared_effects.ReplyPeer(message.reply_token, received)
+        return [reply, *self._receive(message.body.streams, now_ms)]
+
+    @handle.register
+    def _(self, message: shared_messages.PeerReply, now_ms: int) -> Effects:
+        keys, tells = self._told.pop(message.token, ((), 0))
+        if message.body is not None or tells >= MAX_TELLS:
+            return []
+        return self._tell(keys, now_ms, tells)
+
+    @handle.register
+    def _(self, message: shared_messages.TimerFired, now_ms: int) -> Effects:
+        self._is_flush_due = False
+        by_host: dict[tuple[str, int], list[str]] = {}
+        for key, tells in self._untold.items():
+            if key in self._streams:
+                for address in self._keepers(key, TOLD_HOSTS):
+                    by_host.setdefault((address, tells), []).append(key)
+        self._untold.clear()
+        return [
+            self._tell_host(address, tuple(batch), tells)
+            for (address, tells), keys in by_host.items()
+            for batch in _batches(keys)
+        ]
+
+    @handle.register
+    def _(self, message: messages.StreamsRead, now_ms: int) -> Effects:
+        for row in message.rows:
+            for pool, versions in row.versions.items():
+                for version in versions[: pool_versions.MAX_VERSIONS]:
+                    self._versions.record(pool, version, now_ms)
+            self._receive(row.streams, now_ms)
+        self._versions.is_complete = True
+        return self.update_pools(now_ms)
+
+    def maintain(self, now_ms: int) -> Effects:
+        """Forget old streams; write the row of this host if it changed."""
+        while self._streams:
+            key, stream = next(iter(self._streams.items()))
+            if now_ms - stream.at_ms < KEPT_MS:
+                break
+            self._drop(key)
+        self._versions.maintain(now_ms)
+        told = self.update_pools(now_ms)
+        return told + self._update_row(now_ms)
+
+    def _update_row(self, now_ms: int) -> Effects:
+        versions = self._versions.mixed(now_ms)
+        if not versions:
+            is_written, self._row = self._row is not None, None
+            return [effects.RemoveStreams()] if is_written else []
+        hosts_ = len(self._members.serving())
+        interval_ms = max(MIN_WRITE_INTERVAL_MS, hosts_ * WRITE_SPACING_MS)
+        since_ms = now_ms - self._row_ms
+        if since_ms < interval_ms:
+            return []
+        row = effects.WriteStreams(versions, self._row_streams(now_ms))
+        if row == self._row and since_ms < REPEAT_WRITE_MS:
+            return []
+        self._row, self._row_ms = row, now_ms
+        return [row]
+
+    def _row_streams(self, now_ms: int) -> dict[str, tuple[str, str]]:
+        """Return the streams of this host that callers may take up."""
+        lasting = (
+            (key, stream)
+            for key in reversed(self._own)
+            if (stream := self._streams[key]).begun.pool in self._mixed_pools
+            and (stream.is_open or now_ms - stream.at_ms < BROKEN_MS)
+        )
+        return {
+            key: (stream.begun.pool, stream.begun.version)
+            for key, stream in itertools.islice(lasting, MAX_ROW_STREAMS)
+        }
+
+    def _receive(
+        self, streams: dict[str, tuple[str, ...]], now_ms: int
+    ) -> Effects:
+        valid = {
+            key: Begun(*begun)
+            for key, begun in itertools.islice(streams.items(), MAX_BATCH)
+            if len(begun) == 2
+            and all(len(text) <= MAX_TEXT_LENGTH for text in (key, *begun))
+        }
+        for key, begun in valid.items():
+            own = self._streams.get(key) if key in self._own else None
+            if own is None:
+                self._put(key, _Stream(begun, now_ms))
+            if begun.version:
+                self._versions.record(begun.pool, begun.version, now_ms)
+        return self.update_pools(now_ms) if valid else []
+
+    def _tell(
+        self, keys: typing.Iterable[str], now_ms: int, tells: int = 0
+    ) -> Effects:
+        """Tell the keepers of streams, together with others that begin."""
+        self._untold.update(dict.fromkeys(keys, tells))
+        if self._is_flush_due or not self._untold:
+            return []
+        self._is_flush_due = True
+        due_ms = now_ms + FLUSH_DELAY_MS
+        return [shared_effects.StartTimer(FLUSH_TOKEN, due_ms)]
+
+    def _tell_host(
+        self, address: str, keys: tuple[str, ...], tells: int
+    ) -> shared_effects.SendPeer:
+        token = f'{TOLD_TOKEN}{next(self._numbers)}'
+        self._told[token] = (keys, tells + 1)
+        begun = {key: self._streams[key].begun for key in keys}
+        body = bodies.StreamsBegun(
+            {key: (b.pool, b.version) for key, b in begun.items()}
+        )
+        return shared_effects.SendPeer(token, address, body, TELL_TIMEOUT_MS)
+
+    def _keepers(self, key: str, count: int) -> list[str]:
+        """Return the addresses of other hosts that keep a stream."""
+        addresses = {
+            record.host.name: record.address
+            for record in self._members.serving()
+            if record.host.name != self._self_id.name
+        }
+        return [addresses[n] for n in rendezvous.rank(key, addresses)[:count]]
+
+    def _put(self, key: str, stream: _Stream) -> None:
+        self._streams[key] = stream
+        self._streams.move_to_end(key)
+        if len(self._streams) > MAX_STREAMS:
+            self._drop(next(iter(self._streams)))
+
+    def _drop(self, key: str) -> None:
+        del self._streams[key]
+        self._own.pop(key, None)
+        self._untold.pop(key, None)
+
+
+def key_of(request: request_.Request) -> str:
+    """Return the key of the stream that a request begins or takes up.
+
+    Another workspace's stream has another key, whatever id is named.
+    """
+    arrived = request.arrived
+    workspace = request.workspace.name if request.workspace else ''
+    first_id = arrived.resumes or arrived.attempt_id
+    text = '\n'.join((workspace, arrived.host, arrived.path, first_id))
+    return xxhash.xxh3_64_hexdigest(text.encode())
+
+
+def decode_answer(body: typing.Any) -> Begun | None:
+    """Return what another host knows of a stream, None for nothing."""
+    if not isinstance(body, bodies.StreamAnswer) or not body.is_known:
+        return None
+    return Begun(body.pool, body.version)
+
+
+def _batches(keys: list[str]) -> typing.Iterator[list[str]]:
+    rest = iter(keys)
+    return iter(lambda: list(itertools.islice(rest, MAX_BATCH)), [])
--- a/packages/routing/src/godwitglade/routing/targets.py
+++ b/packages/routing/src/godwitglade/routing/targets.py
@@ -16,6 +16,10 @@
 #: Entries may expire in an outage of the store of at least this time: the
 #: store drops targets after three missed check-ins, over a second apart.
 MIN_LAPSE_OUTAGE_MS = 2_000
+#: An entry is listed within this time after its target has started.
+ENTRY_LAG_MS = 1_500
+#: The transition of a target that started again under its name.
+RESTARTED = 'restarted'
 #: Targets that have gone, kept for a store that goes back.
 MAX_GONE = 1_024
 #: A decimal number of requests per second, and the highest that is used.
@@ -76,6 +80,7 @@
     failures: int = 0
     suspended_until_ms: int = 0
     missing_since_ms: int | None = None
+    unverified_until_ms: int = 0
 
     @property
     def name(self) -> str:
@@ -86,6 +91,14 @@
         """Return whether new work may be sent to the target."""
         return not self.listed.is_leaving and now_ms >= self.suspended_until_ms
 
+    def version(self, now_ms: int) -> str:
+        """Return the version of its software, empty if not known now."""
+        return '' if now_ms < self.unverified_until_ms else self.listed.version
+
+    def record_unreachable(self, now_ms: int) -> None:
+        """Distrust the entry until one of a new process would be listed."""
+        self.unverified_until_ms = now_ms + ENTRY_LAG_MS
+
 
 @attrs.frozen
 class _Gone:
@@ -120,12 +133,39 @@
         """Return all known targets."""
         return list(self._targets.values())
 
-    def usable(self, pool: str, now_ms: int) -> list[Target]:
+    def versions(self, pool: str) -> frozenset[str]:
+        """Return the versions of the targets of a pool."""
+        return frozenset(t.listed.version for t in self.pool(pool))
+
+    def has_version(self, pool: str, version: str) -> bool:
+        """Return whether a target of a version accepts new work."""
+        return bool(self._serving(pool, version))
+
+    def _serving(self, pool: str, version: str | None) -> list[Target]:
+        listed = self.pool(pool)
+        if version == '' and any(t.listed.version for t in listed):
+            # Targets that name no version may have different ones.
+            return []
+        return [
+            target
+            for target in listed
+            if not target.listed.is_leaving
+            and version in (None, target.listed.version)
+        ]
+
+    def usable(
+        self, pool: str, now_ms: int, version: str | None = None
+    ) -> list[Target]:
         """Return the targets of a pool that accept new work.
 
-        Suspended targets are included only if no other one is left.
+        With ``version`` only targets of that version are included, and
+        suspended ones only if no other one is left.
         """
-        serving = [t for t in self.pool(pool) if not t.listed.is_leaving]
+        serving = [
+            target
+            for target in self._serving(pool, version)
+            if version is None or target.version(now_ms) == version
+        ]
         free = [t for t in serving if t.is_usable(now_ms)]
         return free or serving
 
@@ -182,9 +222,15 @@
         if self._is_outdated(entry):
             return None
         target = self._targets.get(entry.name)
-        if target is None or target.listed.started_ms != entry.started_ms:
+        if target is None:
             self._targets[entry.name] = Target(entry)
             return Change(entry, 'joined')
+        if (target.listed.started_ms, target.listed.version) != (
+            entry.started_ms,
+            entry.version,
+        ):
+            self._targets[entry.name] = Target(entry)
+            return Change(entry, RESTARTED)
         target.missing_since_ms = None
         if target.listed.is_leaving and not entry.is_leaving:
             # A leaving target does not return in the same incarnation.
@@ -242,7 +288,7 @@
 
 @attrs.frozen
 class Change:
-    """A target joined, is leaving, or is gone."""
+    """A target joined, restarted, is leaving, or is gone."""
 
     listed: TargetEntry
     transition: str
--- a/tests/routing/fleet.py
+++ b/tests/routing/fleet.py
@@ -1,5 +1,6 @@
 """Many hosts free of I/O, with engines that a part of a prompt crashes."""
 
+import collections
 import heapq
 import itertools
 import random
@@ -128,6 +129,9 @@
         self.store_is_down = False
         self.on_refused = lambda attempt: None
         self.rows = {}
+        self.stream_rows = {}
+        self.stream_writes = 0
+        self.sent_bodies = collections.Counter()
         self._events = []
         self._numbers = itertools.count(1)
         self._reply_tokens = {}
@@ -182,6 +186,8 @@
         if not self.store_is_down:
             rows = tuple(self.rows.values())
             self._post(node, messages.QuarantineRead(rows, (), True))
+            stream_rows = tuple(self.stream_rows.values())
+            self._post(node, messages.StreamsRead(stream_rows))
         self._carry_out(node, node.host.start(self.now_ms))
 
     def restart(self, names):
@@ -221,6 +227,7 @@
         receiver = next(
             n for n in self.nodes.values() if n.address == effect.address
         )
+        self.sent_bodies[type(effect.body)] += 1
         is_cut = (receiver.name in self.cut_names) != (
             node.name in self.cut_names
         )
@@ -258,6 +265,15 @@
         self.rows.pop(effect.trait, None)
         self._tell_all(messages.QuarantineRead((), (effect.trait,)))
 
+    def _write_streams(self, node, effect):
+        self.stream_writes += 1
+        if not self.store_is_down:
+            row = messages.StreamsRow(effect.versions, effect.streams)
+            self.stream_rows[node.name] = row
+
+    def _remove_streams(self, node, _effect):
+        self.stream_rows.pop(node.name, None)
+
     def _tell_all(self, message):
         for node in self.nodes.values():
             self._later(self._post, node, message)
@@ -450,6 +466,8 @@
         effects.CancelCall: _cancel_call,
         effects.AbortResponse: _abort,
         effects.Answer: _answer,
+        effects.WriteStreams: _write_streams,
+        effects.RemoveStreams: _remove_streams,
         effects.WriteQuarantine: _write_row,
         effects.RemoveQuarantine: _remove_row,
     }
--- a/tests/routing/test_request_lifecycle.py
+++ b/tests/routing/test_request_lifecycle.py
@@ -14,10 +14,13 @@
 from godwitglade.routing import documents
 from godwitglade.routing import effects
 from godwitglade.routing import messages
+from godwitglade.routing import pool_versions
 from godwitglade.routing import quarantine
 from godwitglade.routing import rate_limits
 from godwitglade.routing import request_lifecycle
+from godwitglade.routing import resumption
 from godwitglade.routing import stage_jobs
+from godwitglade.routing import stream_versions
 from godwitglade.routing import targets
 from tests.routing import builders
 
@@ -42,6 +45,9 @@
         self.directory = targets.Directory()
         listed = [builders.listed(f't{n}', 'app') for n in range(target_count)]
         self.directory.replace(listed, 1, 0)
+        members = membership.Membership(SELF, '10.0.1.1:1', random.Random(1))
+        versions = pool_versions.PoolVersions()
+        streams = stream_versions.StreamVersions(SELF, members, versions)
         self.requests = request_lifecycle.Requests(
             SELF,
             self.document_state,
@@ -50,10 +56,8 @@
             budget.Bounds(allowance=allowance),
             lambda: 1,
             quarantine.Quarantine('h1', lambda: ['h1']),
-            rate_limits.RateLimits(
-                'h1',
-                membership.Membership(SELF, '10.0.1.1:1', random.Random(1)),
-            ),
+            rate_limits.RateLimits('h1', members),
+            resumption.Resumptions(versions, streams, self.directory),
         )
 
     def handle(self, message, now_ms=10):
