Keep what hosts knew of streams in their rows after a restart

A restarted host wrote its row anew without the streams of its previous process, so hosts that started a little later read nothing of them; and a row was written every 600 ms at best, as the interval is checked each 200 ms.

A host takes over its own row when it starts and writes none before it has read all.

--- a/packages/routing/src/godwitglade/routing/messages.py
+++ b/packages/routing/src/godwitglade/routing/messages.py
@@ -215,13 +215,14 @@
     """What a host keeps in the store about versions.
 
     ``versions`` has those of each pool that has several; ``streams`` the
-    pool and the version at which streams began, by key. ``at_ms`` is the
-    Unix time of the write.
+    pool and the version at which streams began, by key. ``host`` wrote the
+    row at Unix time ``at_ms``.
     """
 
     versions: dict[str, tuple[str, ...]] = attrs.Factory(dict)
     streams: dict[str, tuple[str, ...]] = attrs.Factory(dict)
     at_ms: int = 0
+    host: str = ''
 
 
 @attrs.frozen
--- a/packages/routing/src/godwitglade/routing/stream_versions.py
+++ b/packages/routing/src/godwitglade/routing/stream_versions.py
@@ -53,8 +53,8 @@
 BROKEN_MS = 10 * clocks.SECOND_MS
 #: Interval between the writes of a row: all hosts together make at most one
 #: write in WRITE_SPACING_MS.
-MIN_WRITE_INTERVAL_MS = 500
-WRITE_SPACING_MS = 50
+MIN_WRITE_INTERVAL_MS = 300
+WRITE_SPACING_MS = 40
 REPEAT_WRITE_MS = 10 * clocks.SECOND_MS
 #: A target's entry may be this old when a stream begins there.
 LIST_LAG_MS = 3 * clocks.SECOND_MS
@@ -216,6 +216,11 @@
                 for version in versions[: pool_versions.MAX_VERSIONS]:
                     self._versions.record(pool, version, now_ms)
             self._receive(row.streams, now_ms)
+            if row.host == self._self_id.name:
+                # Hosts that start later read them from the new row.
+                self._own.update(
+                    (key, None) for key in row.streams if key in self._streams
+                )
         self._versions.is_complete = True
         return self.update_pools(now_ms)
 
@@ -231,6 +236,8 @@
         return told + self._update_row(now_ms)
 
     def _update_row(self, now_ms: int) -> Effects:
+        if not self._versions.is_complete:
+            return []
         versions = self._versions.mixed(now_ms)
         if not versions:
             is_written, self._row = self._row is not None, None
--- a/tests/routing/fleet.py
+++ b/tests/routing/fleet.py
@@ -268,7 +268,9 @@
     def _write_streams(self, node, effect):
         self.stream_writes += 1
         if not self.store_is_down:
-            row = messages.StreamsRow(effect.versions, effect.streams)
+            row = messages.StreamsRow(
+                effect.versions, effect.streams, host=node.name
+            )
             self.stream_rows[node.name] = row
 
     def _remove_streams(self, node, _effect):
