--- a/tests/routing/fleet.py
+++ b/tests/routing/fleet.py
@@ -26,6 +26,8 @@
 EXPIRY_MS = 1_200
 PROCESS_START_MS = 1_000
 DRAIN_MS = 2_000
+#: Time after which a connection that is not established fails.
+CONNECT_MS = 600
 ROUTE = builders.route(
     documents.RequestKind.STREAM,
     timeout_ms=6_000,
@@ -126,6 +128,8 @@
         self.breaking_share = 0.0
         self.on_broken = lambda attempt: None
         self.cut_names = frozenset()
+        self.unreaching = {}
+        self._hung = {}
         self.store_is_down = False
         self.on_refused = lambda attempt: None
         self.rows = {}
@@ -334,7 +338,57 @@
         back_ms = self.now_ms + self.rng.randint(2_000, 4_000)
         self.at(back_ms, self.start_engine)
 
+    def cut_from_engines(self, names, how):
+        """Cut hosts off from all engines.
+
+        Their connections ``hang``, are ``refused``, or the ``kept`` ones
+        live on while new ones are refused.
+        """
+        self.unreaching = dict.fromkeys(names, how)
+        for engine in self.engines:
+            for key, call in list(engine.calls.items()):
+                if self.unreaching.get(call[0].name, 'kept') == 'kept':
+                    continue
+                del engine.calls[key]
+                node, incarnation, effect, attempt = call
+                if how == 'hang':
+                    self._hung[key] = (node, incarnation, effect)
+                    continue
+                self._break_call(node, incarnation, effect, 'reset', True)
+
+    def end_cut(self):
+        """Let all hosts reach the engines again."""
+        self.unreaching = {}
+
+    def _break_call(self, node, incarnation, effect, detail, is_gone=False):
+        attempt = self._open[effect.request_id]
+        broken = messages.StreamBroken(
+            effect.request_id,
+            effect.call,
+            attempt.begun_ms is not None,
+            detail,
+            is_gone,
+        )
+        self._later(self._post_to, node, incarnation, broken)
+
+    def _forward_cut(self, node, effect, how):
+        """Send to an engine from a host that is cut off from all."""
+        key = (effect.request_id, effect.call)
+        is_kept = not effect.needs_new_connection and self.rng.random() < 0.5
+        if how == 'hang' and is_kept:
+            self._hung[key] = (node, node.incarnation, effect)
+            return
+        failed = messages.CallNotSent(*key, 'no connection')
+        delay_ms = min(effect.timeout_ms, CONNECT_MS) if how == 'hang' else 1
+        due_ms = self.now_ms + delay_ms
+        self.at(due_ms, self._post_to, node, node.incarnation, failed)
+
     def _forward(self, node, effect):
+        how = self.unreaching.get(node.name)
+        is_kept = not effect.needs_new_connection and how == 'kept'
+        if how is not None and not (is_kept and self.rng.random() < 0.5):
+            self._forward_cut(node, effect, how)
+            return
         engine = next(e for e in self.engines if e.name == effect.target.name)
         self._later(self._arrive, node, node.incarnation, effect, engine)
 
@@ -410,8 +464,11 @@
             self._post_to(node, incarnation, message)
 
     def _cancel_call(self, _node, effect):
+        key = (effect.request_id, effect.call)
         for engine in self.engines:
-            engine.calls.pop((effect.request_id, effect.call), None)
+            engine.calls.pop(key, None)
+        if key in self._hung:
+            self._break_call(*self._hung.pop(key), 'cancelled')
 
     # Callers
 
