Run the stages of resumed streams first, and refuse them only for their deadline

Its stages now go ahead of new requests and are refused only if they would miss the deadline. The test failed before.

--- a/packages/routing/src/godwitglade/routing/admission.py
+++ b/packages/routing/src/godwitglade/routing/admission.py
@@ -62,7 +62,7 @@
         budget_ms = route.timeout_ms
         if message.budget_ms is not None:
             budget_ms = min(budget_ms, message.budget_ms)
-        return request_.Request(
+        request = request_.Request(
             arrived=message,
             route=route,
             pool=self._select_pool(route),
@@ -74,6 +74,10 @@
                 message, workspace.name if workspace else '', route.has_prompt
             ),
         )
+        if request.is_resume:
+            # The objective is the time to the first event, which has arrived.
+            request.due_ms = request.deadline_ms
+        return request
 
     def _select_pool(self, route: documents.Route) -> str:
         weights = [pool.weight for pool in route.pools]
--- a/packages/routing/src/godwitglade/routing/request.py
+++ b/packages/routing/src/godwitglade/routing/request.py
@@ -10,6 +10,8 @@
 
 #: Targets that may end under one request.
 MAX_CRASHES = 2
+#: Ahead of all ranks that operators give.
+RESUME_RANK = -1
 
 
 @attrs.define(eq=False)
@@ -87,7 +89,12 @@
 
     @property
     def rank(self) -> int:
-        """Return the urgency; a workspace's rank overrides the route's."""
+        """Return the urgency; a workspace's rank overrides the route's.
+
+        A stream whose caller has a part of it goes first.
+        """
+        if self.is_resume:
+            return RESUME_RANK
         if self.workspace is not None and self.workspace.rank is not None:
             return self.workspace.rank
         return self.route.rank
--- a/tests/routing/test_request_lifecycle.py
+++ b/tests/routing/test_request_lifecycle.py
@@ -47,6 +47,8 @@
         self.directory.replace(listed, 1, 0)
         members = membership.Membership(SELF, '10.0.1.1:1', random.Random(1))
         versions = pool_versions.PoolVersions()
+        versions.set_listed('app', self.directory.versions('app'), 0)
+        versions.is_complete, versions.confirmed_ms = True, 0
         streams = stream_versions.StreamVersions(SELF, members, versions)
         self.requests = request_lifecycle.Requests(
             SELF,
@@ -304,6 +306,24 @@
     )
 
 
+def test_stages_of_a_resumed_stream_are_not_refused_for_their_objective():
+    stages = (documents.Stage('encode', (), 100),)
+    host = Harness(
+        builders.route(Kind.STREAM, stages=stages, is_resumable=True)
+    )
+    resumed = builders.arrived(
+        item_counts=(1,), last_event_id='3', resumes='a0'
+    )
+    jobs = [
+        effect.job
+        for arrived in (resumed, builders.arrived('r2', item_counts=(1,)))
+        for effect in host.handle(arrived)
+        if isinstance(effect, effects.SubmitJob)
+    ]
+    assert jobs[0].rank < jobs[1].rank
+    assert jobs[0].due_left_ms == jobs[0].left_ms > jobs[1].due_left_ms
+
+
 def test_duplicate_result_is_ignored():
     harness, first = staged_harness()
     harness.requests.job_ended(ended(first, handles=('a', 'b')), 300)
