Hand requests over while a host reaches no target

Each failed connection counted as a fault of its target: targets were suspended in turn, the host went on choosing among them, owning stage pools and scheduling permits, and reported crashes that were none. Leaving the rotation would not help callers whose connections are open, nor a data centre most of whose hosts are cut off.

A host now asks targets over new connections when one cannot be established, when no target has sent anything for 500 ms while a call waits, or when another host says that it is cut off (reachability). If none of three responds, it is cut off: it tells the others, hands each request to one that is not (hand_over), over the second internal port and once only, and asks a target each 500 ms. To the lifecycle of a request such a host is a target, so that at most once, retries, deadlines and callers that leave hold as before; keys, permits, quarantine and versions are the taker's. Refusals of the taker are relayed. Cut-off hosts own no pools, schedule no permits and report no crashes. Connections for callers' requests now fail after 500 ms, not 1.5 s.

--- a/packages/common/src/godwitglade/common/events.py
+++ b/packages/common/src/godwitglade/common/events.py
@@ -104,6 +104,14 @@
     TARGET_LIMIT_ENDED = EventDescription(
         3010, logging.INFO, 'A target no longer limits its requests.'
     )
+    TARGETS_UNREACHABLE = EventDescription(
+        3011,
+        logging.WARNING,
+        'No target responds to this host; it hands requests over.',
+    )
+    TARGETS_REACHED = EventDescription(
+        3012, logging.INFO, 'A target responds to this host again.'
+    )
     LOGS_DROPPED = EventDescription(
         1012,
         logging.WARNING,
--- a/packages/coordination/src/godwitglade/coordination/members.py
+++ b/packages/coordination/src/godwitglade/coordination/members.py
@@ -57,13 +57,15 @@
     """Name, zone and address of a host in the host list or the settings.
 
     ``jobs_per_s`` is how many jobs the host can batch for the others; 0 is
-    unknown.
+    unknown. ``hand_over_address`` takes requests that another host read, and
+    is empty if the host takes none.
     """
 
     name: str
     zone: str
     address: str
     jobs_per_s: float = 0.0
+    hand_over_address: str = ''
 
 
 class MemberTable:
--- a/packages/daemon/src/godwitglade/daemon/routing_effect_runner.py
+++ b/packages/daemon/src/godwitglade/daemon/routing_effect_runner.py
@@ -25,6 +25,7 @@
 STAGE_THREADS = 32
 FREE_THREADS = 4
 ROW_THREADS = 2
+PROBE_THREADS = 3
 
 
 class StageClient(typing.Protocol):
@@ -100,6 +101,9 @@
             'free', FREE_THREADS, report
         )
         self._row_threads = thread_pools.ThreadPool('row', ROW_THREADS, report)
+        self._probe_threads = thread_pools.ThreadPool(
+            'probe', PROBE_THREADS, report
+        )
         self.stop_listening: typing.Callable[[], None] = (
             shared_effect_runner.raise_unbound
         )
@@ -164,6 +168,12 @@
             self._post_result, self._clients.stages.run, effect
         )
 
+    @carry_out.register
+    def _(self, effect: effects.ProbeTarget) -> None:
+        self._probe_threads.submit(
+            self._post_result, self._clients.forwarder.probe, effect
+        )
+
     @carry_out.register
     def _(self, effect: effects.FreeResults) -> None:
         self._free_threads.submit(self._free, effect)
--- a/packages/routing/src/godwitglade/routing/batching.py
+++ b/packages/routing/src/godwitglade/routing/batching.py
@@ -204,8 +204,12 @@
             handles += self._retained.pop(job_id, ((), 0))[0]
         return self._free(handles, now_ms)
 
+    def oldest_call_ms(self) -> int | None:
+        """Return when the oldest running call was sent, None for no call."""
+        return min((c.sent_ms for c in self._calls.values()), default=None)
+
     def return_queued(self) -> list[effects.ReportJobEnded]:
-        """Return queued jobs to their hosts, since this host will stop."""
+        """Return queued jobs to their hosts, since this host is leaving."""
         moved = [e for e in self._waiting.values() if not self._is_running(e)]
         for entry in moved:
             del self._waiting[entry.job.request.job_id]
--- a/packages/routing/src/godwitglade/routing/effects.py
+++ b/packages/routing/src/godwitglade/routing/effects.py
@@ -31,6 +31,15 @@
     needs_new_connection: bool = False
 
 
+@attrs.frozen
+class ProbeTarget:
+    """Ask a target for any response; the result arrives as a message."""
+
+    name: str
+    address: str
+    timeout_ms: int
+
+
 @attrs.frozen
 class ForwardHeldResponse:
     """Forward the failure response that was held back."""
--- a/packages/routing/src/godwitglade/routing/error_replies.py
+++ b/packages/routing/src/godwitglade/routing/error_replies.py
@@ -36,9 +36,20 @@
 
     It gets no retry time, since no later attempt could go on either.
     """
+    if request.has_response_started:
+        return [effects.AbortResponse(request.request_id)]
+    if request.has_run:
+        return [effects.Answer(request.request_id, 502, reason)]
     return [effects.Answer(request.request_id, 503, reason)]
 
 
+def misdirected(request: request_.Request) -> Effects:
+    """Return the effects that return a request to the host it came from."""
+    if request.has_response_started or request.has_run:
+        return refused(request, 'cut_off', 0)
+    return [effects.Answer(request.request_id, 421, 'cut_off')]
+
+
 def quarantined(request: request_.Request) -> Effects:
     """Return the effects that end a request which crashes targets."""
     if request.has_response_started or request.has_run:
--- /dev/null
+++ b/packages/routing/src/godwitglade/routing/hand_over.py
@@ -0,0 +1,141 @@
+"""Hand-over of callers' requests by a host that reaches no target.
+
+Hosts that are cut off tell the others. Such a host sends its callers'
+requests to one that is not, as to a target, and relays the response. A
+request is handed over once: the host that takes it sends it to targets or
+refuses it. Hosts that are cut off do no work for others either.
+"""
+
+import random as randoms
+import typing
+
+from godwitglade.common import clock as clocks
+from godwitglade.coordination import effects as shared_effects
+from godwitglade.coordination import members
+from godwitglade.coordination import membership as memberships
+from godwitglade.coordination import messages as shared_messages
+from godwitglade.routing import targets
+
+Effects = list[typing.Any]
+
+FACT_KIND = 'cut_off'
+#: A host tells the others at this interval that it is cut off.
+REPEAT_MS = 2 * clocks.SECOND_MS
+TTL_MS = 6 * clocks.SECOND_MS
+#: Requests that a host hands over at a time, over all other hosts.
+MAX_HANDED_OVER = 64
+MAX_CUT_OFF = 4_096
+
+
+class CutOffHosts:
+    """The hosts that reach no target, as they tell the others."""
+
+    def __init__(self, self_name: str) -> None:
+        self._self_name = self_name
+        self._names: set[str] = set()
+        self._told_ms: int | None = None
+
+    def __contains__(self, name: str) -> bool:
+        return name in self._names
+
+    def record(self, message: shared_messages.FactChanged) -> bool:
+        """Record what a host tells; return if another one is cut off now."""
+        name = message.key
+        if message.origin != name:
+            return False
+        if message.value is None:
+            self._names.discard(name)
+            return False
+        is_new = name not in self._names
+        if is_new and len(self._names) < MAX_CUT_OFF:
+            self._names.add(name)
+        return is_new and name != self._self_name
+
+    def tell(self, is_cut_off: bool, now_ms: int) -> Effects:
+        """Tell the others whether this host is cut off, if that is due."""
+        name = self._self_name
+        if not is_cut_off:
+            if self._told_ms is None:
+                return []
+            self._told_ms = None
+            return [
+                shared_effects.PublishFact(FACT_KIND, name, None, TTL_MS, True)
+            ]
+        if self._told_ms is not None and now_ms - self._told_ms < REPEAT_MS:
+            return []
+        self._told_ms = now_ms
+        return [
+            shared_effects.PublishFact(FACT_KIND, name, now_ms, TTL_MS, True)
+        ]
+
+    def reaching(self, names: typing.Iterable[str]) -> list[str]:
+        """Return the hosts that reach targets, all if none does."""
+        all_names = list(names)
+        return [n for n in all_names if n not in self._names] or all_names
+
+
+class HandOver:
+    """The hosts to which this one hands requests over."""
+
+    def __init__(
+        self,
+        self_name: str,
+        members_: memberships.Membership,
+        cut_off: CutOffHosts,
+        random: randoms.Random,
+    ) -> None:
+        self._self_name = self_name
+        self._members = members_
+        self._cut_off = cut_off
+        self._random = random
+        self._takers: dict[str, targets.Target] = {}
+
+    def set_registered(
+        self, entries: typing.Iterable[members.HostEntry]
+    ) -> None:
+        """Set the hosts that are registered in the store."""
+        listed = {
+            entry.name: targets.TargetEntry(
+                name_of(entry.name),
+                '',
+                entry.zone,
+                entry.hand_over_address,
+                is_host=True,
+            )
+            for entry in entries
+            if entry.hand_over_address and entry.name != self._self_name
+        }
+        self._takers = {
+            name: (
+                self._takers[name]
+                if name in self._takers and self._takers[name].listed == entry
+                else targets.Target(entry)
+            )
+            for name, entry in listed.items()
+        }
+
+    def choose(
+        self, tried: typing.Collection[str], now_ms: int
+    ) -> targets.Target | None:
+        """Return the host to hand a request to, None if there is none."""
+        handed_over = sum(t.in_flight for t in self._takers.values())
+        if handed_over >= MAX_HANDED_OVER:
+            return None
+        serving = {record.host.name for record in self._members.serving()}
+        able = [
+            target
+            for name, target in self._takers.items()
+            if name in serving
+            and name not in self._cut_off
+            and target.name not in tried
+        ]
+        free = [t for t in able if t.is_usable(now_ms)] or able
+        if not free:
+            return None
+        sampled = self._random.sample(free, min(2, len(free)))
+        return min(sampled, key=lambda target: target.in_flight)
+
+
+def name_of(host: str) -> str:
+    """Return the name that a host has among the targets of a request."""
+    return f'host:{host}'
--- a/packages/routing/src/godwitglade/routing/host.py
+++ b/packages/routing/src/godwitglade/routing/host.py
@@ -27,10 +27,12 @@
 from godwitglade.routing import document_state
 from godwitglade.routing import effects
 from godwitglade.routing import freshness
+from godwitglade.routing import hand_over
 from godwitglade.routing import messages
 from godwitglade.routing import pool_versions
 from godwitglade.routing import quarantine
 from godwitglade.routing import rate_limits
+from godwitglade.routing import reachability
 from godwitglade.routing import request_lifecycle
 from godwitglade.routing import resumption
 from godwitglade.routing import stage_work
@@ -44,6 +46,9 @@
 #: Interval at which expired entries and a stop in progress are checked.
 MAINTENANCE_INTERVAL_MS = 200
 
+#: Pause before a crash report while the host may be cut off from targets.
+CRASH_DOUBT_MS = 50
+
 PERMIT_BODIES = (bodies.PermitRequest, bodies.PermitGranted)
 STREAM_BODIES = (
     bodies.StreamsBegun,
@@ -87,6 +92,9 @@
     requests: request_lifecycle.Requests
     work: stage_work.StageWork
     stopping: stopping.Stopping
+    reachability: reachability.Reachability
+    cut_off: hand_over.CutOffHosts
+    hand_over: hand_over.HandOver
 
 
 def make_components(
@@ -110,7 +118,12 @@
     quarantine_ = quarantine.Quarantine(
         self_id.name, lambda: [m.host.name for m in members.serving()]
     )
-    rate_limits_ = rate_limits.RateLimits(self_id.name, members)
+    cut_off = hand_over.CutOffHosts(self_id.name)
+    reachability_ = reachability.Reachability(directory, derive_random())
+    hand_over_ = hand_over.HandOver(
+        self_id.name, members, cut_off, derive_random()
+    )
+    rate_limits_ = rate_limits.RateLimits(self_id.name, members, cut_off)
     versions = pool_versions.PoolVersions()
     streams = stream_versions.StreamVersions(self_id, members, versions)
     requests_ = request_lifecycle.Requests(
@@ -123,9 +136,11 @@
         quarantine_,
         rate_limits_,
         resumption.Resumptions(versions, streams, directory),
+        reachability_,
+        hand_over_,
     )
     stage_work_ = stage_work.StageWork(
-        self_id, address, members, document_state_, directory
+        self_id, address, members, document_state_, directory, cut_off
     )
     stage_work_.on_job_ended = requests_.job_ended
     stage_work_.on_job_started = requests_.job_started
@@ -143,6 +158,9 @@
         requests_,
         stage_work_,
         stopping_,
+        reachability_,
+        cut_off,
+        hand_over_,
     )
 
 
@@ -207,10 +225,27 @@
 
     @_dispatch.register(messages.BatchEnded)
     @_dispatch.register(messages.BatchNotRun)
-    @_dispatch.register(messages.BatchLost)
     def _(self, message: typing.Any, now_ms: int) -> Effects:
+        self.components.reachability.record_contact(now_ms)
         return self.components.work.handle(message, now_ms)
 
+    @_dispatch.register
+    def _(self, message: messages.BatchLost, now_ms: int) -> Effects:
+        doubt = self.components.reachability.record_unreachable(now_ms)
+        return doubt + self.components.work.handle(message, now_ms)
+
+    @_dispatch.register
+    def _(self, message: messages.TargetProbed, now_ms: int) -> Effects:
+        return self.components.reachability.handle(message, now_ms)
+
+    @_dispatch.register
+    def _(self, message: messages.ReachabilityKnown, now_ms: int) -> Effects:
+        effects_ = self.components.cut_off.tell(message.is_cut_off, now_ms)
+        if message.is_cut_off and message.has_changed:
+            effects_ += self.components.requests.leave_targets(now_ms)
+            effects_ += self.components.work.transfer_jobs(now_ms)
+        return effects_ + self.components.requests.send_waiting(now_ms)
+
     @_dispatch.register
     def _(self, message: shared_messages.PeerMessage, now_ms: int) -> Effects:
         if isinstance(message.body, WORK_BODIES):
@@ -248,13 +283,18 @@
         if message.token.startswith('facts:'):
             return self.components.facts.handle(message, now_ms)
         if message.token.startswith(quarantine.TOKEN):
-            return self.components.quarantine.handle(message, now_ms)
+            return self._report_crash(message, now_ms)
         if message.token == stream_versions.FLUSH_TOKEN:
             return self.components.streams.handle(message, now_ms)
         return self.components.requests.handle(message, now_ms)
 
     @_dispatch.register
     def _(self, message: shared_messages.FactChanged, now_ms: int) -> Effects:
+        if message.kind == hand_over.FACT_KIND:
+            if not self.components.cut_off.record(message):
+                return []
+            # What cut that host off may have cut off this one too.
+            return self.components.reachability.record_unreachable(now_ms)
         if message.kind == rate_limits.FACT_KIND:
             return self.components.rate_limits.handle(message, now_ms)
         if message.kind not in quarantine.FACT_KINDS:
@@ -313,6 +353,7 @@
     @_dispatch.register
     def _(self, message: messages.HostsRead, now_ms: int) -> Effects:
         self.components.work.owners.set_registered(message.entries)
+        self.components.hand_over.set_registered(message.entries)
         return self.components.members.add_entries(message.entries, now_ms)
 
     @_dispatch.register
@@ -331,6 +372,7 @@
             events.Event.STOPPING, {'in_flight': len(self.components.requests)}
         )
         leave_effects = self.components.members.leave(now_ms)
+        self.components.work.owners.is_stopping = True
         return [
             log,
             *leave_effects,
@@ -350,6 +392,7 @@
         changes = directory.remove_expired(now_ms)
         effects_ = self._report_changes(changes, directory.version, now_ms)
         effects_ += self.components.streams.maintain(now_ms)
+        effects_ += self._check_reachability(now_ms)
         effects_ += self.components.requests.clear_running(now_ms)
         effects_ += self.components.quarantine.maintain(now_ms)
         self.components.rate_limits.maintain(directory.all())
@@ -357,6 +400,31 @@
             effects_.append(effects.StopListening())
         return [timer, *effects_, *self._stop_if_done(now_ms)]
 
+    def _check_reachability(self, now_ms: int) -> Effects:
+        reachability_ = self.components.reachability
+        since = (
+            self.components.requests.waiting_since_ms(),
+            self.components.work.waiting_since_ms(),
+        )
+        waiting = [ms for ms in since if ms is not None]
+        return [
+            *reachability_.check(min(waiting, default=None), now_ms),
+            *self.components.cut_off.tell(reachability_.is_cut_off, now_ms),
+        ]
+
+    def _report_crash(
+        self, message: shared_messages.TimerFired, now_ms: int
+    ) -> Effects:
+        """Report that a target crashed, unless this host was cut off."""
+        if self.components.reachability.is_doubtful:
+            due_ms = now_ms + CRASH_DOUBT_MS
+            return [shared_effects.StartTimer(message.token, due_ms)]
+        if self.components.reachability.is_cut_off:
+            crash = message.token.removeprefix(quarantine.TOKEN)
+            self.components.quarantine.drop_report(crash)
+            return []
+        return self.components.quarantine.handle(message, now_ms)
+
     def _update_quarantine(self, message: typing.Any, now_ms: int) -> Effects:
         before = self.components.quarantine.blocked
         effects_ = self.components.quarantine.handle(message, now_ms)
--- a/packages/routing/src/godwitglade/routing/messages.py
+++ b/packages/routing/src/godwitglade/routing/messages.py
@@ -25,7 +25,8 @@
     send one. ``item_counts`` has the number of items of each stage.
     ``body_digest`` is empty if copies of the request are not recognized.
     ``resumes`` is the id of the attempt that brought the first event of a
-    stream that the caller takes up after ``last_event_id``.
+    stream that the caller takes up after ``last_event_id``. With
+    ``is_taken_over`` it comes from a host that is cut off from all targets.
     """
 
     request_id: str
@@ -44,6 +45,7 @@
     body_digest: str = ''
     resumes: str = ''
     last_event_id: str = ''
+    is_taken_over: bool = False
 
 
 @attrs.frozen
@@ -143,6 +145,22 @@
     is_target_gone: bool = False
 
 
+@attrs.frozen
+class TargetProbed:
+    """A target responded over a new connection, or did not in time."""
+
+    name: str
+    is_reached: bool
+
+
+@attrs.frozen
+class ReachabilityKnown:
+    """Whether this host is cut off from all targets, and was not before."""
+
+    is_cut_off: bool
+    has_changed: bool
+
+
 @attrs.frozen
 class ResponseNotWritten:
     """The response could not be written to the caller."""
--- a/packages/routing/src/godwitglade/routing/owners.py
+++ b/packages/routing/src/godwitglade/routing/owners.py
@@ -12,6 +12,7 @@
 from godwitglade.coordination import hosts
 from godwitglade.coordination import members
 from godwitglade.coordination import membership as memberships
+from godwitglade.routing import hand_over
 from godwitglade.routing import rendezvous
 
 #: An owner that failed to confirm is skipped for this time, twice as long
@@ -40,14 +41,23 @@
     """The hosts that may own pools."""
 
     def __init__(
-        self, self_id: hosts.HostId, members_: memberships.Membership
+        self,
+        self_id: hosts.HostId,
+        members_: memberships.Membership,
+        cut_off: hand_over.CutOffHosts,
     ) -> None:
         self._self_id = self_id
         self._members = members_
+        self._cut_off = cut_off
         self._registered: dict[str, members.HostEntry] = {}
         self._suspended_until_ms: dict[str, int] = {}
         self._suspensions_ms: dict[str, int] = {}
-        self.is_leaving = False
+        self.is_stopping = False
+
+    @property
+    def is_leaving(self) -> bool:
+        """Return whether this host is to own no pool."""
+        return self.is_stopping or self._self_id.name in self._cut_off
 
     def set_registered(
         self, entries: typing.Iterable[members.HostEntry]
@@ -69,7 +79,8 @@
             if now_ms >= self._suspended_until_ms.get(name, 0)
             and not (self.is_leaving and name == self._self_id.name)
         ]
-        large = self._with_large_capacity(available)
+        reaching = self._cut_off.reaching(available)
+        large = self._with_large_capacity(reaching)
         return rendezvous.first(pool, large) or self._self_id.name
 
     def _with_large_capacity(self, names: list[str]) -> list[str]:
--- a/packages/routing/src/godwitglade/routing/quarantine.py
+++ b/packages/routing/src/godwitglade/routing/quarantine.py
@@ -200,6 +200,10 @@
         """Tell all hosts that traits are not what crashed targets."""
         return [effect for trait in cleared for effect in self._clear(trait)]
 
+    def drop_report(self, crash: str) -> None:
+        """Drop a crash report, since connections broke for another reason."""
+        self._lost.pop(crash, None)
+
     @functools.singledispatchmethod
     def handle(self, message: typing.Any, now_ms: int) -> Effects:
         """Handle a message; messages of other components are ignored."""
--- a/packages/routing/src/godwitglade/routing/rate_limits.py
+++ b/packages/routing/src/godwitglade/routing/rate_limits.py
@@ -18,6 +18,7 @@
 from godwitglade.coordination import membership as memberships
 from godwitglade.coordination import messages as shared_messages
 from godwitglade.routing import bodies
+from godwitglade.routing import hand_over
 from godwitglade.routing import permit_schedule
 from godwitglade.routing import rendezvous
 from godwitglade.routing import targets
@@ -66,8 +67,12 @@
     """The limits known to this host, and the schedules that it keeps."""
 
     def __init__(
-        self, self_name: str, members: memberships.Membership
+        self,
+        self_name: str,
+        members: memberships.Membership,
+        cut_off: hand_over.CutOffHosts,
     ) -> None:
+        self._cut_off = cut_off
         self._self_name = self_name
         self._members = members
         self._limits: dict[str, _Limit] = {}
@@ -233,7 +238,7 @@
             asked.max_return_ms,
         )
         addresses = {m.host.name: m.address for m in self._members.serving()}
-        name = rendezvous.first(pool, addresses)
+        name = rendezvous.first(pool, self._cut_off.reaching(addresses))
         if name in (None, self._self_name):
             return self.grant(body, now_ms)
         return shared_effects.SendPeer(
--- /dev/null
+++ b/packages/routing/src/godwitglade/routing/reachability.py
@@ -0,0 +1,144 @@
+"""Whether this host reaches any target.
+
+One failed connection is a fault of its target or of the path to it. When it
+happens, or when no target has sent anything for a while although a call
+waits, the host asks targets over new connections. If none responds, it is
+the host that is cut off. It goes on asking until one responds.
+"""
+
+import functools
+import random as randoms
+import typing
+
+import attrs
+
+from godwitglade.common import events
+from godwitglade.coordination import effects as shared_effects
+from godwitglade.routing import effects
+from godwitglade.routing import messages
+from godwitglade.routing import targets
+
+Effects = list[typing.Any]
+
+#: Targets that are asked before the host counts as cut off.
+PROBED_TARGETS = 3
+PROBE_TIMEOUT_MS = 250
+#: Time without a response after which a waiting call raises suspicion.
+SILENCE_MS = 500
+#: Pause after a probe that was answered, and between probes of a cut host.
+PAUSE_MS = 500
+
+
+@attrs.define
+class _Round:
+    """Targets asked at once; ``left`` are asked if the first is silent."""
+
+    left: list[targets.TargetEntry]
+    pending: int = 0
+
+
+class Reachability:
+    """The state of the paths from this host to the targets."""
+
+    def __init__(
+        self, directory: targets.Directory, random: randoms.Random
+    ) -> None:
+        self._directory = directory
+        self._random = random
+        self._round: _Round | None = None
+        self._next_ms = 0
+        self._contact_ms = 0
+        self.is_cut_off = False
+
+    def record_contact(self, now_ms: int) -> None:
+        """Record that a target has sent a part of a response."""
+        self._contact_ms = now_ms
+
+    @property
+    def is_doubtful(self) -> bool:
+        """Return whether it is not known if this host is cut off."""
+        return self._round is not None
+
+    def is_doubtful_since(self, since_ms: int) -> bool:
+        """Return whether that is not known, nor was a target heard since."""
+        return self.is_doubtful and self._contact_ms < since_ms
+
+    def is_silent(self, now_ms: int) -> bool:
+        """Return whether no target has sent anything for a while."""
+        return now_ms - self._contact_ms >= SILENCE_MS
+
+    def record_unreachable(self, now_ms: int) -> Effects:
+        """Record that no connection to a target could be established."""
+        return self._start_round(now_ms)
+
+    def check(self, waiting_since_ms: int | None, now_ms: int) -> Effects:
+        """Ask targets if that is due.
+
+        ``waiting_since_ms`` is when the oldest call was sent that has no
+        response yet, None for no call.
+        """
+        if self.is_cut_off:
+            return self._start_round(now_ms)
+        has_waited = (
+            waiting_since_ms is not None
+            and now_ms - waiting_since_ms >= SILENCE_MS
+        )
+        if not has_waited or not self.is_silent(now_ms):
+            return []
+        return self._start_round(now_ms)
+
+    @functools.singledispatchmethod
+    def handle(self, message: typing.Any, now_ms: int) -> Effects:
+        """Handle a message; messages of other components are ignored."""
+        return []
+
+    @handle.register
+    def _(self, message: messages.TargetProbed, now_ms: int) -> Effects:
+        if message.is_reached:
+            self.record_contact(now_ms)
+            self._round = None
+            return self._set_cut_off(False)
+        if self._round is None:
+            return []
+        self._round.pending -= 1
+        if self._round.pending:
+            return []
+        if self._round.left:
+            return self._probe_rest(self._round)
+        self._round = None
+        return self._set_cut_off(True)
+
+    def _start_round(self, now_ms: int) -> Effects:
+        if self._round is not None or now_ms < self._next_ms:
+            return []
+        listed = [t.listed for t in self._directory.all()]
+        if not listed:
+            return []
+        self._next_ms = now_ms + PAUSE_MS
+        count = min(PROBED_TARGETS, len(listed))
+        first, *left = self._random.sample(listed, count)
+        self._round = _Round([] if self.is_cut_off else left, 1)
+        return [_probe(first)]
+
+    def _probe_rest(self, round_: _Round) -> Effects:
+        asked, round_.left = round_.left, []
+        round_.pending = len(asked)
+        return [_probe(listed) for listed in asked]
+
+    def _set_cut_off(self, is_cut_off: bool) -> Effects:
+        has_changed = is_cut_off != self.is_cut_off
+        self.is_cut_off = is_cut_off
+        known = messages.ReachabilityKnown(is_cut_off, has_changed)
+        delivered = shared_effects.Deliver(known)
+        if not has_changed:
+            return [delivered]
+        event = (
+            events.Event.TARGETS_UNREACHABLE
+            if is_cut_off
+            else events.Event.TARGETS_REACHED
+        )
+        return [shared_effects.LogEvent(event), delivered]
+
+
+def _probe(listed: targets.TargetEntry) -> effects.ProbeTarget:
+    return effects.ProbeTarget(listed.name, listed.address, PROBE_TIMEOUT_MS)
--- a/packages/routing/src/godwitglade/routing/request.py
+++ b/packages/routing/src/godwitglade/routing/request.py
@@ -69,6 +69,20 @@
         """Return this host's id of the request."""
         return self.arrived.request_id
 
+    @property
+    def is_handed_over(self) -> bool:
+        """Return whether its call goes to another host."""
+        return self.target is not None and self.target.listed.is_host
+
+    @property
+    def is_unbound_stream(self) -> bool:
+        """Return whether it began at a version that this host may not know."""
+        return (
+            self.has_response_started
+            and self.route.is_resumable
+            and self.version is None
+        )
+
     @property
     def is_resume(self) -> bool:
         """Return whether its caller has a part of the stream already."""
--- a/packages/routing/src/godwitglade/routing/request_lifecycle.py
+++ b/packages/routing/src/godwitglade/routing/request_lifecycle.py
@@ -21,10 +21,12 @@
 from godwitglade.routing import effects
 from godwitglade.routing import error_replies
 from godwitglade.routing import forecasts
+from godwitglade.routing import hand_over
 from godwitglade.routing import messages
 from godwitglade.routing import permit_schedule
 from godwitglade.routing import quarantine
 from godwitglade.routing import rate_limits
+from godwitglade.routing import reachability
 from godwitglade.routing import request as request_
 from godwitglade.routing import request_logs
 from godwitglade.routing import resumption
@@ -39,6 +41,13 @@
 SLOW_CALL_TOKEN = 'requests:patience:'
 PERMIT_TOKEN = 'requests:permit:'
 
+#: Results of calls that show that a target is reached.
+RESPONSES = (
+    messages.ResponseCompleted,
+    messages.StreamStarted,
+    messages.CallNotRun,
+    messages.CallFailed,
+)
 #: A request is not sent with less time left: no target responds that fast.
 MIN_TIME_LEFT_MS = 20
 #: The final reply is written this long before the deadline.
@@ -75,8 +84,13 @@
         quarantine_: quarantine.Quarantine,
         limits: rate_limits.RateLimits,
         resumptions: resumption.Resumptions,
+        reachability_: reachability.Reachability,
+        hand_over_: hand_over.HandOver,
     ) -> None:
         self._resumptions = resumptions
+        self._reachability = reachability_
+        self._hand_over = hand_over_
+        self._waiting_for_probe: list[str] = []
         self._document_state = document_state_
         self._directory = directory
         self._quarantine = quarantine_
@@ -181,6 +195,8 @@
         if request is None or request.calls != message.call:
             # The result of a call that was cancelled.
             return []
+        if isinstance(message, RESPONSES) and not request.is_handed_over:
+            self._reachability.record_contact(now_ms)
         return self._apply(message, request, now_ms)
 
     @functools.singledispatchmethod
@@ -207,6 +223,9 @@
     ) -> Effects:
         target_selection.record_success(request.target, message.load, now_ms)
         outcome = f'answered_{message.status}'
+        if request.is_handed_over and message.status >= 300:
+            # A refusal of the other host says nothing about the request.
+            return self._finish(request, outcome, [], now_ms, is_done=True)
         effects_: Effects = []
         if not request.has_response_started:
             self._record_start(request, now_ms)
@@ -225,6 +244,8 @@
     ) -> Effects:
         request.has_run = True
         request.response_started_ms = now_ms
+        if request.is_handed_over:
+            return self._stage_jobs.release(request)
         limited = self._record_limit(request, message, now_ms)
         target_selection.record_success(request.target, message.load, now_ms)
         self._record_start(request, now_ms)
@@ -266,10 +287,20 @@
         request: request_.Request,
         now_ms: int,
     ) -> Effects:
-        effects_ = self._tracker.fail_call(
+        doubt: Effects = []
+        sent_ms = request.sent_ms
+        if not request.is_handed_over:
+            doubt = self._reachability.record_unreachable(now_ms)
+        effects_ = doubt + self._tracker.fail_call(
             request, message.detail, True, now_ms
         )
         request.sends -= 1
+        if self._reachability.is_doubtful_since(sent_ms):
+            self._waiting_for_probe.append(request.request_id)
+            return effects_
+        if self._reachability.is_cut_off:
+            # Nothing arrived anywhere that the retry budget counts.
+            return effects_ + self._send(request, now_ms)
         return effects_ + self._resend(request, now_ms)
 
     @_apply.register
@@ -324,6 +355,8 @@
         )
 
     def _record_start(self, request: request_.Request, now_ms: int) -> None:
+        if request.is_handed_over:
+            return
         elapsed_ms = now_ms - request.sent_ms
         self.forecasts.record_start(request.route.name, elapsed_ms)
 
@@ -339,6 +372,8 @@
         """Retry a request that a target may have run, or end it."""
         request.has_run = True
         effects_: Effects = []
+        if is_target_gone:
+            effects_ += self._reachability.record_unreachable(now_ms)
         if is_target_gone and not request.target.listed.is_leaving:
             request.crashes += 1
             effects_ += self._quarantine.record_crash(
@@ -353,6 +388,44 @@
             return effects_ + self._resend(request, now_ms, has_held_response)
         return effects_ + self._finish(request, outcome, [ending], now_ms)
 
+    def waiting_since_ms(self) -> int | None:
+        """Return when the oldest call without a response was sent."""
+        sent = (
+            request.sent_ms
+            for request in self._requests.values()
+            if request.target is not None
+            and not request.is_handed_over
+            and not request.has_response_started
+        )
+        return min(sent, default=None)
+
+    def send_waiting(self, now_ms: int) -> Effects:
+        """Send the requests that waited until it is known what is reached."""
+        waiting, self._waiting_for_probe = self._waiting_for_probe, []
+        found = [self._requests.get(name) for name in waiting]
+        return [
+            effect
+            for request in found
+            if request is not None and request.target is None
+            for effect in (
+                self._send(request, now_ms)
+                if self._reachability.is_cut_off
+                else self._resend(request, now_ms)
+            )
+        ]
+
+    def leave_targets(self, now_ms: int) -> Effects:
+        """Cancel calls that may be sent again, unless targets still send."""
+        if not self._reachability.is_silent(now_ms):
+            return []
+        return [
+            effects.CancelCall(request.request_id, request.calls)
+            for request in self._requests.values()
+            if request.target is not None
+            and not request.is_handed_over
+            and request.may_retry
+        ]
+
     def clear_running(self, now_ms: int) -> Effects:
         """Clear the traits of responses that have been running for long."""
         return [
@@ -427,8 +500,14 @@
 
     def _begin(self, request: request_.Request, now_ms: int) -> Effects:
         """Start a request; a stream that goes on needs its version first."""
+        if self._reachability.is_cut_off:
+            return self._send(request, now_ms)
         if not request.is_resume:
             return self._advance(request, now_ms)
+        return self._look_up(request, now_ms)
+
+    def _look_up(self, request: request_.Request, now_ms: int) -> Effects:
+        """Find out at which version a stream goes on."""
         decision = self._resumptions.start(request, now_ms)
         if isinstance(decision, list):
             return decision
@@ -486,6 +565,12 @@
         if self._quarantine.refuses(request, now_ms):
             return self._refuse_quarantined(request, now_ms)
         request.has_held_response = has_held_response
+        if self._reachability.is_cut_off:
+            return self._send_to_host(request, now_ms)
+        if request.is_unbound_stream:
+            return self._look_up(request, now_ms)
+        if not request.progress.is_complete:
+            return self._stage_jobs.start(request, now_ms)
         target = self._tracker.choose(request, now_ms)
         is_limited = target is not None and self._limits.is_limited(target)
         if target is not None and (
@@ -497,6 +582,18 @@
         request.may_wait_for_permit = False
         return self._ask(request, (target,), permit_schedule.Asked(), now_ms)
 
+    def _send_to_host(self, request: request_.Request, now_ms: int) -> Effects:
+        """Hand a request over, since this host reaches no target."""
+        if request.arrived.is_taken_over:
+            ending = error_replies.misdirected(request)
+            return self._finish(request, 'cut_off', ending, now_ms)
+        taker = self._hand_over.choose(request.tried, now_ms)
+        if taker is None:
+            return self._end_without_retry(
+                request, request.has_held_response, now_ms
+            )
+        return self._send_to(request, taker, now_ms)
+
     def _send_to(
         self, request: request_.Request, target: targets.Target, now_ms: int
     ) -> Effects:
@@ -510,7 +607,9 @@
             target=target.listed,
             timeout_ms=left_ms,
             workspace=request.workspace and request.workspace.name,
-            inputs=request.progress.results(),
+            inputs=(
+                () if request.is_handed_over else request.progress.results()
+            ),
             may_retry=request.may_retry,
             is_stream=request.route.kind is documents.RequestKind.STREAM,
             needs_new_connection=not request.route.is_repeatable,
@@ -651,7 +750,8 @@
         The time left after it is enough for a second target.
         """
         is_idempotent = request.route.kind is documents.RequestKind.IDEMPOTENT
-        if not (is_idempotent and request.may_retry):
+        may_resend = is_idempotent and request.may_retry
+        if not may_resend or request.is_handed_over:
             return []
         token = f'{SLOW_CALL_TOKEN}{request.request_id}:{request.calls}'
         due_ms = now_ms + int(FIRST_SEND_SHARE * left_ms)
--- a/packages/routing/src/godwitglade/routing/stage_work.py
+++ b/packages/routing/src/godwitglade/routing/stage_work.py
@@ -21,6 +21,7 @@
 from godwitglade.routing import bodies
 from godwitglade.routing import document_state
 from godwitglade.routing import effects
+from godwitglade.routing import hand_over
 from godwitglade.routing import messages
 from godwitglade.routing import owners
 from godwitglade.routing import pool_waits
@@ -68,6 +69,7 @@
         members_: memberships.Membership,
         document_state_: document_state.DocumentState,
         directory: targets.Directory,
+        cut_off: hand_over.CutOffHosts,
     ) -> None:
         self._self_id = self_id
         self._address = address
@@ -77,7 +79,7 @@
         self._batchers: dict[str, batching.Batcher] = {}
         self._owners: dict[str, _Owner] = {}
         self._owner_of_job: dict[str, str] = {}
-        self.owners = owners.Owners(self_id, members_)
+        self.owners = owners.Owners(self_id, members_, cut_off)
         self._pending: dict[str, tuple[str, tuple[str, ...]]] = {}
         self._reports = reports.Reports()
         self._is_ticking = False
@@ -233,9 +235,13 @@
                 effects_.append(self._reports.send(origin, body))
         return effects_
 
+    def waiting_since_ms(self) -> int | None:
+        """Return when the oldest stage call was sent, None for no call."""
+        sent = (b.oldest_call_ms() for b in self._batchers.values())
+        return min((ms for ms in sent if ms is not None), default=None)
+
     def transfer_jobs(self, now_ms: int) -> Effects:
-        """Return queued jobs to their hosts, since this host will stop."""
-        self.owners.is_leaving = True
+        """Return queued jobs to their hosts, since this host is leaving."""
         moved = [e for b in self._batchers.values() for e in b.return_queued()]
         return self.end(moved, now_ms)
 
--- a/packages/routing/src/godwitglade/routing/targets.py
+++ b/packages/routing/src/godwitglade/routing/targets.py
@@ -34,7 +34,8 @@
     ``name`` is unique to one incarnation of the target unless it restarts
     under its old name; ``started_ms`` (Unix time) then distinguishes them.
     ``sequence`` grows with what it reports of itself. ``version`` is that of
-    its software, empty if unknown.
+    its software, empty if unknown. With ``is_host`` it is another host, to
+    which a request is handed over.
     """
 
     name: str
@@ -47,6 +48,7 @@
     started_ms: int = 0
     sequence: int = 0
     version: str = ''
+    is_host: bool = False
 
 
 @attrs.frozen
--- a/packages/targets/src/godwitglade/targets/forwarding.py
+++ b/packages/targets/src/godwitglade/targets/forwarding.py
@@ -20,6 +20,8 @@
 
 #: Statuses from which a caller infers that the request was not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+#: Time in which a connection for a caller's request has to be established.
+CONNECT_TIMEOUT_MS = 500
 #: Time limit of the connection that shows whether a target still runs.
 GONE_CHECK_TIMEOUT_MS = 100
 
@@ -40,13 +42,17 @@
 
 @attrs.frozen
 class CallerRequest:
-    """A caller's request in the form that is forwarded."""
+    """A caller's request in the form that is forwarded.
+
+    ``caller_headers`` are those for a host that takes the request over.
+    """
 
     method: str
     path: str
     headers: dict[str, str]
     body: bytes
     attempt_id: str
+    caller_headers: dict[str, str] = attrs.field(factory=dict, repr=False)
 
 
 @attrs.frozen
@@ -92,7 +98,12 @@
 
 
 class HeaderCodec(typing.Protocol):
-    """Reads and writes the headers that callers and targets use."""
+    """Reads and writes the headers that callers and targets use.
+
+    ``probe_path`` is a path at which every target responds.
+    """
+
+    probe_path: str
 
     def target_headers(
         self, context: ForwardingContext, effect: effects.Forward, left_ms: int
@@ -172,12 +183,30 @@
             except faults.CallFaultError as error:
                 is_target_gone = (
                     error.was_sent
+                    and not effect.target.is_host
                     and error.is_peer_closed
                     and not attempt.is_cancelled
                     and self._is_gone(effect.target.address)
                 )
                 return _fault_message(context, effect, error, is_target_gone)
 
+    def probe(self, effect: effects.ProbeTarget) -> messages.TargetProbed:
+        """Return whether a target responds over a new connection."""
+        budget = http_exchange.Budget(
+            self._clock, effect.timeout_ms, effect.timeout_ms
+        )
+        connection = connections.Connection(effect.address, self._clock)
+        path = self._wire.probe_path
+        try:
+            connection.open(effect.timeout_ms)
+            http_exchange.send(connection, 'GET', path, None, budget)
+            http_exchange.receive(connection, budget)
+        except (faults.CallFaultError, *http_exchange.TRANSPORT_ERRORS):
+            return messages.TargetProbed(effect.name, False)
+        finally:
+            connection.close()
+        return messages.TargetProbed(effect.name, True)
+
     def _call(
         self,
         context: ForwardingContext,
@@ -202,10 +231,11 @@
         effect: effects.Forward,
         budget: http_exchange.Budget,
     ) -> connections.Connection:
+        timeout_ms = min(CONNECT_TIMEOUT_MS, budget.wait_ms())
         if not effect.needs_new_connection:
-            return http_exchange.connect(pool, True, budget.wait_ms())
+            return http_exchange.connect(pool, True, timeout_ms)
         try:
-            return pool.open(budget.wait_ms())
+            return pool.open(timeout_ms)
         except http_exchange.TRANSPORT_ERRORS as error:
             raise _not_sent_fault(type(error).__name__) from error
 
@@ -260,6 +290,8 @@
                 messages.CallLost(*ids, 'response to another request'),
                 False,
             )
+        if call.effect.target.is_host:
+            return self._handle_host_response(call, response, classification)
         if classification.is_not_run:
             self._read_body(call, response)
             message = messages.CallNotRun(
@@ -294,6 +326,32 @@
         )
         return message, True
 
+    def _handle_host_response(
+        self,
+        call: _Call,
+        response: urllib3_response.HTTPResponse,
+        classification: ResponseClassification,
+    ) -> tuple[typing.Any, bool]:
+        """Relay the response of a host that took the request over."""
+        ids = (call.effect.request_id, call.effect.call)
+        status = response.status
+        if classification.is_misdirected:
+            self._read_body(call, response)
+            return messages.CallNotRun(*ids, status), True
+        is_success = 200 <= status < 300
+        if is_success and not classification.is_valid_reply:
+            detail = 'incomplete or invalid response'
+            return messages.CallLost(*ids, detail), False
+        if is_success and call.effect.is_stream:
+            return self._relay_stream(call, response, ResponseClassification())
+        body = self._read_body(call, response)
+        headers = self._wire.response_headers(response.headers.iteritems())
+        relay(
+            call.context.caller,
+            BufferedResponse(_status_line(response), headers, body),
+        )
+        return messages.ResponseCompleted(*ids, status), True
+
     def _read_body(
         self, call: _Call, response: urllib3_response.HTTPResponse
     ) -> bytes:
