--- a/packages/routing/src/godwitglade/routing/request_lifecycle.py
+++ b/packages/routing/src/godwitglade/routing/request_lifecycle.py
@@ -134,6 +134,7 @@
             document_version=self._document_state.document.version,
             document_age_ms=self._document_state.age_ms(now_ms),
             left_ms=request.deadline_ms - now_ms,
+            resumes=message.resumes or None,
         )
         return [timer, admitted, *self._begin(request, now_ms)]
 
