Play engines of two versions and callers that resume in the soak

Engines of two versions serve side by side, callers take up streams that broke off at any host, engines break off half of the streams for some seconds while hosts are killed. Checks: at most two streams hold events of two versions, and resumed streams go on at least half as often as new ones begin.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -33,13 +33,20 @@
     limit_s: typing.Annotated[
         float, typer.Option(help='Let targets name limits so long.')
     ] = 10.0,
+    streams_s: typing.Annotated[
+        float, typer.Option(help='Let engines break off streams so long.')
+    ] = 6.0,
     failed: typing.Annotated[
         bool, typer.Option(help='Run the seeds that failed before first.')
     ] = False,
 ) -> None:
     """Run soak tests; exit with 1 if a guarantee was violated."""
     plan = core.Plan(
-        hosts=hosts, callers=3 * hosts, crash_s=crash_s, limit_s=limit_s
+        hosts=hosts,
+        callers=3 * hosts,
+        crash_s=crash_s,
+        limit_s=limit_s,
+        streams_s=streams_s,
     )
     queue = _seeds_to_run(seeds, seed, minutes, failed)
     results = [_run_seed(number, plan) for number in queue]
--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -11,6 +11,7 @@
 import attrs
 
 from bench.soak import clusters
+from bench.soak import standins
 from bench.standins import edge_document
 
 MEAN_PAUSE_S = 0.03
@@ -25,6 +26,9 @@
     '/resume/x': {},
     '/staged/x': {'X-Chunks': '3', 'X-Chunk-Key': 'k1'},
 }
+RESUMED_PATH = '/resume/x'
+#: Attempts to take up a stream that broke off.
+MAX_RESUMES = 3
 PROMPT_PATHS = ('/stream/x', '/resume/x')
 COPIES_PREFIX = '/read/bad-'
 FIRST_PART = '5e1f'
@@ -37,7 +41,8 @@
 
     ``status`` is None without a response; ``is_complete`` tells whether the
     whole response body was received. ``parts`` are those of its prompt and
-    its path.
+    its path. An attempt that ``resumes`` the stream of another one has its
+    events up to ``last_event_id`` already.
     """
 
     attempt_id: str
@@ -51,6 +56,8 @@
     signature: str | None = None
     body: bytes = b''
     is_complete: bool = False
+    resumes: str = ''
+    last_event_id: int = 0
     parts: tuple[str, ...] = ()
 
 
@@ -102,6 +109,31 @@
                 idle[edge.name] = connection
             else:
                 connection.close()
+            if path == RESUMED_PATH:
+                self._resume(record, rng)
+
+    def _resume(self, record: RequestRecord, rng: random.Random) -> None:
+        """Take up a stream that broke off, at other hosts."""
+        for _ in range(MAX_RESUMES):
+            events = len(standins.versions_in(record.body))
+            last_event_id = record.last_event_id + events
+            is_broken = record.status == 200 and not record.is_complete
+            is_refused = record.resumes and record.status != 200
+            if not last_event_id or not (is_broken or is_refused):
+                return
+            edge = rng.choice(self._cluster.edges)
+            connection = _connect(edge)
+            record, _ = self._send_request(
+                connection,
+                edge,
+                RESUMED_PATH,
+                rng,
+                record.parts[:-1],
+                record.resumes or record.attempt_id,
+                last_event_id,
+            )
+            connection.close()
+            self.records.append(record)
 
     def _send_request(
         self,
@@ -110,6 +142,8 @@
         path: str,
         rng: random.Random,
         parts: tuple[str, ...],
+        resumes: str = '',
+        last_event_id: int = 0,
     ) -> tuple[RequestRecord, bool]:
         # Prefer the key that the last two documents have in common.
         recent = [validity.key for validity in self._cluster.keys[-3:]]
@@ -125,6 +159,9 @@
         if path in PROMPT_PATHS:
             prompt = [*parts, f'f{attempt_id}']
             headers['X-Prefix-Hash'] = ','.join(f'{p}:100' for p in prompt)
+        if resumes:
+            headers['Resumes'] = resumes
+            headers['Last-Event-Id'] = str(last_event_id)
         sent_s = time.monotonic()
         record = RequestRecord(
             attempt_id,
@@ -134,6 +171,8 @@
             key,
             sent_s,
             0,
+            resumes=resumes,
+            last_event_id=last_event_id,
             parts=(*(parts if path in PROMPT_PATHS else ()), path),
         )
         is_reusable = False
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -42,6 +42,12 @@
 MIN_BEGUN_SHARE = 0.5
 MIN_SOUND = 20
 
+#: Streams that may hold events of two versions.
+MAX_JOINED_STREAMS = 2
+#: Least share of resumed streams that go on, of that of new ones that begin.
+MIN_RESUMED_SHARE = 0.5
+MIN_RESUMED = 12
+
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 KEY_REFUSAL_STATUSES = frozenset({401, 403, 404})
 NON_IDEMPOTENT_PATHS = frozenset({'/once/x', '/stream/x', '/staged/x'})
@@ -122,6 +128,7 @@
     link_stalls: list[stalls.Stall] = attrs.field(factory=list)
     crashes: tuple[Crashes, ...] = ()
     limits: tuple[Limit, ...] = ()
+    streams: Phase | None = None
 
     @functools.cached_property
     def runs_by_id(self) -> dict[str, list[standins.Run]]:
@@ -162,7 +169,10 @@
         if not is_success:
             continue
         if request.path in STREAM_PATHS:
-            expected = standins.stream_body(request.attempt_id)
+            versions = standins.versions_in(request.body)
+            expected = standins.stream_body(
+                request.attempt_id, request.last_event_id, versions
+            )
         else:
             expected = standins.response_body(request.attempt_id)
         is_correct = (
@@ -375,6 +385,39 @@
             )
 
 
+def _streams_are_of_one_version(record: Record) -> Violations:
+    versions: dict[str, set[str]] = collections.defaultdict(set)
+    for request in record.requests:
+        if request.path == callers.RESUMED_PATH:
+            first_id = request.resumes or request.attempt_id
+            versions[first_id].update(standins.versions_in(request.body))
+    joined = [name for name, found in versions.items() if len(found) > 1]
+    if len(joined) > MAX_JOINED_STREAMS:
+        yield f'ORDER: {len(joined)} streams of two versions, as {joined[0]}'
+
+
+def _resumed_streams_go_on(record: Record) -> Violations:
+    if record.streams is None:
+        return
+    sent = [
+        request
+        for request in record.requests
+        if request.path == callers.RESUMED_PATH
+        and record.streams.contains_request(request)
+    ]
+    resumed = [r for r in sent if r.resumes]
+    new = [r for r in sent if not r.resumes]
+    begun = sum(bool(r.body) for r in new if r.status == 200)
+    gone_on = sum(r.status == 200 for r in resumed)
+    share = begun / max(1, len(new))
+    is_low = gone_on < MIN_RESUMED_SHARE * share * len(resumed)
+    if len(resumed) >= MIN_RESUMED and is_low:
+        yield (
+            f'LOST: {gone_on} of {len(resumed)} resumed streams went on, '
+            f'{begun} of {len(new)} new ones began'
+        )
+
+
 def pool_of(path: str) -> str:
     """Return the pool that runs the requests of a path."""
     return 'app' if path.startswith(APP_PREFIXES) else 'engine'
@@ -409,5 +452,7 @@
     _bad_parts_are_not_sent_on,
     _sound_requests_begin_beside_bad_parts,
     _limits_are_kept,
+    _streams_are_of_one_version,
+    _resumed_streams_go_on,
     _service_recovers,
 )
--- a/bench/soak/clusters.py
+++ b/bench/soak/clusters.py
@@ -27,6 +27,8 @@
 TIMEOUT_S = 1.5
 
 POOLS = ('app', 'engine', 'encode')
+#: Engines of two versions serve side by side.
+VERSIONS = ('v1', 'v2')
 CALLERS_PORT, READY_PORT, PEERS_PORT, SPARE_PORT = 8000, 8001, 8002, 8003
 READY_WAIT_S = 20.0
 
@@ -155,7 +157,9 @@
             for n in range(1, hosts + 1)
         ]
         for number, pool in enumerate(POOLS * 3):
-            self.add_target(pool, f'z{number % 2}')
+            version = VERSIONS[number % len(VERSIONS)]
+            self.add_target(pool, f'z{number % 2}', version)
+        self.add_target('engine', 'z1', VERSIONS[0])
         self.rotate_keys()
 
     def start(self) -> None:
@@ -175,12 +179,14 @@
             target.stop()
         self.store.stop()
 
-    def add_target(self, pool: str, zone: str) -> standins.Target:
+    def add_target(
+        self, pool: str, zone: str, version: str = VERSIONS[0]
+    ) -> standins.Target:
         """Start a target and register it in the store."""
         with self._change_lock:
             self._target_count += 1
             name = f'{pool}-{self._target_count}'
-        target = standins.Target(name, pool, zone)
+        target = standins.Target(name, pool, zone, version)
         target.bad_parts = self.bad_parts
         self.targets.append(target)
         self.store.put('servers', name, target.entry())
@@ -198,7 +204,7 @@
             if target.crashed_s is not None:
                 self.targets.remove(target)
                 self.retired_targets.append(target)
-                self.add_target(target.pool, target.zone)
+                self.add_target(target.pool, target.zone, target.version)
                 self.store.delete('servers', target.name)
 
     def retire(self, target: standins.Target) -> None:
--- a/bench/soak/core.py
+++ b/bench/soak/core.py
@@ -23,6 +23,8 @@
 #: A crashed engine is back after this time.
 BACK_S = 2.0
 BACK_POLL_S = 0.05
+#: Share of streams that engines break off.
+BREAKING_SHARE = 0.5
 #: Limits that targets name, one of them below what a host alone would send.
 LIMITS_MILLI_PER_S = (200, 1_300, 4_000)
 
@@ -38,6 +40,7 @@
     mean_gap_s: float = 0.5
     crash_s: float = 0.0
     limit_s: float = 0.0
+    streams_s: float = 0.0
 
 
 @attrs.frozen
@@ -72,6 +75,7 @@
     time.sleep(1)
     crashes = _crash_targets(cluster, plan) if plan.crash_s else ()
     limits = _limit_targets(cluster, plan) if plan.limit_s else ()
+    streams = _break_streams(cluster, plan) if plan.streams_s else None
     faults.inject(cluster, faults.FAULTS, plan.faults_s, plan.mean_gap_s)
     _restart_exited(cluster.edges)
     time.sleep(CONTACT_WAIT_S)
@@ -102,6 +106,7 @@
         link_stalls=detector.stalls,
         crashes=crashes,
         limits=limits,
+        streams=streams,
     )
 
 
@@ -182,6 +187,22 @@
     )
 
 
+def _break_streams(cluster: clusters.Cluster, plan: Plan) -> checks.Phase:
+    """Let engines break off streams, and kill half of the hosts."""
+    from_s = time.monotonic()
+    engines = [t for t in cluster.targets if t.pool == 'engine']
+    for engine in engines:
+        engine.breaking_share = BREAKING_SHARE
+    time.sleep(plan.streams_s / 2)
+    for edge in cluster.rng.sample(cluster.edges, len(cluster.edges) // 2):
+        edge.process.kill()
+        edge.start()
+    time.sleep(plan.streams_s / 2)
+    for engine in engines:
+        engine.breaking_share = 0.0
+    return checks.Phase(from_s, time.monotonic())
+
+
 def _restart_exited(edges: typing.Iterable[clusters.Edge]) -> None:
     for edge in edges:
         if not edge.process.is_running:
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -106,7 +106,7 @@
 def replace_target(cluster: clusters.Cluster) -> Repair:
     """Retire a target after starting another one of its pool."""
     target = cluster.rng.choice(cluster.targets)
-    cluster.add_target(target.pool, target.zone)
+    cluster.add_target(target.pool, target.zone, target.version)
     cluster.retire(target)
     return _repair_nothing
 
--- a/bench/soak/standins.py
+++ b/bench/soak/standins.py
@@ -1,5 +1,8 @@
 """Store and targets of the soak; each response names its request."""
 
+import itertools
+import random
+import re
 import threading
 import time
 import typing
@@ -68,23 +71,28 @@
 class Target(edge_platform.Target):
     """A target behind a link; responses contain the request's attempt id."""
 
-    def __init__(self, name: str, pool: str, zone: str) -> None:
+    def __init__(
+        self, name: str, pool: str, zone: str, version: str = 'v1'
+    ) -> None:
+        self.version = version
         self.recorded_runs: list[Run] = []
         self.bad_parts: frozenset[str] = frozenset()
         self.crashed_s: float | None = None
         self.crashed_by: frozenset[str] = frozenset()
         self.draining_since_s: float | None = None
+        self.breaking_share = 0.0
         super().__init__(name, pool, zone)
         self.link = proxy.Link(self.address)
 
     def entry(self, **fields: typing.Any) -> dict[str, typing.Any]:
         """Return the store entry with the address of the link."""
-        return super().entry(**{'address': self.link.address, **fields})
+        own = {'address': self.link.address, 'version': self.version}
+        return super().entry(**{**own, **fields})
 
     def answer(self, request: edge_platform.Request) -> typing.Any:
         """Return the response to a call, recording the run."""
         expected = request.headers.get('X-Expect-Instance', self.name)
-        if request.path.startswith('/api/stage-') or expected != self.name:
+        if request.path.startswith('/api/') or expected != self.name:
             return super().answer(request)
         behaviour = self.behaviours[0]
         self.recorded_runs.append(
@@ -122,9 +130,14 @@
     ) -> typing.Iterator[bytes]:
         first = int(request.headers.get('Last-Event-Id') or 0) + 1
         yield edge_platform.head_of_stream(self, request)
+        is_broken = random.random() < self.breaking_share
         for number in range(first, EVENT_COUNT + 1):
             time.sleep(EVENT_PAUSE_S)
-            yield edge_platform.chunk(event(request.attempt_id, number))
+            if is_broken and number > first + 1:
+                return
+            yield edge_platform.chunk(
+                event(request.attempt_id, number, self.version)
+            )
         yield b'0\r\n\r\n'
 
 
@@ -143,11 +156,27 @@
     return f'answer to {attempt_id}'.encode() * 20
 
 
-def event(attempt_id: str, number: int) -> bytes:
+def event(attempt_id: str, number: int, version: str) -> bytes:
     """Return one event of a request's stream."""
-    return f'id: {number}\ndata: {attempt_id} {number}\n\n'.encode()
+    data = f'{attempt_id} {number} {version}'
+    return f'id: {number}\ndata: {data}\n\n'.encode()
+
+
+def versions_in(body: bytes) -> list[str]:
+    """Return the version of each complete event."""
+    return [v.decode() for v in re.findall(rb' (v\d+)\n\n', body)]
 
 
-def stream_body(attempt_id: str) -> bytes:
-    """Return all events of a request's stream."""
-    return b''.join(event(attempt_id, n) for n in range(1, EVENT_COUNT + 1))
+def stream_body(
+    attempt_id: str, last_event_id: int, versions: list[str]
+) -> bytes:
+    """Return the events of a request's stream after one of them.
+
+    ``versions`` are those of its first events; the rest has the last one.
+    """
+    numbers = range(last_event_id + 1, EVENT_COUNT + 1)
+    rest = itertools.repeat(versions[-1] if versions else 'v1')
+    return b''.join(
+        event(attempt_id, number, version)
+        for number, version in zip(numbers, itertools.chain(versions, rest))
+    )
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -12,7 +12,13 @@
 from bench.soak import stalls
 
 SHORT = core.Plan(
-    hosts=3, callers=6, crash_s=6.0, limit_s=7.0, faults_s=4.0, planned_s=3.0
+    hosts=3,
+    callers=6,
+    crash_s=6.0,
+    limit_s=7.0,
+    streams_s=4.0,
+    faults_s=4.0,
+    planned_s=3.0,
 )
 SEED = 20_261_204
 
