Cut hosts off from all targets in the soak; ask six targets before giving up

Each host gets its own view of the list of targets with links of its own, so that any of them can be cut off from all. Such cuts are among the random faults and have a phase of their own, with a host killed in it; the check is that first attempts at these hosts are served two thirds as often as at the others.

The soak showed a fault of: while requests crashed targets, three random targets could be down at once, so a host took itself for cut off and dropped its crash reports. It now asks six, those first that have not failed lately.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -33,6 +33,9 @@
     limit_s: typing.Annotated[
         float, typer.Option(help='Let targets name limits so long.')
     ] = 10.0,
+    cut_s: typing.Annotated[
+        float, typer.Option(help='Cut hosts off from all targets so long.')
+    ] = 8.0,
     streams_s: typing.Annotated[
         float, typer.Option(help='Let engines break off streams so long.')
     ] = 6.0,
@@ -46,6 +49,7 @@
         callers=3 * hosts,
         crash_s=crash_s,
         limit_s=limit_s,
+        cut_s=cut_s,
         streams_s=streams_s,
     )
     queue = _seeds_to_run(seeds, seed, minutes, failed)
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -47,6 +47,11 @@
 #: Least share of resumed streams that go on, of that of new ones that begin.
 MIN_RESUMED_SHARE = 0.5
 MIN_RESUMED = 12
+#: First attempts at hosts that are cut off from all targets are served at
+#: least this share as often as at the others, or only so many fail.
+MIN_CUT_SHARE = 2 / 3
+CUT_FAILURES = 10
+CUT_FAILURE_SHARE = 0.02
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 KEY_REFUSAL_STATUSES = frozenset({401, 403, 404})
@@ -111,6 +116,15 @@
     until_s: float
 
 
+@attrs.frozen
+class Cut:
+    """A span in which hosts are cut off from all targets."""
+
+    edges: frozenset[str]
+    from_s: float
+    until_s: float
+
+
 @attrs.frozen(slots=False)
 class Record:
     """The records of one soak test.
@@ -128,6 +142,7 @@
     link_stalls: list[stalls.Stall] = attrs.field(factory=list)
     crashes: tuple[Crashes, ...] = ()
     limits: tuple[Limit, ...] = ()
+    cuts: tuple[Cut, ...] = ()
     streams: Phase | None = None
 
     @functools.cached_property
@@ -418,6 +433,33 @@
         )
 
 
+def _hosts_without_targets_serve(record: Record) -> Violations:
+    for cut in record.cuts:
+        sent = [
+            request
+            for request in record.requests
+            if cut.from_s + CONTACT_S <= request.sent_s
+            and request.ended_s <= cut.until_s
+            and not request.resumes
+            and record.has_no_stall(request.sent_s, request.ended_s)
+        ]
+        (cut_served, cut_sent), (served, others) = (
+            (sum(r.status == 200 and r.is_complete for r in group), len(group))
+            for group in (
+                [r for r in sent if r.edge in cut.edges],
+                [r for r in sent if r.edge not in cut.edges],
+            )
+        )
+        failed = cut_sent - cut_served
+        allowed = CUT_FAILURES + CUT_FAILURE_SHARE * len(sent)
+        is_worse = cut_served * others < MIN_CUT_SHARE * served * cut_sent
+        if is_worse and failed > allowed:
+            yield (
+                f'RECOVER: {cut_served} of {cut_sent} served at hosts without '
+                f'targets, {served} of {others} at the others'
+            )
+
+
 def pool_of(path: str) -> str:
     """Return the pool that runs the requests of a path."""
     return 'app' if path.startswith(APP_PREFIXES) else 'engine'
@@ -454,5 +496,6 @@
     _limits_are_kept,
     _streams_are_of_one_version,
     _resumed_streams_go_on,
+    _hosts_without_targets_serve,
     _service_recovers,
 )
--- a/bench/soak/clusters.py
+++ b/bench/soak/clusters.py
@@ -59,6 +59,7 @@
     callers: proxy.Link
     peers: proxy.Link
     store: proxy.Link
+    view: standins.StoreView
     incarnation: int = 0
     process: processes.Process | None = None
     faults: list[str] = attrs.field(factory=list)
@@ -177,6 +178,8 @@
             edge.process.close()
         for target in [*self.targets, *self.retired_targets]:
             target.stop()
+        for edge in self.edges:
+            edge.view.stop()
         self.store.stop()
 
     def add_target(
@@ -239,6 +242,7 @@
         peers_address = f'{ip}:{PEERS_PORT}'
         peers = proxy.Link(peers_address)
         self.store.link_addresses[peers_address] = peers.address
+        view = standins.StoreView(self.store)
         return Edge(
             name,
             ip,
@@ -246,7 +250,8 @@
             directory,
             callers=proxy.Link(f'{ip}:{CALLERS_PORT}'),
             peers=peers,
-            store=proxy.Link(self.store.address),
+            store=proxy.Link(view.address),
+            view=view,
         )
 
 
--- a/bench/soak/core.py
+++ b/bench/soak/core.py
@@ -12,6 +12,7 @@
 from bench.soak import checks
 from bench.soak import clusters
 from bench.soak import faults
+from bench.soak import proxy
 from bench.soak import stalls
 
 #: Pause before the planned changes, so that the hosts have contacted each
@@ -40,6 +41,7 @@
     mean_gap_s: float = 0.5
     crash_s: float = 0.0
     limit_s: float = 0.0
+    cut_s: float = 0.0
     streams_s: float = 0.0
 
 
@@ -76,6 +78,7 @@
     crashes = _crash_targets(cluster, plan) if plan.crash_s else ()
     limits = _limit_targets(cluster, plan) if plan.limit_s else ()
     streams = _break_streams(cluster, plan) if plan.streams_s else None
+    cuts = _cut_hosts(cluster, plan) if plan.cut_s else ()
     faults.inject(cluster, faults.FAULTS, plan.faults_s, plan.mean_gap_s)
     _restart_exited(cluster.edges)
     time.sleep(CONTACT_WAIT_S)
@@ -106,6 +109,7 @@
         link_stalls=detector.stalls,
         crashes=crashes,
         limits=limits,
+        cuts=cuts,
         streams=streams,
     )
 
@@ -203,6 +207,28 @@
     return checks.Phase(from_s, time.monotonic())
 
 
+def _cut_hosts(
+    cluster: clusters.Cluster, plan: Plan
+) -> tuple[checks.Cut, ...]:
+    """Cut some hosts off from all targets, and kill one of them meanwhile."""
+    rng = cluster.rng
+    count = rng.randrange(1, len(cluster.edges))
+    edges = rng.sample(cluster.edges, count)
+    mode = rng.choice(faults.CUT_MODES)
+    from_s = time.monotonic()
+    for edge in edges:
+        edge.view.mode = mode
+    time.sleep(plan.cut_s)
+    until_s = time.monotonic()
+    edges[0].process.kill()
+    edges[0].start()
+    time.sleep(1)
+    for edge in edges:
+        edge.view.mode = proxy.Mode.PASS
+    names = frozenset(edge.name for edge in edges)
+    return (checks.Cut(names, from_s, until_s),)
+
+
 def _restart_exited(edges: typing.Iterable[clusters.Edge]) -> None:
     for edge in edges:
         if not edge.process.is_running:
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -15,6 +15,8 @@
 STORE_DELAY_S = 0.8
 
 
+#: What links to targets do that a host is cut off from.
+CUT_MODES = (proxy.Mode.BLOCK_BOTH, proxy.Mode.RESET)
 _FAULTY_MODES = [mode for mode in proxy.Mode if mode is not proxy.Mode.PASS]
 
 
@@ -47,6 +49,17 @@
     return _impair(cluster, cluster.rng.choice(cluster.targets).link)
 
 
+def cut_from_targets(cluster: clusters.Cluster) -> Repair:
+    """Cut one host off from all targets."""
+    view = cluster.rng.choice(cluster.edges).view
+    view.mode = cluster.rng.choice(CUT_MODES)
+
+    def repair() -> None:
+        view.mode = proxy.Mode.PASS
+
+    return repair
+
+
 def pause_host(cluster: clusters.Cluster) -> Repair:
     """Pause a process with SIGSTOP until the repair."""
     process = cluster.rng.choice(cluster.edges).process
@@ -131,6 +144,7 @@
     break_peers_link,
     break_store_link,
     break_target_link,
+    cut_from_targets,
     pause_host,
     kill_host,
     _store_fault('is_down', True, False),
--- a/bench/soak/standins.py
+++ b/bench/soak/standins.py
@@ -1,5 +1,6 @@
 """Store and targets of the soak; each response names its request."""
 
+import collections
 import itertools
 import random
 import re
@@ -45,6 +46,7 @@
         self.delay_s = 0.0
         self.loses_answers = False
         self.link_addresses: dict[str, str] = {}
+        self.views: list[StoreView] = []
         self._lock = threading.Lock()
         super().__init__()
 
@@ -68,6 +70,64 @@
         return edge_platform.encode(codec.to_json(plain))
 
 
+#: Links of all hosts by the address of the target.
+LINKS_BY_TARGET: dict[str, list[proxy.Link]] = collections.defaultdict(list)
+
+
+class StoreView(edge_platform.Server):
+    """The store as one host sees it, with links of its own to the targets.
+
+    ``mode`` is that of all these links.
+    """
+
+    def __init__(self, store: Store) -> None:
+        self._store = store
+        self._links: dict[str, proxy.Link] = {}
+        self._mode = proxy.Mode.PASS
+        self._lock = threading.Lock()
+        super().__init__()
+
+    @property
+    def mode(self) -> proxy.Mode:
+        """Return the mode of the links between this host and the targets."""
+        return self._mode
+
+    @mode.setter
+    def mode(self, mode: proxy.Mode) -> None:
+        with self._lock:
+            self._mode = mode
+            for link in self._links.values():
+                link.mode = mode
+
+    def answer(self, request: edge_platform.Request) -> typing.Any:
+        """Return the store's reply, with the addresses of the links."""
+        reply = self._store.answer(request)
+        if reply is None or request.query.get('table') != 'servers':
+            return reply
+        head, _, body = reply.partition(b'\r\n\r\n')
+        if not body:
+            return reply
+        plain = codec.parse_json(body)
+        for row in plain['rows']:
+            if 'value' in row:
+                row['value'] = self._with_link(row['value'])
+        lines = head.decode('latin-1').split('\r\n')[1:]
+        fields = dict(line.split(': ', 1) for line in lines)
+        del fields['Content-Length']
+        return edge_platform.response(200, fields, codec.to_json(plain))
+
+    def _with_link(self, value: str) -> str:
+        entry = codec.parse_json(edge_platform.decode(value))
+        address = entry['address']
+        with self._lock:
+            if address not in self._links:
+                link = self._links[address] = proxy.Link(address)
+                link.mode = self._mode
+                LINKS_BY_TARGET[address].append(link)
+            entry['address'] = self._links[address].address
+        return edge_platform.encode(codec.to_json(entry))
+
+
 class Target(edge_platform.Target):
     """A target behind a link; responses contain the request's attempt id."""
 
@@ -122,7 +182,9 @@
         if self.crashed_s is None:
             self.crashed_s = time.monotonic()
             self.crashed_by = self.bad_parts & set(parts_of(request))
-            self.link.close()
+            # Connections are refused from now on.
+            for link in (self.link, *LINKS_BY_TARGET[self.link.address]):
+                link.close()
             self.crash()
 
     def _stream(
--- a/bench/standins/edge_platform.py
+++ b/bench/standins/edge_platform.py
@@ -299,8 +299,8 @@
     @property
     def runs(self) -> list[Request]:
         """Return the callers' requests that were received."""
-        stage_paths = ('/api/stage-run', '/api/stage-free')
-        return [r for r in self.requests if r.path not in stage_paths]
+        own_paths = ('/api/stage-run', '/api/stage-free', '/api/report')
+        return [r for r in self.requests if r.path not in own_paths]
 
     def entry(self, **fields: typing.Any) -> dict[str, typing.Any]:
         """Return the target's entry in the store."""
@@ -324,6 +324,8 @@
         is_endless = self.behaviours[0].startswith('endless')
         if request.path == '/api/stage-run' and not is_endless:
             return self._run_stage(request)
+        if request.path == '/api/report' and self.behaviours[0] != 'silent':
+            return response(200, {}, b'{}')
         if request.path == '/api/stage-free':
             self.freed_handles += codec.parse_json(request.body)['handles']
             return response(200, {}, b'{}')
--- a/packages/routing/src/godwitglade/routing/reachability.py
+++ b/packages/routing/src/godwitglade/routing/reachability.py
@@ -21,7 +21,7 @@
 Effects = list[typing.Any]
 
 #: Targets that are asked before the host counts as cut off.
-PROBED_TARGETS = 3
+PROBED_TARGETS = 6
 PROBE_TIMEOUT_MS = 250
 #: Time without a response after which a waiting call raises suspicion.
 SILENCE_MS = 500
@@ -111,12 +111,14 @@
     def _start_round(self, now_ms: int) -> Effects:
         if self._round is not None or now_ms < self._next_ms:
             return []
-        listed = [t.listed for t in self._directory.all()]
-        if not listed:
+        known = self._directory.all()
+        if not known:
             return []
         self._next_ms = now_ms + PAUSE_MS
-        count = min(PROBED_TARGETS, len(listed))
-        first, *left = self._random.sample(listed, count)
+        # Those that failed lately tell less about the paths of this host.
+        shuffled = self._random.sample(known, len(known))
+        shuffled.sort(key=lambda target: now_ms < target.suspended_until_ms)
+        first, *left = [t.listed for t in shuffled[:PROBED_TARGETS]]
         self._round = _Round([] if self.is_cut_off else left, 1)
         return [_probe(first)]
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -16,6 +16,7 @@
     callers=6,
     crash_s=6.0,
     limit_s=7.0,
+    cut_s=6.0,
     streams_s=4.0,
     faults_s=4.0,
     planned_s=3.0,
