Send nothing more to a target that says it leaves

The host that gets such a response, to a request or a stage call, treats this incarnation of the target as leaving, as if its entry had said it. Other hosts learn it from their own responses or the entry.

--- a/bench/standins/edge_platform.py
+++ b/bench/standins/edge_platform.py
@@ -293,6 +293,7 @@
         self.behaviours: list[str] = ['ok']
         self.freed_handles: list[str] = []
         self.named_limit: str | None = None
+        self.extra_headers: dict[str, str] = {}
         self._numbers = itertools.count()
         super().__init__()
 
@@ -342,6 +343,7 @@
             'X-Server-Signature': f'signed-{self.name}',
             'X-Instance-Load': '1,0,4',
             **named,
+            **self.extra_headers,
         }
 
     def _run_stage(self, request: Request) -> bytes:
@@ -362,7 +364,7 @@
 
 
 def _not_run(target: Target, request: Request) -> bytes:
-    return response(503, {'X-Not-Executed': '1'})
+    return response(503, {'X-Not-Executed': '1', **target.extra_headers})
 
 
 def _busy_after_run(target: Target, request: Request) -> bytes:
--- a/packages/routing/src/godwitglade/routing/batching.py
+++ b/packages/routing/src/godwitglade/routing/batching.py
@@ -204,6 +204,11 @@
             handles += self._retained.pop(job_id, ((), 0))[0]
         return self._free(handles, now_ms)
 
+    def target_of(self, call_id: str) -> targets.Target | None:
+        """Return the target of a running call."""
+        call = self._calls.get(call_id)
+        return None if call is None else call.target
+
     def oldest_call_ms(self) -> int | None:
         """Return when the oldest running call was sent, None for no call."""
         return min((c.sent_ms for c in self._calls.values()), default=None)
--- a/packages/routing/src/godwitglade/routing/host.py
+++ b/packages/routing/src/godwitglade/routing/host.py
@@ -38,6 +38,7 @@
 from godwitglade.routing import stage_work
 from godwitglade.routing import stopping
 from godwitglade.routing import stream_versions
+from godwitglade.routing import target_changes
 from godwitglade.routing import targets
 
 Effects = list[typing.Any]
@@ -457,19 +458,7 @@
             for effect in streams.record_replaced(change.listed.name, now_ms)
         ]
         told += streams.update_pools(now_ms)
-        logs = [
-            shared_effects.LogEvent(
-                events.Event.TARGET_CHANGED,
-                {
-                    'target': change.listed.name,
-                    'pool': change.listed.pool,
-                    'change': change.transition,
-                    'version': change.listed.version,
-                    'list_version': version,
-                },
-            )
-            for change in changes
-        ]
+        logs = target_changes.logs(changes, version)
         addresses = frozenset(directory.addresses())
         return [*logs, *told, effects.CloseOtherConnections(addresses)]
 
--- a/packages/routing/src/godwitglade/routing/messages.py
+++ b/packages/routing/src/godwitglade/routing/messages.py
@@ -64,6 +64,7 @@
     status: int
     load: targets.Load | None = None
     limit: targets.NamedLimit | None = None
+    notice: targets.Notice = targets.Notice()
 
 
 @attrs.frozen
@@ -74,6 +75,7 @@
     call: int
     load: targets.Load | None = None
     limit: targets.NamedLimit | None = None
+    notice: targets.Notice = targets.Notice()
 
 
 @attrs.frozen
@@ -91,6 +93,7 @@
     is_misdirected: bool = False
     load: targets.Load | None = None
     limit: targets.NamedLimit | None = None
+    notice: targets.Notice = targets.Notice()
 
 
 @attrs.frozen
@@ -128,6 +131,7 @@
     status: int
     load: targets.Load | None = None
     limit: targets.NamedLimit | None = None
+    notice: targets.Notice = targets.Notice()
 
 
 @attrs.frozen
@@ -281,6 +285,7 @@
 
     call_id: str
     results: tuple[ItemResult, ...]
+    notice: targets.Notice = targets.Notice()
 
 
 @attrs.frozen
@@ -289,6 +294,7 @@
 
     call_id: str
     is_misdirected: bool = False
+    notice: targets.Notice = targets.Notice()
 
 
 @attrs.frozen
--- a/packages/routing/src/godwitglade/routing/request_lifecycle.py
+++ b/packages/routing/src/godwitglade/routing/request_lifecycle.py
@@ -32,6 +32,7 @@
 from godwitglade.routing import resumption
 from godwitglade.routing import stage_jobs
 from godwitglade.routing import stream_versions
+from godwitglade.routing import target_changes
 from godwitglade.routing import target_selection
 from godwitglade.routing import targets
 
@@ -198,6 +199,11 @@
             return []
         if isinstance(message, RESPONSES) and not request.is_handed_over:
             self._reachability.record_contact(now_ms)
+            changes = self._directory.apply_notice(
+                request.target, message.notice
+            )
+            noted = target_changes.logs(changes, self._directory.version)
+            return noted + self._apply(message, request, now_ms)
         return self._apply(message, request, now_ms)
 
     @functools.singledispatchmethod
--- a/packages/routing/src/godwitglade/routing/stage_work.py
+++ b/packages/routing/src/godwitglade/routing/stage_work.py
@@ -26,6 +26,7 @@
 from godwitglade.routing import owners
 from godwitglade.routing import pool_waits
 from godwitglade.routing import reports
+from godwitglade.routing import target_changes
 from godwitglade.routing import targets
 
 Effects = list[typing.Any]
@@ -143,11 +144,24 @@
             effects_ += self._report_waits(batcher, now_ms)
         return effects_ + self._ensure_ticking(now_ms)
 
+    def _apply_notice(
+        self, message: messages.BatchEnded | messages.BatchNotRun
+    ) -> Effects:
+        """Apply what a target says of itself; return log events."""
+        batcher = self._batcher_of_call(message.call_id)
+        target = batcher.target_of(message.call_id)
+        if target is None:
+            return []
+        changes = self._directory.apply_notice(target, message.notice)
+        return target_changes.logs(changes, self._directory.version)
+
     @handle.register
     def _(self, message: messages.BatchEnded, now_ms: int) -> Effects:
+        noted = self._apply_notice(message)
         batcher = self._batcher_of_call(message.call_id)
         effects_ = batcher.ended(message, now_ms)
         return [
+            *noted,
             *_log_incomplete(message),
             *self._report_and_log(effects_, now_ms),
             *self._dispatch(batcher, now_ms),
@@ -155,9 +169,9 @@
 
     @handle.register
     def _(self, message: messages.BatchNotRun, now_ms: int) -> Effects:
+        effects_ = self._apply_notice(message)
         batcher = self._batcher_of_call(message.call_id)
         batcher.not_run(message, now_ms)
-        effects_: Effects = []
         if message.is_misdirected:
             effects_.append(effects.RefreshTargets())
         return effects_ + self._dispatch(batcher, now_ms)
--- a/packages/routing/src/godwitglade/routing/targets.py
+++ b/packages/routing/src/godwitglade/routing/targets.py
@@ -71,6 +71,16 @@
     milli_per_s: int | None
 
 
+@attrs.frozen
+class Notice:
+    """What a target says of itself in a response.
+
+    With ``is_leaving`` it wants no further requests.
+    """
+
+    is_leaving: bool = False
+
+
 @attrs.define(eq=False)
 class Target:
     """A listed target and its state as seen by this host."""
@@ -241,6 +251,14 @@
         target.listed = entry
         return Change(entry, 'leaving') if is_newly_leaving else None
 
+    def apply_notice(self, target: Target, notice: Notice) -> list['Change']:
+        """Apply what a target says of itself; return the changes."""
+        if not notice.is_leaving or target.listed.is_leaving:
+            return []
+        target.listed = attrs.evolve(target.listed, is_leaving=True)
+        is_listed = self.find(target.name) is target
+        return [Change(target.listed, 'leaving')] if is_listed else []
+
     def _is_outdated(self, entry: TargetEntry) -> bool:
         """Return whether an entry is one that the store went back to.
 
@@ -304,3 +322,11 @@
         return NamedLimit(None)
     milli_per_s = int(float(value) * 1_000)
     return NamedLimit(min(milli_per_s, MAX_LIMIT_MILLI_PER_S))
+
+
+def parse_load(value: str | None) -> Load | None:
+    """Return the load that a target reports, None if malformed."""
+    parts = (value or '').split(',')
+    if len(parts) != 3 or not all(p.strip().isdigit() for p in parts):
+        return None
+    return Load(*map(int, parts))
--- a/packages/targets/src/godwitglade/targets/forwarding.py
+++ b/packages/targets/src/godwitglade/targets/forwarding.py
@@ -95,6 +95,7 @@
     is_valid_reply: bool = True
     load: targets.Load | None = None
     limit: targets.NamedLimit | None = None
+    notice: targets.Notice = targets.Notice()
 
 
 class HeaderCodec(typing.Protocol):
@@ -301,6 +302,7 @@
                 is_misdirected=classification.is_misdirected,
                 load=classification.load,
                 limit=classification.limit,
+                notice=classification.notice,
             )
             return message, True
         is_success = 200 <= status < 300
@@ -316,13 +318,21 @@
             relay(call.context.caller, buffered)
             return (
                 messages.ResponseCompleted(
-                    *ids, status, classification.load, classification.limit
+                    *ids,
+                    status,
+                    classification.load,
+                    classification.limit,
+                    classification.notice,
                 ),
                 True,
             )
         call.context.failed_response = buffered
         message = messages.CallFailed(
-            *ids, status, classification.load, classification.limit
+            *ids,
+            status,
+            classification.load,
+            classification.limit,
+            classification.notice,
         )
         return message, True
 
@@ -390,7 +400,11 @@
     ) -> tuple[typing.Any, bool]:
         caller, reader = call.context.caller, call.context.reader
         ids = (call.effect.request_id, call.effect.call)
-        reported = (classification.load, classification.limit)
+        reported = (
+            classification.load,
+            classification.limit,
+            classification.notice,
+        )
         reader.restart()
         has_reported = False
         for chunk in http_exchange.read_chunks(
