Give the soak's targets names that no other test process uses

A target of the soak had crashed, and one of the other process listened on its port under the same name, so that the host could not tell them apart. Names now contain the process id.

--- a/bench/soak/clusters.py
+++ b/bench/soak/clusters.py
@@ -188,7 +188,8 @@
         """Start a target and register it in the store."""
         with self._change_lock:
             self._target_count += 1
-            name = f'{pool}-{self._target_count}'
+            # Another test process may listen on the port of one that ended.
+            name = f'{pool}-{os.getpid()}-{self._target_count}'
         target = standins.Target(name, pool, zone, version)
         target.bad_parts = self.bad_parts
         self.targets.append(target)
