Leave a target alone for as long as it asks for

A target that turns a request away with 503 may add Retry-After. Hosts did not read it and sent on: 21 requests within the 1.5 s asked for, one of which was before it, in the test.

Such a target now gets neither requests nor stage calls from that host until the time is over, even if no other target is left; a suspended one would. If all targets of a pool ask for a pause, callers are refused at once and told when the first pause ends. Times are checked and bounded by 60 s. The tests failed before.

--- a/packages/routing/src/godwitglade/routing/request_lifecycle.py
+++ b/packages/routing/src/godwitglade/routing/request_lifecycle.py
@@ -200,7 +200,7 @@
         if isinstance(message, RESPONSES) and not request.is_handed_over:
             self._reachability.record_contact(now_ms)
             changes = self._directory.apply_notice(
-                request.target, message.notice
+                request.target, message.notice, now_ms
             )
             noted = target_changes.logs(changes, self._directory.version)
             return noted + self._apply(message, request, now_ms)
@@ -790,6 +790,9 @@
         if has_held_response:
             held = [effects.ForwardHeldResponse(request.request_id)]
             return self._finish(request, 'failed', held, now_ms)
+        wait_ms = wait_ms or self._directory.pause_left_ms(
+            request.pool, now_ms
+        )
         reason = 'limited' if wait_ms else 'no_target'
         return self._refuse(request, reason, wait_ms, now_ms)
 
--- a/packages/routing/src/godwitglade/routing/stage_work.py
+++ b/packages/routing/src/godwitglade/routing/stage_work.py
@@ -145,19 +145,21 @@
         return effects_ + self._ensure_ticking(now_ms)
 
     def _apply_notice(
-        self, message: messages.BatchEnded | messages.BatchNotRun
+        self,
+        message: messages.BatchEnded | messages.BatchNotRun,
+        now_ms: int,
     ) -> Effects:
         """Apply what a target says of itself; return log events."""
         batcher = self._batcher_of_call(message.call_id)
         target = batcher.target_of(message.call_id)
         if target is None:
             return []
-        changes = self._directory.apply_notice(target, message.notice)
+        changes = self._directory.apply_notice(target, message.notice, now_ms)
         return target_changes.logs(changes, self._directory.version)
 
     @handle.register
     def _(self, message: messages.BatchEnded, now_ms: int) -> Effects:
-        noted = self._apply_notice(message)
+        noted = self._apply_notice(message, now_ms)
         batcher = self._batcher_of_call(message.call_id)
         effects_ = batcher.ended(message, now_ms)
         return [
@@ -169,7 +171,7 @@
 
     @handle.register
     def _(self, message: messages.BatchNotRun, now_ms: int) -> Effects:
-        effects_ = self._apply_notice(message)
+        effects_ = self._apply_notice(message, now_ms)
         batcher = self._batcher_of_call(message.call_id)
         batcher.not_run(message, now_ms)
         if message.is_misdirected:
--- a/packages/routing/src/godwitglade/routing/targets.py
+++ b/packages/routing/src/godwitglade/routing/targets.py
@@ -25,6 +25,9 @@
 #: A decimal number of requests per second, and the highest that is used.
 DECIMAL = re.compile(r'[0-9]{1,12}(\.[0-9]{0,12})?')
 MAX_LIMIT_MILLI_PER_S = 1_000_000_000
+BUSY_STATUS = 503
+#: Longest pause that a target can ask for.
+MAX_PAUSE_MS = 60_000
 
 
 @attrs.frozen
@@ -75,10 +78,12 @@
 class Notice:
     """What a target says of itself in a response.
 
-    With ``is_leaving`` it wants no further requests.
+    With ``is_leaving`` it wants no further requests; it wants none for
+    ``pause_ms``.
     """
 
     is_leaving: bool = False
+    pause_ms: int = 0
 
 
 @attrs.define(eq=False)
@@ -93,6 +98,7 @@
     suspended_until_ms: int = 0
     missing_since_ms: int | None = None
     unverified_until_ms: int = 0
+    paused_until_ms: int = 0
 
     @property
     def name(self) -> str:
@@ -165,18 +171,31 @@
             and version in (None, target.listed.version)
         ]
 
+    def pause_left_ms(self, pool: str, now_ms: int) -> int:
+        """Return the time until a target of a pool wants requests again.
+
+        It is 0 if one wants them now, or if there is none.
+        """
+        left = (
+            target.paused_until_ms - now_ms
+            for target in self._serving(pool, None)
+        )
+        return max(0, min(left, default=0))
+
     def usable(
         self, pool: str, now_ms: int, version: str | None = None
     ) -> list[Target]:
         """Return the targets of a pool that accept new work.
 
-        With ``version`` only targets of that version are included, and
-        suspended ones only if no other one is left.
+        With ``version`` only targets of that version are included. Suspended
+        ones are included only if no other one is left, and those that asked
+        for a pause never.
         """
         serving = [
             target
             for target in self._serving(pool, version)
-            if version is None or target.version(now_ms) == version
+            if now_ms >= target.paused_until_ms
+            and (version is None or target.version(now_ms) == version)
         ]
         free = [t for t in serving if t.is_usable(now_ms)]
         return free or serving
@@ -251,8 +270,12 @@
         target.listed = entry
         return Change(entry, 'leaving') if is_newly_leaving else None
 
-    def apply_notice(self, target: Target, notice: Notice) -> list['Change']:
+    def apply_notice(
+        self, target: Target, notice: Notice, now_ms: int
+    ) -> list['Change']:
         """Apply what a target says of itself; return the changes."""
+        until_ms = now_ms + notice.pause_ms
+        target.paused_until_ms = max(target.paused_until_ms, until_ms)
         if not notice.is_leaving or target.listed.is_leaving:
             return []
         target.listed = attrs.evolve(target.listed, is_leaving=True)
@@ -324,6 +347,20 @@
     return NamedLimit(min(milli_per_s, MAX_LIMIT_MILLI_PER_S))
 
 
+def parse_notice(
+    status: int, leaving: str | None, retry_after_s: str | None
+) -> Notice:
+    """Return what a target says of itself in a response of ``status``.
+
+    Only a target that turns a request away asks for a pause.
+    """
+    is_leaving = (leaving or '').strip() == '1'
+    text = (retry_after_s or '').strip()
+    if status != BUSY_STATUS or not DECIMAL.fullmatch(text):
+        return Notice(is_leaving)
+    return Notice(is_leaving, min(int(float(text) * 1_000), MAX_PAUSE_MS))
+
+
 def parse_load(value: str | None) -> Load | None:
     """Return the load that a target reports, None if malformed."""
     parts = (value or '').split(',')
--- a/tests/edge/test_limits.py
+++ b/tests/edge/test_limits.py
@@ -27,6 +27,25 @@
     assert targets.parse_limit(value) == expected
 
 
+@pytest.mark.parametrize(
+    ('value', 'expected_ms'),
+    [
+        (None, 0),
+        ('1.5', 1_500),
+        (' 3 ', 3_000),
+        ('0', 0),
+        ('999999', targets.MAX_PAUSE_MS),
+        ('-1', 0),
+        ('nan', 0),
+        ('Fri, 04 Dec 2026 18:00:00 GMT', 0),
+        ('9' * 400, 0),
+    ],
+)
+def test_pause_is_bounded_and_checked(value, expected_ms):
+    assert targets.parse_notice(503, None, value).pause_ms == expected_ms
+    assert targets.parse_notice(200, None, value).pause_ms == 0
+
+
 @pytest.mark.parametrize(
     ('path', 'pool', 'behaviour'),
     [
--- a/tests/edge/test_notices.py
+++ b/tests/edge/test_notices.py
@@ -38,3 +38,32 @@
     for _ in range(20):
         assert edge.send_request(path).status == 200
     assert len(leaving.runs) == before
+
+
+def test_target_that_asks_for_a_pause_gets_no_requests_meanwhile(edge):
+    paused = edge.target('app-1')
+    paused.behaviours = ['not_run']
+    paused.extra_headers = {'Retry-After': '1.5'}
+    while not paused.runs:
+        edge.send_request('/read/x')
+    before = len(paused.runs)
+    for _ in range(20):
+        assert edge.send_request('/read/x').status == 200
+    assert len(paused.runs) == before
+    paused.behaviours = ['ok']
+    edge.wait_for(
+        lambda: edge.send_request('/read/x') and len(paused.runs) > before
+    )
+
+
+def test_caller_is_told_when_the_pause_of_all_targets_ends(edge):
+    edge.set_behaviours('app', 'not_run')
+    for name in ('app-1', 'app-2'):
+        edge.target(name).extra_headers = {'Retry-After': '1.2'}
+    while not (edge.target('app-1').runs and edge.target('app-2').runs):
+        edge.send_request('/read/x')
+    before = len(edge.runs('app'))
+    response = edge.send_request('/once/x')
+    assert response.status == 503
+    assert 0.3 < float(response.headers['Retry-After']) <= 1.2
+    assert len(edge.runs('app')) == before
