Test the soak's checks of versions, resumes and cuts

tests/soak/test_checks.py could not be collected since changed the stand-in's stream_body; it now also covers the three new checks, at their bounds.

--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -39,7 +39,7 @@
     return attrs.evolve(normal, **fields)
 
 
-def violations(requests, runs, draining_since_s=0.0, stall_spans=()):
+def violations(requests, runs, draining_since_s=0.0, stall_spans=(), **fields):
     record = checks.Record(
         requests=requests,
         runs=runs,
@@ -48,6 +48,7 @@
         planned=checks.Phase(25.0, 50.0),
         recovered=checks.Phase(40.0, 50.0),
         link_stalls=[stalls.Stall(*span) for span in stall_spans],
+        **fields,
     )
     return sorted(
         {line.split(':')[0] for line in checks.find_violations(record)}
@@ -57,7 +58,7 @@
 RECOVERED = make_request(attempt_id='a9', sent_s=41, ended_s=42)
 RECOVERED = attrs.evolve(RECOVERED, body=standins.response_body('a9'))
 CUT = {'status': None, 'body': b'', 'is_complete': False}
-STREAM = {'path': '/stream/x', 'body': standins.stream_body('a1')}
+STREAM = {'path': '/stream/x', 'body': standins.stream_body('a1', 0, ['v1'])}
 
 
 @pytest.mark.parametrize(
@@ -139,6 +140,81 @@
     )
 
 
+def make_stream(number, version, **fields):
+    """Return a try that got the first two events of a stream, or more."""
+    attempt_id = f's{number}'
+    last_event_id = fields.get('last_event_id', 0)
+    body = standins.stream_body(attempt_id, last_event_id, [version])
+    values = {
+        'attempt_id': attempt_id,
+        'path': '/resume/x',
+        'body': body,
+        **fields,
+    }
+    return make_request(**values)
+
+
+@pytest.mark.parametrize(
+    ('joined', 'expected'), [(0, []), (2, []), (3, ['ORDER'])]
+)
+def test_streams_of_two_versions_are_reported(joined, expected):
+    tries = [
+        make_stream(
+            f'{n}{version}',
+            'v2' if version and n < joined else 'v1',
+            resumes=f's{n}' if version else '',
+            last_event_id=version,
+        )
+        for n in range(5)
+        for version in (0, 2)
+    ]
+    for number, first in enumerate(tries[::2]):
+        tries[2 * number] = attrs.evolve(first, resumes=f's{number}')
+    runs = [make_run(attempt_id=r.attempt_id, pool='engine') for r in tries]
+    assert violations([*tries, RECOVERED], runs) == expected
+
+
+@pytest.mark.parametrize(
+    ('gone_on', 'expected'), [(6, []), (5, ['LOST']), (0, ['LOST'])]
+)
+def test_resumed_streams_that_do_not_go_on_are_reported(gone_on, expected):
+    new = [make_stream(n, 'v1') for n in range(10)]
+    resumed = [
+        make_stream(
+            10 + n,
+            'v1',
+            resumes=f's{n}',
+            last_event_id=2,
+            **({} if n < gone_on else {'status': 503, 'body': b''}),
+        )
+        for n in range(12)
+    ]
+    assert (
+        violations(
+            [*new, *resumed, RECOVERED], [], streams=checks.Phase(29.0, 31.0)
+        )
+        == expected
+    )
+
+
+@pytest.mark.parametrize(
+    ('served', 'expected'), [(36, []), (24, []), (23, ['RECOVER'])]
+)
+def test_hosts_without_targets_that_serve_less_are_reported(served, expected):
+    at_cut = [
+        make_request(
+            attempt_id='a1', sent_s=34.0, status=200 if n < served else 502
+        )
+        for n in range(36)
+    ]
+    others = [make_request(edge='edge-2', sent_s=34.0) for _ in range(36)]
+    cut = checks.Cut(frozenset({'edge-1'}), 30.0, 38.0)
+    requests = [
+        attrs.evolve(request, ended_s=34.1) for request in at_cut + others
+    ]
+    assert violations([*requests, RECOVERED], [], cuts=(cut,)) == expected
+
+
 @pytest.mark.parametrize(('served', 'expected'), [(9, []), (8, ['RECOVER'])])
 def test_service_that_does_not_recover_is_reported(served, expected):
     requests = [
