--- a/tests/routing/fleet.py
+++ b/tests/routing/fleet.py
@@ -58,6 +58,10 @@
     limit: targets.NamedLimit | None = None
     named_ms: int | None = None
     told_ms: dict = attrs.field(factory=dict)
+    brittle: int | None = None
+    room: int = 1_000
+    turned_away_ms: list = attrs.field(factory=list)
+    falls_ms: list = attrs.field(factory=list)
     arrivals: list = attrs.field(factory=list)
 
     def name_limit(self, milli_per_s, now_ms):
@@ -479,6 +483,9 @@
             self._later(self._post_to, node, incarnation, message)
             return
         key = (effect.request_id, effect.call)
+        if len(engine.calls) >= engine.room:
+            self._turn_away(engine, node, incarnation, effect)
+            return
         engine.calls[key] = (node, incarnation, effect, attempt)
         if self.bad_parts & set(attempt.parts):
             due_ms = self.now_ms + CRASH_AFTER_MS
@@ -487,6 +494,30 @@
             due_ms = self.now_ms + self.rng.randint(60, 300)
             self.at(due_ms, self._begin, engine, key)
 
+    def _turn_away(self, engine, node, incarnation, effect):
+        """Reject a request; a brittle engine that does so often ends."""
+        message = messages.CallNotRun(
+            effect.request_id, effect.call, 503, **self._notice(engine)
+        )
+        self._later(self._post_to, node, incarnation, message)
+        engine.turned_away_ms.append(self.now_ms)
+        if engine.brittle is None:
+            return
+        recent = [
+            ms for ms in engine.turned_away_ms if ms > self.now_ms - 1_000
+        ]
+        if len(recent) > engine.brittle:
+            engine.falls_ms.append(self.now_ms)
+            self.end_engine(engine, is_replaced=False)
+            back_ms = self.now_ms + self.rng.randint(2_000, 4_000)
+            self.at(back_ms, self._start_again, engine, engine.version)
+
+    def _notice(self, engine):
+        """Return the fields of messages that say that it is brittle."""
+        if engine.brittle is None:
+            return {}
+        return {'notice': targets.Notice(brittle_per_s=engine.brittle)}
+
     def _crash(self, engine, key):
         if engine.is_alive and key in engine.calls:
             parts = set(engine.calls[key][3].parts)
@@ -507,7 +538,10 @@
         if engine.limit is not None:
             engine.told_ms.setdefault((node.name, incarnation), self.now_ms)
         message = messages.StreamStarted(
-            effect.request_id, effect.call, limit=engine.limit
+            effect.request_id,
+            effect.call,
+            limit=engine.limit,
+            **self._notice(engine),
         )
         self._post_to(node, incarnation, message)
         self._report(attempt, messages.StreamStarted)
