--- a/packages/routing/src/godwitglade/routing/targets.py
+++ b/packages/routing/src/godwitglade/routing/targets.py
@@ -79,13 +79,11 @@
     """What a target says of itself in a response.
 
     With ``is_leaving`` it wants no further requests; it wants none for
-    ``pause_ms``. It falls over when it turns away more than
-    ``brittle_per_s`` requests in a second, None if it does not say so.
+    ``pause_ms``.
     """
 
     is_leaving: bool = False
     pause_ms: int = 0
-    brittle_per_s: int | None = None
 
 
 @attrs.define(eq=False)
--- a/tests/routing/fleet.py
+++ b/tests/routing/fleet.py
@@ -496,9 +496,7 @@
 
     def _turn_away(self, engine, node, incarnation, effect):
         """Reject a request; a brittle engine that does so often ends."""
-        message = messages.CallNotRun(
-            effect.request_id, effect.call, 503, **self._notice(engine)
-        )
+        message = messages.CallNotRun(effect.request_id, effect.call, 503)
         self._later(self._post_to, node, incarnation, message)
         engine.turned_away_ms.append(self.now_ms)
         if engine.brittle is None:
@@ -512,12 +510,6 @@
             back_ms = self.now_ms + self.rng.randint(2_000, 4_000)
             self.at(back_ms, self._start_again, engine, engine.version)
 
-    def _notice(self, engine):
-        """Return the fields of messages that say that it is brittle."""
-        if engine.brittle is None:
-            return {}
-        return {'notice': targets.Notice(brittle_per_s=engine.brittle)}
-
     def _crash(self, engine, key):
         if engine.is_alive and key in engine.calls:
             parts = set(engine.calls[key][3].parts)
@@ -538,10 +530,7 @@
         if engine.limit is not None:
             engine.told_ms.setdefault((node.name, incarnation), self.now_ms)
         message = messages.StreamStarted(
-            effect.request_id,
-            effect.call,
-            limit=engine.limit,
-            **self._notice(engine),
+            effect.request_id, effect.call, limit=engine.limit
         )
         self._post_to(node, incarnation, message)
         self._report(attempt, messages.StreamStarted)
