Send brittle targets only what they have room for

Targets may say how many requests they can turn away in a second before they fall over (Server-Brittle).

It is a bound on a sum over hosts like a named limit, so the same permits keep it: the host that schedules the pool finds out the rate (adaptive_rates), from 0.6 of what may be turned away upwards, by the counts that hosts add to their next request for a permit.

--- a/packages/routing/src/godwitglade/routing/bodies.py
+++ b/packages/routing/src/godwitglade/routing/bodies.py
@@ -143,7 +143,9 @@
     """A host asks for permits to send requests to limited targets of a pool.
 
     ``limits`` has the incarnations that it can use, the preferred one first,
-    with their limits in thousandths of a request per second. The other fields
+    with their limits in thousandths of a request per second. Those in
+    ``adaptive`` take more while they turn no requests away; ``turned_away``
+    counts what they did since the last request of this host. The other fields
     are those of `permit_schedule.Asked`.
     """
 
@@ -153,6 +155,8 @@
     caller: str = ''
     max_wait_ms: int = 0
     max_return_ms: int = 0
+    adaptive: tuple[str, ...] = ()
+    turned_away: dict[str, int] = attrs.Factory(dict)
 
 
 @attrs.frozen
--- a/packages/routing/src/godwitglade/routing/host.py
+++ b/packages/routing/src/godwitglade/routing/host.py
@@ -396,7 +396,7 @@
         effects_ += self._check_reachability(now_ms)
         effects_ += self.components.requests.clear_running(now_ms)
         effects_ += self.components.quarantine.maintain(now_ms)
-        self.components.rate_limits.maintain(directory.all())
+        self.components.rate_limits.maintain(directory.all(), now_ms)
         if self.components.stopping.should_close(now_ms):
             effects_.append(effects.StopListening())
         return [timer, *effects_, *self._stop_if_done(now_ms)]
@@ -458,6 +458,7 @@
             for effect in streams.record_replaced(change.listed.name, now_ms)
         ]
         told += streams.update_pools(now_ms)
+        self.components.rate_limits.maintain(directory.all(), now_ms)
         logs = target_changes.logs(changes, version)
         addresses = frozenset(directory.addresses())
         return [*logs, *told, effects.CloseOtherConnections(addresses)]
--- a/packages/routing/src/godwitglade/routing/rate_limits.py
+++ b/packages/routing/src/godwitglade/routing/rate_limits.py
@@ -17,6 +17,7 @@
 from godwitglade.coordination import effects as shared_effects
 from godwitglade.coordination import membership as memberships
 from godwitglade.coordination import messages as shared_messages
+from godwitglade.routing import adaptive_rates
 from godwitglade.routing import bodies
 from godwitglade.routing import hand_over
 from godwitglade.routing import permit_schedule
@@ -55,6 +56,8 @@
 class _Limit:
     milli_per_s: int
     heard_ms: int
+    is_adaptive: bool = False
+    turned_away: int = 0
     told_ms: int | None = None
     told_milli_per_s: int | None = None
     responses_without: int = 0
@@ -76,6 +79,8 @@
         self._self_name = self_name
         self._members = members
         self._limits: dict[str, _Limit] = {}
+        self._ended: set[str] = set()
+        self._rates = adaptive_rates.AdaptiveRates()
         self._schedules: collections.OrderedDict[
             str, permit_schedule.PermitSchedule
         ] = collections.OrderedDict()
@@ -116,6 +121,7 @@
         key = key_of(target)
         logs = self._set(key, named.milli_per_s, now_ms)
         limit = self._limits[key]
+        limit.is_adaptive = named.is_adaptive
         since_ms = now_ms - (limit.told_ms or 0)
         is_new = limit.told_ms is None
         is_changed = (
@@ -125,7 +131,7 @@
         if not (is_new or is_changed or since_ms >= REPEAT_PUBLISH_MS):
             return logs
         _set_told(limit, now_ms)
-        value = [limit.milli_per_s]
+        value = [limit.milli_per_s] + [1] * limit.is_adaptive
         return [
             *logs,
             shared_effects.PublishFact(FACT_KIND, key, value, TTL_MS, True),
@@ -145,7 +151,9 @@
         if not _is_valid_value(message.value):
             return []
         logs = self._set(message.key, message.value[0], now_ms)
-        _set_told(self._limits[message.key], now_ms)
+        limit = self._limits[message.key]
+        limit.is_adaptive = len(message.value) > 1
+        _set_told(limit, now_ms)
         return logs
 
     @handle.register
@@ -156,13 +164,31 @@
         )
         return [shared_effects.ReplyPeer(message.reply_token, reply)]
 
-    def maintain(self, listed: typing.Iterable[targets.Target]) -> None:
-        """Forget targets that are gone."""
-        keys = set(map(key_of, listed))
+    def maintain(
+        self, listed: typing.Iterable[targets.Target], now_ms: int
+    ) -> None:
+        """Forget targets that are gone; expect as much of new ones.
+
+        A target that starts beside brittle ones is taken for one of them
+        until it has responded.
+        """
+        pools = {key_of(target): target.listed.pool for target in listed}
+        keys = set(pools)
+        self._ended &= keys
+        adaptive = {
+            pools[key]: limit.milli_per_s
+            for key, limit in self._limits.items()
+            if limit.is_adaptive and key in keys
+        }
+        for key in keys - self._limits.keys() - self._ended:
+            if pools[key] in adaptive:
+                self._set(key, adaptive[pools[key]], now_ms)
+                self._limits[key].is_adaptive = True
         for key in [key for key in self._limits if key not in keys]:
             del self._limits[key]
         for schedule in self._schedules.values():
             schedule.keep_only(keys)
+        self._rates.keep_only(keys)
 
     def _set(self, key: str, milli_per_s: int, now_ms: int) -> Effects:
         limit = self._limits.get(key)
@@ -182,6 +208,7 @@
     def _end(self, key: str) -> Effects:
         if self._limits.pop(key, None) is None:
             return []
+        self._ended.add(key)
         event = events.Event.TARGET_LIMIT_ENDED
         return [shared_effects.LogEvent(event, {'target': key})]
 
@@ -194,6 +221,12 @@
         limit = self._limits.get(key_of(target))
         return 0 if limit is None else max(0, limit.closed_until_ms - now_ms)
 
+    def record_turned_away(self, target: targets.Target) -> None:
+        """Record that a target had no room for a request."""
+        limit = self._limits.get(key_of(target))
+        if limit is not None:
+            limit.turned_away += 1
+
     def use_permit(self, target: targets.Target, now_ms: int) -> bool:
         """Use a permit that was given out with an earlier one."""
         limit = self._limits.get(key_of(target))
@@ -236,7 +269,11 @@
             asked.caller,
             asked.max_wait_ms,
             asked.max_return_ms,
+            tuple(key for key, limit in known.items() if limit.is_adaptive),
+            {k: limit.turned_away for k, limit in known.items()},
         )
+        for limit in known.values():
+            limit.turned_away = 0
         addresses = {m.host.name: m.address for m in self._members.serving()}
         name = rendezvous.first(pool, self._cut_off.reaching(addresses))
         if name in (None, self._self_name):
@@ -251,7 +288,7 @@
         """Decide what a host gets that asks this one for permits."""
         asked_limits = list(body.limits.items())[:MAX_CANDIDATES]
         limits = {
-            key: self._lower(key, max(0, milli_per_s))
+            key: self._allowed(body, key, max(0, milli_per_s), now_ms)
             for key, milli_per_s in asked_limits
             if len(key) <= MAX_TEXT_LENGTH
         }
@@ -270,6 +307,20 @@
         )
         return schedule.ask(asked, limits, now_ms)
 
+    def _allowed(
+        self,
+        body: bodies.PermitRequest,
+        key: str,
+        milli_per_s: int,
+        now_ms: int,
+    ) -> int:
+        """Return the rate of requests that a target may get."""
+        lower = self._lower(key, milli_per_s)
+        if key not in body.adaptive:
+            return lower
+        turned_away = body.turned_away.get(key, 0)
+        return self._rates.update(key, lower, turned_away, now_ms)
+
     def _lower(self, key: str, milli_per_s: int) -> int:
         """Return the lower of a limit and the one known to this host."""
         limit = self._limits.get(key)
@@ -325,7 +376,9 @@
 
 def _is_valid_value(value: typing.Any) -> bool:
     """Return whether a fact of another host holds a limit."""
-    if not isinstance(value, list) or len(value) != 1:
+    if not isinstance(value, list) or len(value) not in (1, 2):
+        return False
+    if value[1:] not in ([], [1]):
         return False
     is_number = type(value[0]) is int
     return is_number and 0 <= value[0] <= targets.MAX_LIMIT_MILLI_PER_S
--- a/packages/routing/src/godwitglade/routing/request_lifecycle.py
+++ b/packages/routing/src/godwitglade/routing/request_lifecycle.py
@@ -275,6 +275,8 @@
                 status=message.status,
             )
         ]
+        if message.status == targets.BUSY_STATUS:
+            self._limits.record_turned_away(request.target)
         if not message.is_misdirected:
             effects_ += self._limits.record_limit(
                 request.target, message.limit, now_ms
--- a/packages/routing/src/godwitglade/routing/targets.py
+++ b/packages/routing/src/godwitglade/routing/targets.py
@@ -68,10 +68,12 @@
     """Limit of the requests that a target takes from all hosts together.
 
     ``milli_per_s`` is in thousandths of a request per second, None if what
-    the target named cannot be read.
+    the target named cannot be read. A limit that ``is_adaptive`` is that of
+    the requests that the target may turn away: it takes what it has room for.
     """
 
     milli_per_s: int | None
+    is_adaptive: bool = False
 
 
 @attrs.frozen
@@ -337,10 +339,17 @@
     transition: str
 
 
-def parse_limit(value: str | None) -> NamedLimit | None:
-    """Return the limit that a target names in a response, None for none."""
+def parse_limit(
+    value: str | None, brittle: str | None = None
+) -> NamedLimit | None:
+    """Return the limit that a target names in a response, None for none.
+
+    ``brittle`` is how many requests it may turn away in a second.
+    """
     if value is None:
-        return None
+        if brittle is None:
+            return None
+        return attrs.evolve(parse_limit(brittle), is_adaptive=True)
     if not DECIMAL.fullmatch(value.strip()):
         return NamedLimit(None)
     milli_per_s = int(float(value) * 1_000)
--- a/tests/edge/test_limits.py
+++ b/tests/edge/test_limits.py
@@ -27,6 +27,22 @@
     assert targets.parse_limit(value) == expected
 
 
+@pytest.mark.parametrize(
+    ('limit', 'brittle', 'expected'),
+    [
+        (None, '3', targets.NamedLimit(3_000, True)),
+        ('2', '3', targets.NamedLimit(2_000)),
+        (None, '0', targets.NamedLimit(0, True)),
+        (None, 'often', targets.NamedLimit(None, True)),
+        (None, None, None),
+    ],
+)
+def test_requests_that_a_target_may_turn_away_are_read(
+    limit, brittle, expected
+):
+    assert targets.parse_limit(limit, brittle) == expected
+
+
 @pytest.mark.parametrize(
     ('value', 'expected_ms'),
     [
--- a/tests/routing/fleet.py
+++ b/tests/routing/fleet.py
@@ -64,6 +64,13 @@
     falls_ms: list = attrs.field(factory=list)
     arrivals: list = attrs.field(factory=list)
 
+    @property
+    def named(self):
+        """Return what it names in its responses, None for nothing."""
+        if self.brittle is None:
+            return self.limit
+        return targets.NamedLimit(1_000 * self.brittle, is_adaptive=True)
+
     def name_limit(self, milli_per_s, now_ms):
         """Name a limit from now on."""
         self.limit = targets.NamedLimit(milli_per_s)
@@ -496,7 +503,9 @@
 
     def _turn_away(self, engine, node, incarnation, effect):
         """Reject a request; a brittle engine that does so often ends."""
-        message = messages.CallNotRun(effect.request_id, effect.call, 503)
+        message = messages.CallNotRun(
+            effect.request_id, effect.call, 503, limit=engine.named
+        )
         self._later(self._post_to, node, incarnation, message)
         engine.turned_away_ms.append(self.now_ms)
         if engine.brittle is None:
@@ -530,7 +539,7 @@
         if engine.limit is not None:
             engine.told_ms.setdefault((node.name, incarnation), self.now_ms)
         message = messages.StreamStarted(
-            effect.request_id, effect.call, limit=engine.limit
+            effect.request_id, effect.call, limit=engine.named
         )
         self._post_to(node, incarnation, message)
         self._report(attempt, messages.StreamStarted)
--- a/tests/routing/test_brittle_targets.py
+++ b/tests/routing/test_brittle_targets.py
@@ -1,15 +1,15 @@
 """Engines that fall over when they turn many requests away."""
 
-import itertools
-
 import pytest
 
 from tests.routing import fleet
+from tests.routing import test_limited_targets
 
 BRITTLE_MS = 6_000
 #: From this long after they say so, engines let fewer requests wait.
 CONTACT_MS = 3_000
 END_MS = 30_000
+PATHS = ('/a/x', '/b/x', '/c/x')
 #: Falls allowed in one time, and per engine.
 MAX_FALLS = 2
 FALLS_PER_ENGINE = 0.1
@@ -24,20 +24,13 @@
     """
     fleet_ = fleet.Fleet(seed, host_count)
     fleet_.run(2_000)
-    numbers = itertools.count()
     gap_ms = 1_600 / (load * ROOM * len(fleet_.engines))
-
-    def send():
-        subject = f'subject{fleet_.rng.randrange(60)}'
-        parts = ('system0', subject, f'own{next(numbers)}')
-        fleet_.send(parts, ('/a/x', '/b/x', '/c/x')[next(numbers) % 3])
-        due_ms = fleet_.now_ms + max(
-            1, round(fleet_.rng.expovariate(1 / gap_ms))
+    for path in PATHS:
+        callers = test_limited_targets.Load(
+            fleet_, path, round(gap_ms * len(PATHS))
         )
-        if due_ms < END_MS:
-            fleet_.at(due_ms, send)
-
-    send()
+        callers.send()
+    fleet_.on_refused = callers.refused
     for engine in fleet_.engines:
         fleet_.at(BRITTLE_MS, setattr, engine, 'brittle', per_s)
         fleet_.at(BRITTLE_MS + CONTACT_MS, setattr, engine, 'room', ROOM)
--- a/tests/routing/test_permits.py
+++ b/tests/routing/test_permits.py
@@ -136,7 +136,7 @@
     limits.record_response(TARGET, NAMED, 0, 10)
     restarted = builders.target('t1', 'app', started_ms=9)
     assert not limits.is_limited(restarted)
-    limits.maintain([restarted])
+    limits.maintain([restarted], 20)
     assert not limits.is_limited(TARGET)
 
 
