Look up the version of a resume that could not be handed over

Found by reading: a caller's resume that a cut-off host tried to hand over, and that came back when the host reached targets again, was sent to any target, as only streams that had begun in the same response were looked up. It is now looked up like any resume. The test failed before (the request went to a target beside two versions).

--- a/packages/routing/src/godwitglade/routing/request.py
+++ b/packages/routing/src/godwitglade/routing/request.py
@@ -76,12 +76,10 @@
 
     @property
     def is_unbound_stream(self) -> bool:
-        """Return whether it began at a version that this host may not know."""
-        return (
-            self.has_response_started
-            and self.route.is_resumable
-            and self.version is None
-        )
+        """Return whether it began at a version that is not looked up yet."""
+        has_begun = self.has_response_started or self.is_resume
+        is_unbound = self.route.is_resumable and self.version is None
+        return has_begun and is_unbound
 
     @property
     def is_resume(self) -> bool:
--- a/tests/routing/test_request_lifecycle.py
+++ b/tests/routing/test_request_lifecycle.py
@@ -329,6 +329,24 @@
     assert jobs[0].due_left_ms == jobs[0].left_ms > jobs[1].due_left_ms
 
 
+def test_resume_that_could_not_be_handed_over_keeps_to_its_version(
+    monkeypatch,
+):
+    host = Harness(ROUTES['resumable'])
+    requests = host.requests
+    versions = frozenset({'v1', 'v2'})
+    requests._resumptions._versions.set_listed('app', versions, 0)
+    taker = targets.Target(builders.listed('host:h2', is_host=True))
+    monkeypatch.setattr(requests._hand_over, 'choose', lambda *_: taker)
+    requests._reachability.is_cut_off = True
+    effects_ = host.arrive(last_event_id='3', resumes='a0')
+    assert find_effect(effects_, effects.Forward).target.is_host
+    requests._reachability.is_cut_off = False
+    effects_ = host.handle(call_result('not_sent'))
+    assert find_effect(effects_, effects.Forward) is None
+    assert caller_status(effects_) == 503
+
+
 def test_duplicate_result_is_ignored():
     harness, first = staged_harness()
     harness.requests.job_ended(ended(first, handles=('a', 'b')), 300)
