Hand a request that a host returned to another one

Found by reading: a taker that is cut off itself returns the request unsent, but that counted as a send, so a request of a route with one attempt was refused although another host could take it. The test failed before.

--- a/packages/routing/src/godwitglade/routing/request_lifecycle.py
+++ b/packages/routing/src/godwitglade/routing/request_lifecycle.py
@@ -275,6 +275,9 @@
                 status=message.status,
             )
         ]
+        if request.is_handed_over:
+            # The other host has sent it to no target.
+            request.sends -= 1
         if message.status == targets.BUSY_STATUS:
             self._limits.record_turned_away(request.target)
         if not message.is_misdirected:
--- a/tests/routing/test_request_lifecycle.py
+++ b/tests/routing/test_request_lifecycle.py
@@ -347,6 +347,23 @@
     assert caller_status(effects_) == 503
 
 
+def test_request_that_a_host_returns_is_handed_to_another(monkeypatch):
+    host = Harness(builders.route(Kind.AT_MOST_ONCE, max_targets=1))
+    requests = host.requests
+    takers = [
+        targets.Target(builders.listed(f'host:h{n}', is_host=True))
+        for n in (2, 3)
+    ]
+    monkeypatch.setattr(
+        requests._hand_over, 'choose', lambda *_: takers.pop(0)
+    )
+    requests._reachability.is_cut_off = True
+    host.arrive()
+    effects_ = host.handle(messages.CallNotRun('r1', 1, 421))
+    forward = find_effect(effects_, effects.Forward)
+    assert forward.target.name == 'host:h3'
+
+
 def test_duplicate_result_is_ignored():
     harness, first = staged_harness()
     harness.requests.job_ended(ended(first, handles=('a', 'b')), 300)
