End a round of probes that brings no result

Found by reading: requests wait while targets are asked, and nothing ended a round whose results did not all arrive, such as after an unexpected error in a probe. It now ends after 1.5 s with what was known before. The test failed before.

--- a/packages/daemon/src/godwitglade/daemon/routing_effect_runner.py
+++ b/packages/daemon/src/godwitglade/daemon/routing_effect_runner.py
@@ -25,7 +25,7 @@
 STAGE_THREADS = 32
 FREE_THREADS = 4
 ROW_THREADS = 2
-PROBE_THREADS = 3
+PROBE_THREADS = 6
 
 
 class StageClient(typing.Protocol):
--- a/packages/routing/src/godwitglade/routing/reachability.py
+++ b/packages/routing/src/godwitglade/routing/reachability.py
@@ -23,6 +23,8 @@
 #: Targets that are asked before the host counts as cut off.
 PROBED_TARGETS = 6
 PROBE_TIMEOUT_MS = 250
+#: A round without a result ends after this time.
+ROUND_LIMIT_MS = 1_500
 #: Time without a response after which a waiting call raises suspicion.
 SILENCE_MS = 500
 #: Pause after a probe that was answered, and between probes of a cut host.
@@ -31,10 +33,11 @@
 
 @attrs.define
 class _Round:
-    """Targets asked at once; ``left`` are asked if the first is silent."""
+    """Targets that are asked; ``left`` are, if the first is silent."""
 
     left: list[targets.TargetEntry]
-    pending: int = 0
+    started_ms: int
+    pending: int = 1
 
 
 class Reachability:
@@ -77,6 +80,9 @@
         ``waiting_since_ms`` is when the oldest call was sent that has no
         response yet, None for no call.
         """
+        if self._round and now_ms - self._round.started_ms > ROUND_LIMIT_MS:
+            self._round = None
+            return self._set_cut_off(self.is_cut_off)
         if self.is_cut_off:
             return self._start_round(now_ms)
         has_waited = (
@@ -119,7 +125,7 @@
         shuffled = self._random.sample(known, len(known))
         shuffled.sort(key=lambda target: now_ms < target.suspended_until_ms)
         first, *left = [t.listed for t in shuffled[:PROBED_TARGETS]]
-        self._round = _Round([] if self.is_cut_off else left, 1)
+        self._round = _Round([] if self.is_cut_off else left, now_ms)
         return [_probe(first)]
 
     def _probe_rest(self, round_: _Round) -> Effects:
--- a/tests/routing/test_request_lifecycle.py
+++ b/tests/routing/test_request_lifecycle.py
@@ -364,6 +364,15 @@
     assert forward.target.name == 'host:h3'
 
 
+def test_requests_do_not_wait_for_a_probe_without_a_result():
+    host = Harness(ROUTES['idempotent'])
+    reachability_ = host.requests._reachability
+    reachability_.record_unreachable(1_000)
+    assert reachability_.is_doubtful
+    reachability_.check(None, 3_000)
+    assert not reachability_.is_doubtful
+
+
 def test_duplicate_result_is_ignored():
     harness, first = staged_harness()
     harness.requests.job_ended(ended(first, handles=('a', 'b')), 300)
