Ask targets also when a call is lost without a response

Such a call is lost rather than not sent, so it raised no suspicion; targets without a limit were suspended and requests for limited ones were refused at once, so that no call waited either.

A call that is lost without a response now makes the host ask targets too, and the request waits for the result if it may be sent again and no target was heard since. The test of lost calls failed before (2 of 5 cases); free of I/O, 1 to 8 of 9 hosts with connections reset are served like the others.

--- a/packages/routing/src/godwitglade/routing/request_lifecycle.py
+++ b/packages/routing/src/godwitglade/routing/request_lifecycle.py
@@ -384,7 +384,14 @@
         """Retry a request that a target may have run, or end it."""
         request.has_run = True
         effects_: Effects = []
-        if is_target_gone:
+        sent_ms = request.sent_ms
+        has_held_response = isinstance(ending, effects.ForwardHeldResponse)
+        is_unanswered = not (
+            has_held_response
+            or request.has_response_started
+            or request.is_handed_over
+        )
+        if is_unanswered or is_target_gone:
             effects_ += self._reachability.record_unreachable(now_ms)
         if is_target_gone and not request.target.listed.is_leaving:
             request.crashes += 1
@@ -394,9 +401,12 @@
         effects_ += self._tracker.fail_call(
             request, detail, False, now_ms, is_target_gone
         )
+        is_doubtful = self._reachability.is_doubtful_since(sent_ms)
+        if request.may_retry and is_unanswered and is_doubtful:
+            self._waiting_for_probe.append(request.request_id)
+            return effects_
         if request.may_retry:
             # A failure held back is forwarded if no target is left.
-            has_held_response = isinstance(ending, effects.ForwardHeldResponse)
             return effects_ + self._resend(request, now_ms, has_held_response)
         return effects_ + self._finish(request, outcome, [ending], now_ms)
 
@@ -421,7 +431,7 @@
             if request is not None and request.target is None
             for effect in (
                 self._send(request, now_ms)
-                if self._reachability.is_cut_off
+                if self._reachability.is_cut_off and not request.has_run
                 else self._resend(request, now_ms)
             )
         ]
--- a/tests/routing/fleet.py
+++ b/tests/routing/fleet.py
@@ -361,8 +361,9 @@
     def cut_from_engines(self, names, how):
         """Cut hosts off from all engines.
 
-        Their connections ``hang``, are ``refused``, or the ``kept`` ones
-        live on while new ones are refused.
+        Their connections ``hang``, are ``refused`` or ``reset`` once they
+        are established, or the ``kept`` ones live on while new ones are
+        refused.
         """
         self.unreaching = dict.fromkeys(names, how)
         for engine in self.engines:
@@ -394,6 +395,9 @@
     def _forward_cut(self, node, effect, how):
         """Send to an engine from a host that is cut off from all."""
         key = (effect.request_id, effect.call)
+        if how == 'reset':
+            self._break_call(node, node.incarnation, effect, 'reset')
+            return
         is_kept = not effect.needs_new_connection and self.rng.random() < 0.5
         if how == 'hang' and is_kept:
             self._hung[key] = (node, node.incarnation, effect)
--- a/tests/routing/test_request_lifecycle.py
+++ b/tests/routing/test_request_lifecycle.py
@@ -364,6 +364,23 @@
     assert forward.target.name == 'host:h3'
 
 
+@pytest.mark.parametrize(
+    ('result', 'is_asked'),
+    [
+        ('not_sent', True),
+        ('lost', True),
+        ('broken_before', True),
+        ('failed', False),
+        ('not_run', False),
+    ],
+)
+def test_call_without_a_response_makes_the_host_ask_targets(result, is_asked):
+    host = Harness(ROUTES['resumable'])
+    host.arrive(1_000)
+    effects_ = host.handle(call_result(result), 1_010)
+    assert bool(find_effect(effects_, effects.ProbeTarget)) is is_asked
+
+
 def test_requests_do_not_wait_for_a_probe_without_a_result():
     host = Harness(ROUTES['idempotent'])
     reachability_ = host.requests._reachability
--- a/tests/routing/test_unreachable_targets.py
+++ b/tests/routing/test_unreachable_targets.py
@@ -96,7 +96,7 @@
     assert at_others >= 0.9
 
 
-@pytest.mark.parametrize('how', ['hang', 'refused', 'kept'])
+@pytest.mark.parametrize('how', ['hang', 'refused', 'reset', 'kept'])
 @pytest.mark.parametrize('cut_count', [1, 2, 6, 8])
 def test_callers_of_hosts_without_targets_are_served(cut_count, how):
     check(play(1, cut_count, how), cut_count)
@@ -121,7 +121,7 @@
     assert not any(a.begun_ms for a in refused)
 
 
-@pytest.mark.parametrize('how', ['hang', 'refused', 'kept'])
+@pytest.mark.parametrize('how', ['hang', 'refused', 'reset', 'kept'])
 def test_no_request_is_quarantined_for_connections_lost_in_a_cut(how):
     fleet_ = play(5, 6, how)
     assert not any(
