Keep reports of crashes while a host may be cut off from all targets

Cause: a request that ends the last targets makes each host believe that it is cut off from all targets, and a host that is cut off dropped what it had seen of crashes. So the copies of such a request were sent on.

The decision is a module of its own.

--- a/packages/routing/src/godwitglade/routing/hand_over.py
+++ b/packages/routing/src/godwitglade/routing/hand_over.py
@@ -25,6 +25,8 @@
 #: Requests that a host hands over at a time, over all other hosts.
 MAX_HANDED_OVER = 64
 MAX_CUT_OFF = 4_096
+#: Time for which it is remembered that a host was cut off.
+MEMORY_MS = 30 * clocks.SECOND_MS
 
 
 class CutOffHosts:
@@ -33,24 +35,42 @@
     def __init__(self, self_name: str) -> None:
         self._self_name = self_name
         self._names: set[str] = set()
+        self._last_ms: dict[str, int] = {}
         self._told_ms: int | None = None
 
     def __contains__(self, name: str) -> bool:
         return name in self._names
 
-    def record(self, message: shared_messages.FactChanged) -> bool:
+    def was_cut_off_since(self, name: str, since_ms: int) -> bool:
+        """Return whether a host was cut off at any time since then."""
+        return name in self._names or self._last_ms.get(name, -1) >= since_ms
+
+    def record(
+        self, message: shared_messages.FactChanged, now_ms: int
+    ) -> bool:
         """Record what a host tells; return if another one is cut off now."""
         name = message.key
         if message.origin != name:
             return False
         if message.value is None:
-            self._names.discard(name)
+            if name in self._names:
+                self._names.discard(name)
+                self._last_ms[name] = now_ms
             return False
         is_new = name not in self._names
         if is_new and len(self._names) < MAX_CUT_OFF:
             self._names.add(name)
+            self._forget(now_ms)
         return is_new and name != self._self_name
 
+    def _forget(self, now_ms: int) -> None:
+        """Drop when hosts that reach targets again were last cut off."""
+        self._last_ms = {
+            name: last_ms
+            for name, last_ms in self._last_ms.items()
+            if now_ms - last_ms < MEMORY_MS
+        }
+
     def tell(self, is_cut_off: bool, now_ms: int) -> Effects:
         """Tell the others whether this host is cut off, if that is due."""
         name = self._self_name
--- a/packages/routing/src/godwitglade/routing/host.py
+++ b/packages/routing/src/godwitglade/routing/host.py
@@ -24,6 +24,7 @@
 from godwitglade.coordination import messages as shared_messages
 from godwitglade.routing import bodies
 from godwitglade.routing import budget
+from godwitglade.routing import crash_reports
 from godwitglade.routing import document_state
 from godwitglade.routing import effects
 from godwitglade.routing import freshness
@@ -47,9 +48,6 @@
 #: Interval at which expired entries and a stop in progress are checked.
 MAINTENANCE_INTERVAL_MS = 200
 
-#: Pause before a crash report while the host may be cut off from targets.
-CRASH_DOUBT_MS = 50
-
 PERMIT_BODIES = (bodies.PermitRequest, bodies.PermitGranted)
 STREAM_BODIES = (
     bodies.StreamsBegun,
@@ -96,6 +94,7 @@
     reachability: reachability.Reachability
     cut_off: hand_over.CutOffHosts
     hand_over: hand_over.HandOver
+    crash_reports: crash_reports.CrashReports
 
 
 def make_components(
@@ -116,9 +115,11 @@
         self_id, address, derive_random(), attachments, settings.gossip
     )
     directory = targets.Directory()
-    quarantine_ = quarantine.Quarantine(
-        self_id.name, lambda: [m.host.name for m in members.serving()]
-    )
+
+    def live_names() -> list[str]:
+        return [member.host.name for member in members.serving()]
+
+    quarantine_ = quarantine.Quarantine(self_id.name, live_names)
     cut_off = hand_over.CutOffHosts(self_id.name)
     reachability_ = reachability.Reachability(directory, derive_random())
     hand_over_ = hand_over.HandOver(
@@ -162,6 +163,9 @@
         reachability_,
         cut_off,
         hand_over_,
+        crash_reports.CrashReports(
+            reachability_, cut_off, directory, live_names
+        ),
     )
 
 
@@ -292,7 +296,7 @@
     @_dispatch.register
     def _(self, message: shared_messages.FactChanged, now_ms: int) -> Effects:
         if message.kind == hand_over.FACT_KIND:
-            if not self.components.cut_off.record(message):
+            if not self.components.cut_off.record(message, now_ms):
                 return []
             # What cut that host off may have cut off this one too.
             return self.components.reachability.record_unreachable(now_ms)
@@ -417,14 +421,21 @@
         self, message: shared_messages.TimerFired, now_ms: int
     ) -> Effects:
         """Report that a target crashed, unless this host was cut off."""
-        if self.components.reachability.is_doubtful:
-            due_ms = now_ms + CRASH_DOUBT_MS
+        quarantine_ = self.components.quarantine
+        crash = message.token.removeprefix(quarantine.TOKEN)
+        lost = quarantine_.unreported(crash)
+        if lost is None:
+            return []
+        decision = self.components.crash_reports.decide(
+            lost.target, lost.seen_ms, now_ms
+        )
+        if decision is crash_reports.Decision.HOLD:
+            due_ms = now_ms + crash_reports.DOUBT_MS
             return [shared_effects.StartTimer(message.token, due_ms)]
-        if self.components.reachability.is_cut_off:
-            crash = message.token.removeprefix(quarantine.TOKEN)
-            self.components.quarantine.drop_report(crash)
+        if decision is crash_reports.Decision.DROP:
+            quarantine_.drop_report(crash)
             return []
-        return self.components.quarantine.handle(message, now_ms)
+        return quarantine_.handle(message, now_ms)
 
     def _update_quarantine(self, message: typing.Any, now_ms: int) -> Effects:
         before = self.components.quarantine.blocked
--- a/packages/routing/src/godwitglade/routing/quarantine.py
+++ b/packages/routing/src/godwitglade/routing/quarantine.py
@@ -66,6 +66,15 @@
     read_ms: int
 
 
+@attrs.define
+class LostRequests:
+    """The traits that were on a target when this host saw it end."""
+
+    target: targets.TargetEntry
+    seen_ms: int
+    traits: dict[str, None] = attrs.field(factory=dict)
+
+
 @attrs.frozen
 class _FailedTrials:
     count: int
@@ -85,7 +94,7 @@
         self._live_names = live_names
         self._evidence = crash_evidence.CrashEvidence()
         self._blocked: frozenset[str] = frozenset()
-        self._lost: dict[str, dict[str, None]] = {}
+        self._lost: dict[str, LostRequests] = {}
         self._successes_ms: collections.OrderedDict[str, int] = (
             collections.OrderedDict()
         )
@@ -178,9 +187,10 @@
             key = f'{_trial_crash_id(target)}|0'
             return [_publish(CRASH_KIND, key, suspected, is_urgent=True)]
         crash = _crash_id(target)
-        is_reported = crash in self._lost
-        self._lost.setdefault(crash, {}).update(dict.fromkeys(suspected))
-        if is_reported:
+        is_known = crash in self._lost
+        lost = self._lost.setdefault(crash, LostRequests(target, now_ms))
+        lost.traits.update(dict.fromkeys(suspected))
+        if is_known:
             return []
         due_ms = now_ms + REPORT_DELAY_MS
         return [shared_effects.StartTimer(f'{TOKEN}{crash}', due_ms)]
@@ -200,6 +210,10 @@
         """Tell all hosts that traits are not what crashed targets."""
         return [effect for trait in cleared for effect in self._clear(trait)]
 
+    def unreported(self, crash: str) -> LostRequests | None:
+        """Return what a crash that is not reported yet has lost."""
+        return self._lost.get(crash)
+
     def drop_report(self, crash: str) -> None:
         """Drop a crash report, since connections broke for another reason."""
         self._lost.pop(crash, None)
@@ -212,7 +226,8 @@
     @handle.register
     def _(self, message: shared_messages.TimerFired, now_ms: int) -> Effects:
         crash = message.token.removeprefix(TOKEN)
-        lost = iter(self._lost.pop(crash, ()))
+        found = self._lost.pop(crash, None)
+        lost = iter(found.traits if found else ())
         chunks = iter(lambda: list(itertools.islice(lost, FACT_ITEMS)), [])
         return [
             _publish(CRASH_KIND, f'{crash}|{number}', chunk, is_urgent=True)
--- a/packages/routing/src/godwitglade/routing/reachability.py
+++ b/packages/routing/src/godwitglade/routing/reachability.py
@@ -52,6 +52,7 @@
         self._next_ms = 0
         self._contact_ms = 0
         self.is_cut_off = False
+        self._last_cut_off_ms: int | None = None
 
     def record_contact(self, now_ms: int) -> None:
         """Record that a target has sent a part of a response."""
@@ -66,6 +67,11 @@
         """Return whether that is not known, nor was a target heard since."""
         return self.is_doubtful and self._contact_ms < since_ms
 
+    def was_cut_off_since(self, since_ms: int) -> bool:
+        """Return whether this host was cut off at any time since then."""
+        last_ms = self._last_cut_off_ms
+        return self.is_cut_off or (last_ms is not None and last_ms >= since_ms)
+
     def is_silent(self, now_ms: int) -> bool:
         """Return whether no target has sent anything for a while."""
         return now_ms - self._contact_ms >= SILENCE_MS
@@ -82,7 +88,7 @@
         """
         if self._round and now_ms - self._round.started_ms > ROUND_LIMIT_MS:
             self._round = None
-            return self._set_cut_off(self.is_cut_off)
+            return self._set_cut_off(self.is_cut_off, now_ms)
         if self.is_cut_off:
             return self._start_round(now_ms)
         has_waited = (
@@ -103,7 +109,7 @@
         if message.is_reached:
             self.record_contact(now_ms)
             self._round = None
-            return self._set_cut_off(False)
+            return self._set_cut_off(False, now_ms)
         if self._round is None:
             return []
         self._round.pending -= 1
@@ -112,7 +118,7 @@
         if self._round.left:
             return self._probe_rest(self._round)
         self._round = None
-        return self._set_cut_off(True)
+        return self._set_cut_off(True, now_ms)
 
     def _start_round(self, now_ms: int) -> Effects:
         if self._round is not None or now_ms < self._next_ms:
@@ -133,7 +139,9 @@
         round_.pending = len(asked)
         return [_probe(listed) for listed in asked]
 
-    def _set_cut_off(self, is_cut_off: bool) -> Effects:
+    def _set_cut_off(self, is_cut_off: bool, now_ms: int) -> Effects:
+        if is_cut_off or self.is_cut_off:
+            self._last_cut_off_ms = now_ms
         has_changed = is_cut_off != self.is_cut_off
         self.is_cut_off = is_cut_off
         known = messages.ReachabilityKnown(is_cut_off, has_changed)
--- a/tests/routing/test_crashing_parts.py
+++ b/tests/routing/test_crashing_parts.py
@@ -164,6 +164,53 @@
     assert begun_share(fleet_, 34_000, 64_000) >= before / 2
 
 
+def play_copies_that_end_all_targets(seed, cut=None):
+    """Play three targets that copies end, and that end for other reasons.
+
+    All hosts are killed a second after the third target ended. The hosts in
+    ``cut`` are cut off from all targets meanwhile.
+    """
+    fleet_ = fleet.Fleet(seed, engine_count=3)
+    load = Load(fleet_, 1, '/c/x')
+    fleet_.run(5_000)
+    load.sound(65_000)
+    fleet_.run(20_000)
+    fleet_.bad_parts = {'copied'}
+    load.copies('copied', 65_000)
+    end_targets(fleet_)
+    restart_after(fleet_, 3, fleet_.nodes)
+    if cut is not None:
+        fleet_.cut_from_engines(*cut)
+        fleet_.at(fleet_.now_ms + 20_000, fleet_.end_cut)
+    fleet_.run(45_000)
+    return fleet_
+
+
+def end_targets(fleet_):
+    """End a target every few seconds, so that often none is left."""
+    alive = [engine for engine in fleet_.engines if engine.is_alive]
+    if alive:
+        fleet_.end_engine(fleet_.rng.choice(alive))
+    due_ms = fleet_.now_ms + fleet_.rng.randint(1_500, 4_000)
+    fleet_.at(due_ms, end_targets, fleet_)
+
+
+@pytest.mark.parametrize(
+    ('seed', 'cut'),
+    [
+        (43, None),
+        (44, None),
+        (43, (['h1', 'h2'], 'hang')),
+        (44, (['h1', 'h2'], 'refused')),
+        (45, (['h1', 'h2', 'h3', 'h4', 'h5', 'h6'], 'reset')),
+    ],
+)
+def test_copies_that_end_the_last_targets_are_quarantined(seed, cut):
+    fleet_ = play_copies_that_end_all_targets(seed, cut)
+    assert len(fleet_.crashes_ms['copied']) <= 4
+    assert late_arrivals(fleet_, 'copied', 3) <= ALLOWED_ARRIVALS
+
+
 @pytest.mark.parametrize('path', ['/a/x', '/b/x'])
 def test_two_parts_that_crash_engines_are_not_sent_on(path):
     check(play(21, path=path, bad=2))
