Count a response only with a complete head and whole chunks

Cause: http.client takes the end of a connection for the end of a head and for the end of the last chunk, and skips header lines that it cannot parse. What a target had sent until then counted as a response whose body ends with the connection, so callers got an empty or short body framed as whole, and streams that ended as complete.

Change: one reader of lines for all connections (targets, other hosts, the store, the command line), which fails if the connection ends within a line; heads with skipped lines or with contradictory lengths fail too. A maintained client that checks this was not at hand: urllib3 2 reads heads by http.client; replacing both would have touched every path.

--- a/packages/command/src/godwitglade/command/http_client.py
+++ b/packages/command/src/godwitglade/command/http_client.py
@@ -7,6 +7,7 @@
 import urllib3
 
 from godwitglade.command import errors
+from godwitglade.common import whole_responses
 
 CONNECT_TIMEOUT_S = 5
 READ_TIMEOUT_S = 60
@@ -57,7 +58,7 @@
     """
 
     def __init__(self, ca_file: str | None = None) -> None:
-        self._pool = urllib3.PoolManager(
+        self._pool = whole_responses.PoolManager(
             retries=False,
             timeout=urllib3.Timeout(CONNECT_TIMEOUT_S, READ_TIMEOUT_S),
             ca_certs=ca_file,
--- a/packages/daemon/src/godwitglade/daemon/assembly.py
+++ b/packages/daemon/src/godwitglade/daemon/assembly.py
@@ -6,11 +6,11 @@
 
 import attrs
 import statsd
-import urllib3
 
 from godwitglade.callers import app as callers_app
 from godwitglade.callers import exchanges
 from godwitglade.common import clock as clocks
+from godwitglade.common import whole_responses
 from godwitglade.coordination import hosts
 from godwitglade.daemon import context
 from godwitglade.daemon import effect_runner
@@ -136,7 +136,7 @@
     env: context.Environment,
     peers: PeerComponents,
 ) -> effect_runner.Clients:
-    manager = urllib3.PoolManager(
+    manager = whole_responses.PoolManager(
         maxsize=PLATFORM_CONNECTIONS, retries=False, block=False
     )
 
--- a/packages/peers/src/godwitglade/peers/client.py
+++ b/packages/peers/src/godwitglade/peers/client.py
@@ -5,6 +5,7 @@
 import urllib3
 
 from godwitglade.common import errors as common_errors
+from godwitglade.common import whole_responses
 from godwitglade.coordination import effects
 from godwitglade.coordination import hosts
 from godwitglade.coordination import messages
@@ -51,7 +52,7 @@
         self._signer = signer
         self._traffic = traffic
         self._scheme = scheme
-        self._pools = urllib3.PoolManager(
+        self._pools = whole_responses.PoolManager(
             num_pools=MAX_HOST_POOLS, maxsize=1, retries=False, **tls_options
         )
 
--- a/packages/platform/src/godwitglade/platform/service.py
+++ b/packages/platform/src/godwitglade/platform/service.py
@@ -11,6 +11,7 @@
 import urllib3
 
 from godwitglade.common import clock as clock_module
+from godwitglade.common import whole_responses
 from godwitglade.platform import breaker as breaker_module
 
 MAX_CONNECTIONS = 8
@@ -53,7 +54,7 @@
 
 def make_pools(max_connections: int = MAX_CONNECTIONS) -> urllib3.PoolManager:
     """Return the connection pools that the platform clients share."""
-    return urllib3.PoolManager(
+    return whole_responses.PoolManager(
         maxsize=max_connections,
         block=True,
         retries=False,
--- a/packages/targets/src/godwitglade/targets/connections.py
+++ b/packages/targets/src/godwitglade/targets/connections.py
@@ -11,10 +11,10 @@
 import threading
 import typing
 
-from urllib3 import connection as urllib3_connection
 from urllib3 import response as urllib3_response
 
 from godwitglade.common import clock as clocks
+from godwitglade.common import whole_responses
 
 #: Long enough for the retransmission of one lost SYN packet.
 CONNECT_TIMEOUT_MS = 1_500
@@ -51,7 +51,7 @@
 
     def __init__(self, address: str, clock: clocks.Clock) -> None:
         host, _, port = address.rpartition(':')
-        self._http = urllib3_connection.HTTPConnection(
+        self._http = whole_responses.HTTPConnection(
             host.strip('[]'), int(port)
         )
         self._clock = clock
--- a/packages/targets/src/godwitglade/targets/http_exchange.py
+++ b/packages/targets/src/godwitglade/targets/http_exchange.py
@@ -9,6 +9,7 @@
 from urllib3 import response as urllib3_response
 
 from godwitglade.common import clock as clocks
+from godwitglade.common import whole_responses
 from godwitglade.decisions import messages
 from godwitglade.targets import connections
 from godwitglade.targets import faults
@@ -170,6 +171,7 @@
 
 
 @_to_fault.register(OSError)
+@_to_fault.register(whole_responses.IncompleteHeadError)
 @_to_fault.register(urllib3_errors.ProtocolError)
 def _(error: Exception, budget: Budget) -> faults.CallFaultError:
     return faults.CallFaultError(
