Do not take an earlier response of a target for that of the next call

Cause: stage calls used connections again after any response, and nothing in a response names its call. A target that sent a refusal once more where the next response was due had that call counted as not run, and a result once more was taken for the next call; the responses after it then belonged to the call before.

After a refusal, also of a request of a caller or of a host that returns one, it is closed.

--- a/packages/targets/src/godwitglade/targets/connections.py
+++ b/packages/targets/src/godwitglade/targets/connections.py
@@ -58,6 +58,7 @@
         self._socket: socket.socket | None = None
         self._timeout_ms = 0
         self._deadline_ms: int | None = None
+        self._last_content: bytes | None = None
         self.opened_ms = 0
         self.last_contact_ms = 0
 
@@ -141,6 +142,14 @@
         """Record that data has just arrived from the target."""
         self.last_contact_ms = self._clock.monotonic_ms()
 
+    def is_repeated(self, content: bytes) -> bool:
+        """Return whether the response before this one had the same content.
+
+        Only for responses of which each has a content of its own.
+        """
+        last, self._last_content = self._last_content, content
+        return last == content
+
     def is_usable(self) -> bool:
         """Return whether the peer has left the idle connection open."""
         return self._http.is_connected
--- a/packages/targets/src/godwitglade/targets/forwarding.py
+++ b/packages/targets/src/godwitglade/targets/forwarding.py
@@ -304,7 +304,9 @@
                 limit=classification.limit,
                 notice=classification.notice,
             )
-            return message, True
+            # The target may send a refusal once more where the next
+            # response is due.
+            return message, False
         is_success = 200 <= status < 300
         if is_success and not classification.is_valid_reply:
             return (
@@ -347,7 +349,7 @@
         status = response.status
         if classification.is_misdirected:
             self._read_body(call, response)
-            return messages.CallNotRun(*ids, status), True
+            return messages.CallNotRun(*ids, status), False
         is_success = 200 <= status < 300
         if is_success and not classification.is_valid_reply:
             detail = 'incomplete or invalid response'
