Let a stream go on only with later events of its own type

Cause: the response of the target at which a stream was resumed was relayed if it was a signed success. An empty one ended the stream as complete, a page of text came into it, and a target that did not look at Last-Event-Id sent its first events once more.

Change: the type of a stream's further parts is that of its first, and their first event comes after the last one that the caller has; otherwise the stream ends incomplete. The soak's targets play these faults and cut heads.

--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -11,7 +11,17 @@
 Repair = typing.Callable[[], None]
 Fault = typing.Callable[[clusters.Cluster], Repair]
 
-TARGET_FAULTS = ('error', 'not_run', 'reset', 'short', 'garbage', 'silent')
+TARGET_FAULTS = (
+    'error',
+    'not_run',
+    'reset',
+    'short',
+    'head_cut',
+    'empty',
+    'stream_again',
+    'garbage',
+    'silent',
+)
 STORE_DELAY_S = 0.8
 
 
--- a/bench/standins/edge_platform.py
+++ b/bench/standins/edge_platform.py
@@ -8,6 +8,7 @@
 import contextlib
 import http.client
 import itertools
+import random
 import socket
 import socketserver
 import threading
@@ -398,6 +399,20 @@
     yield _ok(target, request)[:-2]
 
 
+def _head_cut(target: Target, request: Request) -> typing.Iterator[bytes]:
+    head, _, _ = _ok(target, request).partition(b'\r\n\r\n')
+    yield head[: random.randrange(len(head))]
+
+
+def _empty(target: Target, request: Request) -> bytes:
+    return response(200, target.headers(request))
+
+
+def _page(target: Target, request: Request) -> bytes:
+    headers = target.headers(request) | {'Content-Type': 'text/html'}
+    return response(200, headers, b'id: 9\n\n')
+
+
 def _garbage(target: Target, request: Request) -> typing.Iterator[bytes]:
     yield b'\x00\x01 no answer\r\n\r\n'
 
@@ -437,6 +452,12 @@
     yield b'0\r\n\r\n'
 
 
+def _stream_again(target: Target, request: Request) -> typing.Iterator[bytes]:
+    yield head_of_stream(target, request)
+    yield chunk(event(1) + event(2))
+    yield chunk(event(3)) + b'0\r\n\r\n'
+
+
 def _stream_cut(target: Target, request: Request) -> typing.Iterator[bytes]:
     yield head_of_stream(target, request)
     yield chunk(event(1) + event(2))
@@ -512,10 +533,14 @@
     'encoded': _encoded,
     'extra': _extra,
     'short': _short,
+    'head_cut': _head_cut,
+    'empty': _empty,
+    'page': _page,
     'garbage': _garbage,
     'reset': _reset,
     'silent': _silent,
     'stream': _stream,
+    'stream_again': _stream_again,
     'stream_cut': _stream_cut,
     'stream_slow': _stream_slow,
     'stream_crash': _stream_crash,
--- a/packages/targets/src/godwitglade/targets/event_reader.py
+++ b/packages/targets/src/godwitglade/targets/event_reader.py
@@ -12,9 +12,23 @@
 MAX_EVENT_BYTES = 256 * 1024
 
 
-class EventTooLongError(ValueError):
+class EventError(ValueError):
+    """A stream cannot be relayed any further."""
+
+
+class EventTooLongError(EventError):
     """An event of a stream does not end."""
 
+    def __init__(self) -> None:
+        super().__init__('an event does not end')
+
+
+class EventRepeatedError(EventError):
+    """A stream that was to go on starts with an earlier event."""
+
+    def __init__(self, event_id: str) -> None:
+        super().__init__(f'event {event_id} comes once more')
+
 
 @attrs.define
 class EventReader:
@@ -25,11 +39,13 @@
 
     last_id: str = ''
     _rest: bytes = b''
+    _is_first: bool = False
 
     def feed(self, chunk: bytes) -> bytes:
         """Return the bytes up to the end of the last complete event.
 
-        Raises EventTooLongError if an event exceeds MAX_EVENT_BYTES.
+        Raises EventTooLongError if an event exceeds MAX_EVENT_BYTES, and
+        EventRepeatedError if a stream goes on with an event before its last.
         """
         buffered = self._rest + chunk
         ends = [match.end() for match in _EVENT_END.finditer(buffered)]
@@ -41,12 +57,20 @@
         complete, self._rest = buffered[: ends[-1]], buffered[ends[-1] :]
         ids = _EVENT_ID.findall(complete)
         if ids:
+            self._check_first(ids[0].decode('latin-1').strip())
             self.last_id = ids[-1].decode('latin-1').strip()
         return complete
 
     def restart(self) -> None:
         """Drop a partial event, before another stream continues."""
         self._rest = b''
+        self._is_first = bool(self.last_id)
+
+    def _check_first(self, event_id: str) -> None:
+        is_first, self._is_first = self._is_first, False
+        are_numbers = event_id.isdecimal() and self.last_id.isdecimal()
+        if is_first and are_numbers and int(event_id) <= int(self.last_id):
+            raise EventRepeatedError(event_id)
 
     @property
     def is_at_event_boundary(self) -> bool:
--- a/packages/targets/src/godwitglade/targets/forwarding.py
+++ b/packages/targets/src/godwitglade/targets/forwarding.py
@@ -69,13 +69,14 @@
     """The state that all calls of one request share.
 
     ``failed_response`` is the last failed response, until it is relayed or
-    dropped.
+    dropped. ``stream_content_type`` is that of the stream that has begun.
     """
 
     request: CallerRequest
     caller: Caller
     reader: event_reader.EventReader = attrs.Factory(event_reader.EventReader)
     failed_response: BufferedResponse | None = None
+    stream_content_type: str | None = None
 
 
 @attrs.frozen
@@ -394,6 +395,21 @@
         except OSError as error:
             raise CallerDisconnectedError() from error
 
+    def _check_content_type(
+        self,
+        context: ForwardingContext,
+        response: urllib3_response.HTTPResponse,
+    ) -> None:
+        """Raise CallFaultError if a response cannot continue a stream."""
+        content_type = response.headers.get('Content-Type')
+        if not context.caller.has_started:
+            context.stream_content_type = content_type
+        elif content_type != context.stream_content_type:
+            raise faults.CallFaultError(
+                http_exchange.FaultKind.ERROR,
+                f'a stream does not go on as {content_type}',
+            )
+
     def _relay_stream(
         self,
         call: _Call,
@@ -407,6 +423,7 @@
             classification.limit,
             classification.notice,
         )
+        self._check_content_type(call.context, response)
         reader.restart()
         has_reported = False
         for chunk in http_exchange.read_chunks(
@@ -417,9 +434,9 @@
         ):
             try:
                 complete_events = reader.feed(chunk)
-            except event_reader.EventTooLongError as error:
+            except event_reader.EventError as error:
                 raise faults.CallFaultError(
-                    http_exchange.FaultKind.ERROR, 'an event does not end'
+                    http_exchange.FaultKind.ERROR, str(error)
                 ) from error
             if not complete_events:
                 continue
--- a/tests/edge/test_edge.py
+++ b/tests/edge/test_edge.py
@@ -40,11 +40,13 @@
         ('/once/x', ['encoded'], 502, 1),
         ('/once/x', ['short'], 502, 1),
         ('/once/x', ['garbage'], 502, 1),
+        ('/once/x', ['head_cut'], 502, 1),
         ('/once/x', ['reset'], 502, 1),
         ('/read/x', ['error', 'ok'], 200, 2),
         ('/read/x', ['reset', 'ok'], 200, 2),
         ('/read/x', ['short', 'ok'], 200, 2),
         ('/read/x', ['silent', 'ok'], 200, 2),
+        ('/read/x', ['head_cut', 'ok'], 200, 2),
         ('/read/x', ['error'], 500, 2),
     ],
 )
@@ -123,6 +125,18 @@
     assert caught.value.partial == EVENTS[: len(caught.value.partial)]
 
 
+@pytest.mark.parametrize(
+    'behaviour',
+    ['error', 'ok', 'empty', 'page', 'stream_again', 'head_cut', 'garbage'],
+)
+def test_stream_that_goes_on_wrongly_ends_incomplete(edge, behaviour):
+    edge.set_behaviours('engine', 'stream_cut', behaviour)
+    with pytest.raises(http.client.IncompleteRead) as caught:
+        edge.send_request('/resume/x')
+    assert caught.value.partial == EVENTS[: len(caught.value.partial)]
+    assert len(edge.runs('engine')) == 2
+
+
 @pytest.mark.parametrize(
     'behaviour', ['endless_status', 'endless_head', 'endless_body']
 )
