Share the reading of the store's tables between hosts

Cause: every host followed the tables of documents, targets and hosts by itself.

Change: three hosts of each data centre follow the tables; the others ask one of them twice a second, and follow the tables themselves when no answer comes whose reads are recent. Data centres of up to three hosts work as before.

--- a/packages/common/src/godwitglade/common/events.py
+++ b/packages/common/src/godwitglade/common/events.py
@@ -112,6 +112,16 @@
     TARGETS_REACHED = EventDescription(
         3012, logging.INFO, 'A target responds to this host again.'
     )
+    TABLES_SHARED = EventDescription(
+        3013,
+        logging.INFO,
+        'This host learns changes in the store from other hosts.',
+    )
+    TABLES_FOLLOWED = EventDescription(
+        3014,
+        logging.INFO,
+        'This host follows the tables of the store itself.',
+    )
     LOGS_DROPPED = EventDescription(
         1012,
         logging.WARNING,
--- a/packages/daemon/src/godwitglade/daemon/routing_effect_runner.py
+++ b/packages/daemon/src/godwitglade/daemon/routing_effect_runner.py
@@ -15,8 +15,10 @@
 from godwitglade.daemon import thread_pools
 from godwitglade.peers import client as peer_client
 from godwitglade.peers import replies
+from godwitglade.platform import follower
 from godwitglade.routing import documents
 from godwitglade.routing import effects
+from godwitglade.routing import table_sharing
 from godwitglade.targets import forwarding
 
 #: Threads for messages to other hosts; an unresponsive host blocks one.
@@ -62,7 +64,7 @@
 class Clients:
     """The clients that carry out effects.
 
-    ``refresh_targets`` requests an early read of the list of targets.
+    ``followers`` follow tables of the store, by the name of the table.
     """
 
     forwarder: forwarding.Forwarder
@@ -72,7 +74,7 @@
     exchanges: routed_exchanges.Exchanges
     quarantine_rows: QuarantineRows
     stream_rows: StreamRows
-    refresh_targets: typing.Callable[[], None]
+    followers: typing.Mapping[str, follower.Follower]
 
 
 class EffectRunner(shared_effect_runner.SharedEffectRunner):
@@ -202,7 +204,17 @@
 
     @carry_out.register
     def _(self, effect: effects.RefreshTargets) -> None:
-        self._clients.refresh_targets()
+        followers = self._clients.followers
+        followers[table_sharing.Table.TARGETS.value].request_full_read()
+
+    @carry_out.register
+    def _(self, effect: effects.ReadTable) -> None:
+        self._clients.followers[effect.table].request_full_read()
+
+    @carry_out.register
+    def _(self, effect: effects.FollowTables) -> None:
+        for follower_ in self._clients.followers.values():
+            follower_.set_following(effect.is_following)
 
     @carry_out.register
     def _(self, effect: effects.CloseOtherConnections) -> None:
--- a/packages/platform/src/godwitglade/platform/follower.py
+++ b/packages/platform/src/godwitglade/platform/follower.py
@@ -17,6 +17,8 @@
 #: Pause after a failed read, and after a HistoryGoneError that comes within
 #: this time of the start of the last full read.
 RETRY_MS = 250
+#: Pause of a follower that leaves the reading to others; a request ends it.
+IDLE_MS = 60 * clocks.SECOND_MS
 
 Log = typing.Callable[..., None]
 
@@ -122,10 +124,23 @@
         self._full_read_started_ms: int | None = None
         self._last_response_ms = clock.monotonic_ms()
         self._wake_event = threading.Event()
+        self._is_following = True
+        self._is_read_requested = True
+
+    def set_following(self, is_following: bool) -> None:
+        """Follow the table, or read it only on request.
+
+        The first read after a time without following is a full one.
+        """
+        if is_following and not self._is_following:
+            self._version = None
+        self._is_following = is_following
+        self._wake_event.set()
 
     def request_full_read(self) -> None:
         """Make the next read a full one, without waiting for its pause."""
         self._version = None
+        self._is_read_requested = True
         self._wake_event.set()
 
     def run(self) -> None:
@@ -137,6 +152,8 @@
 
     def run_once(self) -> int:
         """Read once and return the pause before the next read, in ms."""
+        if not self._is_following and not self._is_read_requested:
+            return IDLE_MS
         started_ms = self._clock.monotonic_ms()
         is_full_read = self._version is None or self._is_full_read_due(
             started_ms
@@ -179,7 +196,10 @@
             self._availability.record_failure(repr(error))
             self._version = None
             return RETRY_MS
-        return 0 if is_full_read else self._pace.pause_ms
+        if is_full_read:
+            self._is_read_requested = False
+            return 0
+        return self._pace.pause_ms
 
     def _is_full_read_due(self, now_ms: int) -> bool:
         return now_ms - self._full_read_started_ms >= self._pace.full_read_ms
--- a/packages/routing/src/godwitglade/routing/bodies.py
+++ b/packages/routing/src/godwitglade/routing/bodies.py
@@ -7,6 +7,8 @@
 
 import attrs
 
+from godwitglade.routing import targets
+
 #: Inputs of at least this size are freed once they are fetched instead of
 #: at the end of the call, since memory for results is the bottleneck. The
 #: start of a job with smaller inputs is not reported.
@@ -192,6 +194,34 @@
     version: str = ''
 
 
+@attrs.frozen
+class TablesQuery:
+    """A host asks what has changed since a version of the list of targets."""
+
+    version: int
+    era: int
+
+
+@attrs.frozen
+class TablesKnown:
+    """What a host has read from the store itself, and how long ago.
+
+    ``present`` are the targets that changed, all with ``is_full``, and
+    ``removed`` the names that are gone. A host that does not follow the
+    tables, or cannot read them, gives no ages.
+    """
+
+    era: int = 0
+    version: int = 0
+    is_full: bool = False
+    present: tuple[targets.TargetEntry, ...] = ()
+    removed: tuple[str, ...] = ()
+    targets_age_ms: int | None = None
+    document_version: int = 0
+    document_age_ms: int | None = None
+    hosts_digest: str = ''
+
+
 @attrs.frozen
 class Received:
     """The receiver has applied a message; ``life`` is its incarnation."""
@@ -210,4 +240,6 @@
     'streams_begun': StreamsBegun,
     'stream_asked': StreamQuery,
     'stream_known': StreamAnswer,
+    'tables_asked': TablesQuery,
+    'tables_known': TablesKnown,
 }
--- a/packages/routing/src/godwitglade/routing/effects.py
+++ b/packages/routing/src/godwitglade/routing/effects.py
@@ -139,6 +139,20 @@
     """Read the list of targets now, since the current one is outdated."""
 
 
+@attrs.frozen
+class FollowTables:
+    """Follow the tables of the store, or leave that to other hosts."""
+
+    is_following: bool
+
+
+@attrs.frozen
+class ReadTable:
+    """Read a table of the store now; see `table_sharing.Table`."""
+
+    table: str
+
+
 @attrs.frozen
 class WriteQuarantine:
     """Write to the store that a trait crashes targets."""
--- a/packages/routing/src/godwitglade/routing/host.py
+++ b/packages/routing/src/godwitglade/routing/host.py
@@ -39,6 +39,7 @@
 from godwitglade.routing import stage_work
 from godwitglade.routing import stopping
 from godwitglade.routing import stream_versions
+from godwitglade.routing import table_sharing
 from godwitglade.routing import target_changes
 from godwitglade.routing import targets
 
@@ -49,6 +50,7 @@
 MAINTENANCE_INTERVAL_MS = 200
 
 PERMIT_BODIES = (bodies.PermitRequest, bodies.PermitGranted)
+TABLE_BODIES = (bodies.TablesQuery, bodies.TablesKnown)
 STREAM_BODIES = (
     bodies.StreamsBegun,
     bodies.StreamQuery,
@@ -57,7 +59,7 @@
 WORK_BODIES = tuple(
     body
     for body in bodies.KINDS.values()
-    if body not in PERMIT_BODIES + STREAM_BODIES
+    if body not in PERMIT_BODIES + STREAM_BODIES + TABLE_BODIES
 )
 
 
@@ -95,6 +97,7 @@
     cut_off: hand_over.CutOffHosts
     hand_over: hand_over.HandOver
     crash_reports: crash_reports.CrashReports
+    tables: table_sharing.TableSharing
 
 
 def make_components(
@@ -166,6 +169,7 @@
         crash_reports.CrashReports(
             reachability_, cut_off, directory, live_names
         ),
+        table_sharing.TableSharing(self_id, members, document_state_),
     )
 
 
@@ -190,6 +194,7 @@
             timer,
             *self.components.facts.start(now_ms),
             *self.components.members.start(now_ms),
+            *self.components.tables.start(now_ms),
         ]
 
     def handle(self, message: typing.Any, now_ms: int) -> Effects:
@@ -259,6 +264,8 @@
             return self.components.streams.handle(message, now_ms)
         if isinstance(message.body, bodies.PermitRequest):
             return self.components.rate_limits.handle(message, now_ms)
+        if isinstance(message.body, bodies.TablesQuery):
+            return self.components.tables.handle(message, now_ms)
         if isinstance(message.body, shared_bodies.FactsRequest):
             return self.components.facts.handle(message, now_ms)
         return self.components.members.handle(message, now_ms)
@@ -269,6 +276,8 @@
             return self.components.work.handle(message, now_ms)
         if message.token.startswith('facts:'):
             return self.components.facts.handle(message, now_ms)
+        if message.token.startswith(table_sharing.TOKEN):
+            return self.components.tables.handle(message, now_ms)
         if message.token.startswith(stream_versions.TOLD_TOKEN):
             return self.components.streams.handle(message, now_ms)
         if message.token.startswith(
@@ -287,6 +296,8 @@
             return self.components.members.handle(message, now_ms)
         if message.token.startswith('facts:'):
             return self.components.facts.handle(message, now_ms)
+        if message.token == table_sharing.TICK_TOKEN:
+            return self.components.tables.handle(message, now_ms)
         if message.token.startswith(quarantine.TOKEN):
             return self._report_crash(message, now_ms)
         if message.token == stream_versions.FLUSH_TOKEN:
@@ -318,6 +329,7 @@
     def _(self, message: messages.DocumentRead, now_ms: int) -> Effects:
         document_state_ = self.components.document_state
         is_first = document_state_.document is None
+        self.components.tables.record_document(message.read_from_ms)
         if not document_state_.apply(message.document, message.read_from_ms):
             return []
         fields = {
@@ -333,6 +345,7 @@
 
     @_dispatch.register
     def _(self, message: messages.TargetsRead, now_ms: int) -> Effects:
+        self.components.tables.record_targets(message, now_ms)
         changes = self.components.directory.replace(
             message.listed,
             message.version,
@@ -345,6 +358,7 @@
 
     @_dispatch.register
     def _(self, message: messages.TargetsChanged, now_ms: int) -> Effects:
+        self.components.tables.record_targets(message, now_ms)
         changes = self.components.directory.update(
             message.present,
             message.removed,
@@ -357,6 +371,7 @@
 
     @_dispatch.register
     def _(self, message: messages.HostsRead, now_ms: int) -> Effects:
+        self.components.tables.record_hosts(message.entries, now_ms)
         self.components.work.owners.set_registered(message.entries)
         self.components.hand_over.set_registered(message.entries)
         return self.components.members.add_entries(message.entries, now_ms)
--- a/packages/routing/src/godwitglade/routing/messages.py
+++ b/packages/routing/src/godwitglade/routing/messages.py
@@ -185,23 +185,29 @@
     """The complete list of targets as of a store version.
 
     ``outage_ms`` is how long the store did not answer before this read. In
-    each new ``era`` the store has gone back to an older state.
+    each new ``era`` the store has gone back to an older state. With
+    ``is_told`` another host has read the list.
     """
 
     listed: tuple[targets.TargetEntry, ...]
     version: int
     outage_ms: int = 0
     era: int = 0
+    is_told: bool = False
 
 
 @attrs.frozen
 class TargetsChanged:
-    """Entries of the list of targets that changed."""
+    """Entries of the list of targets that changed.
+
+    With ``is_told`` another host has read them.
+    """
 
     present: tuple[targets.TargetEntry, ...]
     removed: tuple[str, ...]
     version: int
     era: int = 0
+    is_told: bool = False
 
 
 @attrs.frozen
