Count the time for which a machine was suspended

Cause: decisions read the monotonic clock, which stands still while a machine is suspended. A host that woke took a document that it had read before for a fresh one, and would have told others so.

Change: the clock of decisions is the one that goes on meanwhile.

Measured: tests of the loop, the daemon and the edge program pass; a suspended machine was not played here.

--- a/packages/common/src/godwitglade/common/clock.py
+++ b/packages/common/src/godwitglade/common/clock.py
@@ -7,17 +7,21 @@
 HOUR_MS = 60 * MINUTE_MS
 DAY_MS = 24 * HOUR_MS
 
+#: Elsewhere than on Linux the monotonic clock is the next best.
+STEADY_CLOCK = getattr(time, 'CLOCK_BOOTTIME', time.CLOCK_MONOTONIC)
+
 
 class Clock:
     """Reads the system's clocks.
 
     ``monotonic_ms`` never decreases and is the only time that decisions
-    compare; ``wall_ms`` is for timestamps in records that people read.
+    compare; it counts the time for which the machine was suspended.
+    ``wall_ms`` is for timestamps in records that people read.
     """
 
     def monotonic_ms(self) -> int:
         """Return milliseconds since an arbitrary origin."""
-        return time.monotonic_ns() // 1_000_000
+        return time.clock_gettime_ns(STEADY_CLOCK) // 1_000_000
 
     def wall_ms(self) -> int:
         """Return milliseconds since the Unix epoch."""
