--- a/packages/daemon/src/godwitglade/daemon/logs.py
+++ b/packages/daemon/src/godwitglade/daemon/logs.py
@@ -1,52 +1,68 @@
 """Structured logs of numbered events, one JSON object per line."""
 
+import datetime
 import io
+import json
 import logging
 import traceback
 import typing
 
-import structlog
+import attrs
 
 from godwitglade.common import events
 from godwitglade.daemon import log_queue
 
 
+@attrs.frozen
+class Logger:
+    """Writes events of a host to ``stream``, those at ``level`` and above."""
+
+    stream: typing.Any
+    level: int
+    host: str
+    zone: str
+
+    def write(
+        self, event: events.Event, fields: typing.Mapping[str, typing.Any]
+    ) -> None:
+        """Write one event as a line of JSON, values of other types as text."""
+        level = event.value.level
+        if level < self.level:
+            return
+        now = datetime.datetime.now(datetime.UTC).replace(tzinfo=None)
+        line = {
+            'host': self.host,
+            'zone': self.zone,
+            'number': events.number_of(event),
+            **fields,
+            'event': event.name.lower(),
+            'level': logging.getLevelName(level).lower(),
+            'timestamp': now.isoformat() + 'Z',
+        }
+        self.stream.write(json.dumps(line, default=repr) + '\n')
+        self.stream.flush()
+
+
 def make_logger(
-    stream: typing.TextIO, level: str, host: str, zone: str
-) -> structlog.typing.FilteringBoundLogger:
+    stream: typing.Any, level: str, host: str, zone: str
+) -> Logger:
     """Return a logger that writes to ``stream`` at ``level`` and above."""
-    logger_class = structlog.make_filtering_bound_logger(
-        logging.getLevelNamesMapping()[level.upper()]
-    )
-    logger = structlog.wrap_logger(
-        structlog.WriteLogger(stream),
-        processors=[
-            structlog.processors.add_log_level,
-            structlog.processors.TimeStamper(fmt='iso', utc=True),
-            structlog.processors.JSONRenderer(sort_keys=False),
-        ],
-        wrapper_class=logger_class,
-    )
-    return logger.bind(host=host, zone=zone)
+    number = logging.getLevelNamesMapping()[level.upper()]
+    return Logger(stream, number, host, zone)
 
 
 def log_event(
-    logger: structlog.typing.FilteringBoundLogger,
+    logger: Logger,
     event: events.Event,
     fields: dict[str, typing.Any],
 ) -> None:
     """Write ``event`` with its number, level and fields."""
-    logger.log(
-        event.value.level,
-        event.name.lower(),
-        number=events.number_of(event),
-        **fields,
-    )
+    logger.write(event, fields)
 
 
 def make_queued_logger(
     stream: typing.TextIO, level: str, host: str, zone: str
-) -> tuple[structlog.typing.FilteringBoundLogger, log_queue.LogQueue]:
+) -> tuple[Logger, log_queue.LogQueue]:
     """Return a logger that never blocks, and the queue it writes to."""
 
     def render_dropped(count: int) -> str:
