--- a/tests/platform/test_follower.py
+++ b/tests/platform/test_follower.py
@@ -244,3 +244,61 @@
     value = {'zone': zone, 'address': '10.0.0.1:1', **fields}
     raw = base64.b64encode(codec.to_json(value)).decode()
     return {'key': name, 'value': raw}
+
+
+def make_follower(clock, store, applied):
+    def apply(rows, is_full_read, read_ms):
+        applied.append(is_full_read)
+
+    pace = follower.Pace(wait_ms=2_000, full_read_ms=60_000)
+    return follower.Follower(store, 't', apply, clock, lambda *_: None, pace)
+
+
+def test_follower_that_leaves_reading_to_others_makes_no_call():
+    clock, applied = Clock(), []
+    made = make_follower(clock, Store(clock), applied)
+    made.run_once()
+    made.set_following(False)
+    assert made.run_once() == follower.IDLE_MS
+    assert applied == [True]
+
+
+def test_follower_reads_once_on_request_while_others_read():
+    clock, applied = Clock(), []
+    made = make_follower(clock, Store(clock), applied)
+    made.run_once()
+    made.set_following(False)
+    made.request_full_read()
+    made.run_once()
+    assert made.run_once() == follower.IDLE_MS
+    assert applied == [True, True]
+
+
+def test_follower_starts_again_with_a_full_read():
+    clock, applied = Clock(), []
+    made = make_follower(clock, Store(clock), applied)
+    made.run_once()
+    made.run_once()
+    made.set_following(False)
+    made.run_once()
+    made.set_following(True)
+    made.run_once()
+    assert applied == [True, False, True]
+
+
+def test_read_on_request_is_repeated_until_it_succeeds():
+    clock, applied = Clock(), []
+    store = Store(clock)
+    made = make_follower(clock, store, applied)
+    made.run_once()
+    made.set_following(False)
+    made.request_full_read()
+    read, store.read = store.read, raise_unavailable
+    assert made.run_once() == follower.RETRY_MS
+    store.read = read
+    made.run_once()
+    assert applied == [True, True]
+
+
+def raise_unavailable(table):
+    raise edge_store.StoreError(table, 'is not available')
