Do not load the product's own decisions in the edge program

Cause: the clients of targets took the kinds of faults from the messages of the other engine, which the edge program does not use.

--- a/packages/decisions/src/godwitglade/decisions/messages.py
+++ b/packages/decisions/src/godwitglade/decisions/messages.py
@@ -4,17 +4,19 @@
 them to `host.Host.handle` one at a time, together with the time.
 """
 
-import enum
 import typing
 
 import attrs
 
+from godwitglade.common import fault_kinds
 from godwitglade.coordination import change_rows
 from godwitglade.coordination import members
 from godwitglade.decisions import documents
 from godwitglade.decisions import effects
 from godwitglade.decisions import targets
 
+FaultKind = fault_kinds.FaultKind
+
 
 @attrs.frozen
 class RequestArrived:
@@ -94,26 +96,6 @@
     load: targets.Load | None = None
 
 
-class FaultKind(enum.Enum):
-    """How a stage call failed.
-
-    CONNECT: no connection was opened. BUSY, LEAVING: the target did not run
-    the call, because it is busy or stopping. TIMEOUT: the whole call took
-    too long. SILENT: no data arrived within the read timeout. LOST: the
-    connection broke or the reply ended early. REJECTED: a 4xx status. ERROR:
-    any other failure.
-    """
-
-    CONNECT = 'connect'
-    BUSY = 'busy'
-    LEAVING = 'leaving'
-    TIMEOUT = 'timeout'
-    SILENT = 'silent'
-    LOST = 'lost'
-    ERROR = 'error'
-    REJECTED = 'rejected'
-
-
 @attrs.frozen
 class StageFault:
     """A stage call failed.
--- a/packages/targets/src/godwitglade/targets/http_exchange.py
+++ b/packages/targets/src/godwitglade/targets/http_exchange.py
@@ -9,8 +9,8 @@
 from urllib3 import response as urllib3_response
 
 from godwitglade.common import clock as clocks
+from godwitglade.common import fault_kinds
 from godwitglade.common import whole_responses
-from godwitglade.decisions import messages
 from godwitglade.targets import connections
 from godwitglade.targets import faults
 
@@ -25,7 +25,7 @@
     http.client.HTTPException,
 )
 
-FaultKind = messages.FaultKind
+FaultKind = fault_kinds.FaultKind
 
 
 @attrs.frozen
--- a/packages/targets/src/godwitglade/targets/target_client.py
+++ b/packages/targets/src/godwitglade/targets/target_client.py
@@ -110,7 +110,7 @@
         is_crash = may_be_crash and self._control.is_process_gone(
             effect.target
         )
-        return faults.to_message(effect, error, is_crash)
+        return _to_message(effect, error, is_crash)
 
 
 def _call_target(
@@ -203,3 +203,19 @@
 def _is_reusable(response: urllib3_response.HTTPResponse) -> bool:
     is_closing = response.headers.get('Connection', '').lower() == 'close'
     return not is_closing and response.closed
+
+
+def _to_message(
+    effect: effects.CallTarget, error: faults.CallFaultError, is_crash: bool
+) -> messages.StageFault:
+    """Return the message that reports ``error`` for the call."""
+    return messages.StageFault(
+        request_id=effect.request_id,
+        stage=effect.stage,
+        attempt_id=effect.attempt_id,
+        kind=error.kind,
+        was_sent=error.was_sent,
+        is_crash=is_crash,
+        detail=error.detail,
+        load=error.load,
+    )
