Share tables as soon as hosts are registered

Cause: readers were chosen among the hosts that membership knows, and at 195 hosts it took 8 to 13 s after a start until a host knew enough of its data centre; until then it followed the tables itself.

Change: for 20 s after its start a host also counts the registered hosts of its data centre; one that does not answer is passed over.

--- a/packages/routing/src/godwitglade/routing/table_sharing.py
+++ b/packages/routing/src/godwitglade/routing/table_sharing.py
@@ -22,6 +22,7 @@
 from godwitglade.common import events
 from godwitglade.coordination import effects as shared_effects
 from godwitglade.coordination import hosts
+from godwitglade.coordination import members
 from godwitglade.coordination import membership as memberships
 from godwitglade.coordination import messages as shared_messages
 from godwitglade.routing import bodies
@@ -50,6 +51,9 @@
 AVOID_MS = 2 * clocks.SECOND_MS
 #: After an outage of the store each host judges missing rows by itself.
 AFTER_OUTAGE_MS = 4 * clocks.SECOND_MS
+#: Time after its start within which a host also asks registered hosts that
+#: membership does not know yet.
+JOINING_MS = 20 * clocks.SECOND_MS
 #: Least time between two reads of the hosts that registered.
 HOSTS_READ_MS = 4 * clocks.SECOND_MS
 
@@ -75,16 +79,18 @@
     def __init__(
         self,
         self_id: hosts.HostId,
-        members: memberships.Membership,
+        membership: memberships.Membership,
         document_state_: document_state.DocumentState,
     ) -> None:
         self._self_id = self_id
-        self._members = members
+        self._members = membership
         self._document_state = document_state_
         self._log = target_log.TargetLog()
         self._document_read_ms: int | None = None
         self._targets_read_ms: int | None = None
         self._outage_ended_ms = -AFTER_OUTAGE_MS
+        self._registered: dict[str, str] = {}
+        self._joining_until_ms = 0
         self._hosts_digest = ''
         self._hosts_read_ms = -HOSTS_READ_MS
         self._sources: dict[str, _Source] = {}
@@ -94,6 +100,7 @@
 
     def start(self, now_ms: int) -> Effects:
         """Return the first effects."""
+        self._joining_until_ms = now_ms + JOINING_MS
         return [shared_effects.StartTimer(TICK_TOKEN, now_ms + POLL_MS)]
 
     def record_document(self, read_from_ms: int) -> None:
@@ -101,9 +108,14 @@
         self._document_read_ms = max(self._document_read_ms or 0, read_from_ms)
 
     def record_hosts(
-        self, entries: typing.Iterable[typing.Any], now_ms: int
+        self, entries: typing.Collection[members.HostEntry], now_ms: int
     ) -> None:
         """Record the registered hosts that this one has read itself."""
+        self._registered = {
+            entry.name: entry.address
+            for entry in entries
+            if entry.zone == self._self_id.zone
+        }
         text = '\n'.join(sorted(map(repr, entries)))
         self._hosts_digest = xxhash.xxh3_64_hexdigest(text.encode())
         self._hosts_read_ms = now_ms
@@ -160,19 +172,23 @@
             *self._choose_following(now_ms),
         ]
 
-    def _readers(self) -> list[str]:
+    def _readers(self, now_ms: int) -> dict[str, str]:
+        """Return the addresses of the readers of the data centre by name."""
         zone = self._self_id.zone
-        names = [
-            record.host.name
+        known = {
+            record.host.name: record.address
             for record in self._members.serving()
             if record.host.zone == zone
-        ]
-        if len(names) <= READERS:
-            return names
-        return rendezvous.rank('tables', names)[:READERS]
+        }
+        if now_ms < self._joining_until_ms:
+            known = self._registered | known
+        if len(known) <= READERS:
+            return known
+        names = rendezvous.rank('tables', known)[:READERS]
+        return {name: known[name] for name in names}
 
     def _ask(self, now_ms: int) -> Effects:
-        readers = self._readers()
+        readers = self._readers(now_ms)
         if self._self_id.name in readers or not self._log.is_known:
             self._supplied_ms = None
             return []
@@ -184,16 +200,12 @@
         if self._asked is not None or not usable:
             return []
         name = rendezvous.first(self._self_id.name, usable)
-        address = next(
-            record.address
-            for record in self._members.serving()
-            if record.host.name == name
-        )
         self._asked = (name, now_ms)
+        token = self._token(self._asked)
         body = bodies.TablesQuery(self._log.version, self._log.era)
         return [
             shared_effects.SendPeer(
-                self._token(self._asked), address, body, REPLY_TIMEOUT_MS
+                token, readers[name], body, REPLY_TIMEOUT_MS
             )
         ]
 
@@ -291,6 +303,8 @@
             else events.Event.TABLES_FOLLOWED
         )
         return [
-            shared_effects.LogEvent(event, {'readers': self._readers()}),
+            shared_effects.LogEvent(
+                event, {'readers': list(self._readers(now_ms))}
+            ),
             effects.FollowTables(self.is_following),
         ]
