Do not vouch for a document after a read that returned an older one

Cause: a host told others the age of its last read of the document, also when a lagging store had returned an older one than it knows.

Change: only a read of the document in force counts.

--- a/packages/routing/src/godwitglade/routing/host.py
+++ b/packages/routing/src/godwitglade/routing/host.py
@@ -329,8 +329,12 @@
     def _(self, message: messages.DocumentRead, now_ms: int) -> Effects:
         document_state_ = self.components.document_state
         is_first = document_state_.document is None
-        self.components.tables.record_document(message.read_from_ms)
-        if not document_state_.apply(message.document, message.read_from_ms):
+        is_newer = document_state_.apply(
+            message.document, message.read_from_ms
+        )
+        if message.document.version == document_state_.document.version:
+            self.components.tables.record_document(message.read_from_ms)
+        if not is_newer:
             return []
         fields = {
             'version': message.document.version,
--- a/packages/routing/src/godwitglade/routing/table_sharing.py
+++ b/packages/routing/src/godwitglade/routing/table_sharing.py
@@ -15,7 +15,6 @@
 import functools
 import typing
 
-import attrs
 import xxhash
 
 from godwitglade.common import clock as clocks
@@ -66,13 +65,6 @@
     HOSTS = 'hosts'
 
 
-@attrs.define
-class _Source:
-    """How the last questions to a reader went."""
-
-    avoided_until_ms: int = 0
-
-
 class TableSharing:
     """What this host reads itself, and what it tells and asks others."""
 
@@ -93,7 +85,7 @@
         self._joining_until_ms = 0
         self._hosts_digest = ''
         self._hosts_read_ms = -HOSTS_READ_MS
-        self._sources: dict[str, _Source] = {}
+        self._avoided_until_ms: dict[str, int] = {}
         self._asked: tuple[str, int] | None = None
         self._supplied_ms: int | None = None
         self.is_following = True
@@ -162,8 +154,7 @@
         (name, asked_ms), self._asked = self._asked, None
         body = message.body
         if not self._is_good(body, asked_ms, now_ms):
-            source = self._sources.setdefault(name, _Source())
-            source.avoided_until_ms = now_ms + AVOID_MS
+            self._avoided_until_ms[name] = now_ms + AVOID_MS
             # Another reader may know; silence is judged by the time.
             return self._ask(now_ms)
         self._supplied_ms = now_ms
@@ -195,7 +186,7 @@
         usable = [
             name
             for name in readers
-            if self._sources.get(name, _Source()).avoided_until_ms <= now_ms
+            if self._avoided_until_ms.get(name, 0) <= now_ms
         ]
         if self._asked is not None or not usable:
             return []
@@ -294,9 +285,10 @@
             self._supplied_ms is not None
             and now_ms - self._supplied_ms < SILENCE_MS
         )
-        if is_supplied is not self.is_following:
+        should_follow = not is_supplied
+        if should_follow is self.is_following:
             return []
-        self.is_following = not is_supplied
+        self.is_following = should_follow
         event = (
             events.Event.TABLES_SHARED
             if is_supplied
--- a/tests/routing/test_table_sharing.py
+++ b/tests/routing/test_table_sharing.py
@@ -15,6 +15,7 @@
 from godwitglade.routing import bodies
 from godwitglade.routing import document_state
 from godwitglade.routing import effects
+from godwitglade.routing import host as routing_host
 from godwitglade.routing import messages
 from godwitglade.routing import table_sharing
 from tests.routing import builders
@@ -409,3 +410,23 @@
     }
     world.run(5_000)
     assert node.sharing.is_following
+
+
+def test_read_of_an_older_document_vouches_for_nothing():
+    components = routing_host.make_components(
+        hosts.HostId('h1', 'z1', 1),
+        '10.0.0.1:1',
+        random.Random(1),
+        routing_host.Settings(),
+    )
+    host = routing_host.Host(components)
+    newest = attrs.evolve(builders.document(), version=7)
+    older = attrs.evolve(newest, version=6)
+    host.handle(messages.TargetsRead((), 1), 1_000)
+    host.handle(messages.DocumentRead(newest, 1_000), 1_000)
+    host.handle(messages.DocumentRead(older, 3_000), 3_000)
+    query = shared_messages.PeerMessage(
+        hosts.HostId('h2', 'z1', 1), bodies.TablesQuery(1, 0), 'reply'
+    )
+    (reply,) = host.handle(query, 3_000)
+    assert reply.body.document_age_ms == 2_000
