--- a/review/harness.py
+++ b/review/harness.py
@@ -361,18 +361,23 @@
 
 
 class Proxy:
-    """A TCP proxy; while ``is_held``, bytes wait and nothing is lost."""
+    """A TCP proxy; between `hold` and `release`, bytes wait in it."""
 
     def __init__(self, ip, target):
         self._ip, self._target = ip, target
-        self.is_held = False
         self._released = asyncio.Event()
         self._released.set()
         self.writers = set()
 
     async def start(self):
-        server = await asyncio.start_server(self._serve, self._ip, 0)
-        self.address = f'{self._ip}:{server.sockets[0].getsockname()[1]}'
+        self._server = await asyncio.start_server(self._serve, self._ip, 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f'{self._ip}:{port}'
+
+    def stop(self):
+        self.release()
+        self._server.close()
+        self.reset()
 
     def hold(self):
         self._released.clear()
@@ -393,10 +398,12 @@
             writer.transport.abort()
             return
         self.writers |= {writer, up_writer}
-        await asyncio.gather(
-            self._pump(reader, up_writer), self._pump(up_reader, writer)
-        )
-        self.writers -= {writer, up_writer}
+        try:
+            await asyncio.gather(
+                self._pump(reader, up_writer), self._pump(up_reader, writer)
+            )
+        finally:
+            self.writers -= {writer, up_writer}
 
     async def _pump(self, reader, writer):
         try:
@@ -538,7 +545,7 @@
         base = random.randrange(1, 250), random.randrange(1, 250)
         self._ip = '127.%d.%d.' % base
         self.worker_ip = f'{self._ip}1'
-        self.workers, self.daemons = [], []
+        self.workers, self.daemons, self.proxies = [], [], []
         self.version = 0
 
     async def add_worker(self, worker):
@@ -578,11 +585,20 @@
                 await asyncio.sleep(0.1)
         await asyncio.sleep(1.0)
 
+    async def run(self, play):
+        """Run ``play`` and end all that it started, on the same loop."""
+        try:
+            return await play(self)
+        finally:
+            for daemon in self.daemons:
+                daemon.end()
+            for one in [*self.workers, *self.proxies]:
+                one.stop()
+            await asyncio.sleep(0.1)
+
     def end(self):
         for daemon in self.daemons:
             daemon.end()
-        for worker in self.workers:
-            worker.stop()
         self.store.stop()
         if not os.environ.get('KEEP'):
             import shutil
@@ -603,7 +619,7 @@
         sys.exit(2)
     deployment = Deployment(folder)
     try:
-        broken = asyncio.run(play(deployment))
+        broken = asyncio.run(deployment.run(play))
     except CannotRun as error:
         print('could not run:', error)
         deployment.record('end', could_not_run=error)
