--- a/review/3/run.py
+++ b/review/3/run.py
@@ -23,25 +23,6 @@
 PROBE_S = 0.1
 
 
-class Gate(harness.Proxy):
-    """The way of one machine to the store; notes the tables it follows."""
-
-    has_followed = False
-
-    async def _pump(self, reader, writer):
-        try:
-            while content := await reader.read(65_536):
-                if b'rows-feed?table=op&' in content:
-                    self.has_followed = True
-                await self._released.wait()
-                writer.write(content)
-                await writer.drain()
-            await self._released.wait()
-            writer.close()
-        except OSError:
-            writer.transport.abort()
-
-
 def routes(number):
     """Return the first route, and one that is new in each version."""
     first = harness.route('first', 'idempotent', '/first/', 'app')
@@ -84,7 +65,7 @@
     deployment.configure(routes(0), [harness.APP])
     gates = {}
     for _ in range(MACHINES):
-        gate = Gate(deployment.worker_ip, deployment.store.address)
+        gate = harness.Gate(deployment.worker_ip, deployment.store.address)
         await gate.start()
         deployment.proxies.append(gate)
         gates[deployment.add_daemon(gate.address).name] = gate
--- a/review/harness.py
+++ b/review/harness.py
@@ -379,6 +379,9 @@
         self._server.close()
         self.reset()
 
+    def note(self, content):
+        """Take note of what passes."""
+
     def hold(self):
         self._released.clear()
 
@@ -408,6 +411,7 @@
     async def _pump(self, reader, writer):
         try:
             while content := await reader.read(65_536):
+                self.note(content)
                 await self._released.wait()
                 writer.write(content)
                 await writer.drain()
@@ -417,6 +421,15 @@
             writer.transport.abort()
 
 
+class Gate(Proxy):
+    """The way of one machine to the store; notes what it follows."""
+
+    has_followed = False
+
+    def note(self, content):
+        self.has_followed |= b'rows-feed?table=op&' in content
+
+
 class Daemon:
     """One edge process, started as the deploy file says."""
 
