--- a/review/harness.py
+++ b/review/harness.py
@@ -253,8 +253,12 @@
     key=KEY,
     attempt_id=None,
     headers=None,
+    stop=None,
 ):
-    """Send one request on a new channel and return the answer."""
+    """Send one request on a new channel and return the answer.
+
+    The channel is closed when the event ``stop`` is set.
+    """
     answer = Answer()
     answer.attempt_id = attempt_id or new_id()
     start_s = time.monotonic()
@@ -277,7 +281,12 @@
             reader, writer = await asyncio.open_connection(ip, int(port))
             writer.write(raw)
             await writer.drain()
-            await _receive(reader, answer)
+            closer = stop and asyncio.create_task(_close_at(stop, writer))
+            try:
+                await _receive(reader, answer)
+            finally:
+                if closer:
+                    closer.cancel()
     except (OSError, asyncio.IncompleteReadError, ValueError) as error:
         answer.error = type(error).__name__
     finally:
@@ -287,6 +296,11 @@
     return answer
 
 
+async def _close_at(stop, writer):
+    await stop.wait()
+    writer.transport.abort()
+
+
 async def _receive(reader, answer):
     got = await read_head(reader)
     if got is None:
