--- a/review/harness.py
+++ b/review/harness.py
@@ -18,12 +18,15 @@
 import tempfile
 import time
 import tomllib
+import traceback
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 sys.path[:0] = [str(ROOT), str(ROOT / 'target/deps')]
 
 from bench.standins import edge_platform  # noqa: E402
 
+#: A script may run for 120 s.
+LIMIT_S = 115.0
 HOST = 'desk.example'
 KEY = 'key-1'
 BOUNDS = {
@@ -53,10 +56,11 @@
 
 
 class Record:
-    """Writes record.txt in the folder of a case."""
+    """Writes record.txt in the folder of a case, at the path in RECORD."""
 
     def __init__(self, folder):
-        self._file = open(pathlib.Path(folder) / 'record.txt', 'w')
+        default = str(pathlib.Path(folder) / 'record.txt')
+        self._file = open(os.environ.get('RECORD', default), 'w')
         self._start_s = time.monotonic()
 
     def __call__(self, who, **fields):
@@ -615,7 +619,8 @@
     async def run(self, play):
         """Run ``play`` and end all that it started, on the same loop."""
         try:
-            return await play(self)
+            async with asyncio.timeout(LIMIT_S):
+                return await play(self)
         finally:
             for daemon in self.daemons:
                 daemon.end()
@@ -644,6 +649,8 @@
     if not (ROOT / 'target/deps/godwitglade').exists():
         print('not built')
         sys.exit(2)
+    # Ends the processes that it started if it is ended itself.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     deployment = Deployment(folder)
     try:
         broken = asyncio.run(deployment.run(play))
@@ -651,6 +658,11 @@
         print('could not run:', error)
         deployment.record('end', could_not_run=error)
         sys.exit(2)
+    except Exception as error:
+        # Only a rule that was seen to break is reported as one.
+        traceback.print_exc()
+        deployment.record('end', could_not_run=repr(error))
+        sys.exit(2)
     finally:
         deployment.end()
     for text in broken:
