Log why a call was cancelled and how a body without a length ended

The logs could not tell whether a host had ended the connection, or the target, or the target's process: an answer that counts as whole left only request_ended, and a cancelled call left nothing.

call_cancelled (2019) names the reason of each cancelled call. body_ended (2020) names framing, bytes received, what ended the body, whether the call was cancelled and whether the target refuses connections after it; it is logged for bodies without a length or chunks and for those that were cut, also when their request has already ended. Stand-ins get bodies without a length that are slow, or whose target ends. What counts as whole is unchanged.

--- a/bench/standins/edge_platform.py
+++ b/bench/standins/edge_platform.py
@@ -68,10 +68,18 @@
         self._server.server_close()
 
     def crash(self) -> None:
-        """Stop listening and reset all connections, as a process ends."""
+        """Stop listening and reset all connections."""
         self.stop()
         self._server.reset_connections()
 
+    def exit(self) -> None:
+        """Stop listening and close all connections.
+
+        The kernel does so for a process that ends and has read all bytes.
+        """
+        self.stop()
+        self._server.close_connections()
+
 
 class _Listener(socketserver.ThreadingTCPServer):
     daemon_threads = True
@@ -100,6 +108,12 @@
                 server.reset_on_close(connection)
                 connection.shutdown(socket.SHUT_RDWR)
 
+    def close_connections(self) -> None:
+        """Close all connections, also those that a thread still serves."""
+        for connection in list(self._open):
+            with contextlib.suppress(OSError):
+                connection.shutdown(socket.SHUT_RDWR)
+
 
 class _Handler(socketserver.StreamRequestHandler):
     server: _Listener
@@ -506,6 +520,46 @@
     yield event(1) + event(2)[:9]
 
 
+def _unframed_slow(target: Target, request: Request) -> typing.Iterator[bytes]:
+    yield _head_without_length(target, request)
+    for _ in range(50):
+        yield b'part'
+        time.sleep(0.05)
+
+
+def _unframed_exit(target: Target, request: Request) -> typing.Iterator[bytes]:
+    yield _head_without_length(target, request)
+    yield b'who'
+    target.exit()
+
+
+def _error_unframed_slow(
+    target: Target, request: Request
+) -> typing.Iterator[bytes]:
+    head = _head_without_length(target, request)
+    yield head.replace(b'200 OK', b'500 Internal Server Error')
+    for _ in range(50):
+        yield b'part'
+        time.sleep(0.05)
+
+
+def _stream_unframed_slow(
+    target: Target, request: Request
+) -> typing.Iterator[bytes]:
+    yield _head_without_length(target, request)
+    for number in range(1, 100):
+        yield event(number)
+        time.sleep(0.05)
+
+
+def _stream_unframed_exit(
+    target: Target, request: Request
+) -> typing.Iterator[bytes]:
+    yield _head_without_length(target, request)
+    yield event(1) + event(2)
+    target.exit()
+
+
 def _endless(start: bytes) -> typing.Callable[[Target, Request], typing.Any]:
     def behaviour(target: Target, request: Request) -> typing.Iterator[bytes]:
         yield start
@@ -548,6 +602,11 @@
     'unframed': _unframed,
     'stream_unframed': _stream_unframed,
     'stream_unframed_cut': _stream_unframed_cut,
+    'unframed_slow': _unframed_slow,
+    'unframed_exit': _unframed_exit,
+    'error_unframed_slow': _error_unframed_slow,
+    'stream_unframed_slow': _stream_unframed_slow,
+    'stream_unframed_exit': _stream_unframed_exit,
     'endless_status': _endless(b''),
     'endless_head': _endless(b'HTTP/1.1 200 OK\r\nX-A: '),
     'endless_body': _endless(b'HTTP/1.1 200 OK\r\n\r\n'),
--- a/packages/common/src/godwitglade/common/events.py
+++ b/packages/common/src/godwitglade/common/events.py
@@ -96,6 +96,16 @@
         logging.INFO,
         'A prompt part or a request is no longer refused.',
     )
+    CALL_CANCELLED = EventDescription(
+        2019,
+        logging.INFO,
+        'This host ended the connection of a call to a target.',
+    )
+    BODY_ENDED = EventDescription(
+        2020,
+        logging.INFO,
+        'The body of a response ended early, or had no length to check.',
+    )
     TARGET_LIMITED = EventDescription(
         3009,
         logging.WARNING,
--- a/packages/routing/src/godwitglade/routing/messages.py
+++ b/packages/routing/src/godwitglade/routing/messages.py
@@ -149,6 +149,25 @@
     is_target_gone: bool = False
 
 
+@attrs.frozen
+class BodyEnded:
+    """A body without a length or chunks ended, or another one was cut.
+
+    ``framing`` is what tells the end of the body, ``end`` what ended it.
+    ``is_cancelled`` means that this host ended the connection,
+    ``is_target_gone`` that the target's process ended meanwhile.
+    """
+
+    attempt_id: str
+    target: str
+    call: int
+    framing: str
+    received_bytes: int
+    end: str
+    is_cancelled: bool = False
+    is_target_gone: bool = False
+
+
 @attrs.frozen
 class TargetProbed:
     """A target responded over a new connection, or did not in time."""
--- a/packages/routing/src/godwitglade/routing/request_lifecycle.py
+++ b/packages/routing/src/godwitglade/routing/request_lifecycle.py
@@ -150,7 +150,7 @@
             name, _, call = rest.rpartition(':')
             request = self._requests.get(name)
             if request is not None and request.calls == int(call):
-                return self._cancel_slow_call(request)
+                return self._cancel_slow_call(request, now_ms)
         if message.token.startswith(PERMIT_TOKEN):
             rest = message.token.removeprefix(PERMIT_TOKEN)
             return self._use_permit(rest, now_ms)
@@ -170,6 +170,10 @@
         grant = rate_limits.decode_grant(message.body)
         return self._apply_grant(request, grant, now_ms)
 
+    @handle.register
+    def _(self, message: messages.BodyEnded, now_ms: int) -> Effects:
+        return [request_logs.body_event(message)]
+
     @handle.register
     def _(self, message: messages.CallerDisconnected, now_ms: int) -> Effects:
         request = self._requests.get(message.request_id)
@@ -441,11 +445,12 @@
         if not self._reachability.is_silent(now_ms):
             return []
         return [
-            effects.CancelCall(request.request_id, request.calls)
+            effect
             for request in self._requests.values()
             if request.target is not None
             and not request.is_handed_over
             and request.may_retry
+            for effect in request_logs.cancel_call(request, 'cut_off', now_ms)
         ]
 
     def clear_running(self, now_ms: int) -> Effects:
@@ -779,10 +784,12 @@
         due_ms = now_ms + int(FIRST_SEND_SHARE * left_ms)
         return [shared_effects.StartTimer(token, due_ms)]
 
-    def _cancel_slow_call(self, request: request_.Request) -> Effects:
+    def _cancel_slow_call(
+        self, request: request_.Request, now_ms: int
+    ) -> Effects:
         if request.target is None:
             return []
-        return [effects.CancelCall(request.request_id, request.calls)]
+        return request_logs.cancel_call(request, 'slow', now_ms)
 
     def _resend(
         self,
@@ -841,7 +848,7 @@
         self._quarantine.end_request(request)
         cancelled: Effects = []
         if request.target is not None and not is_done:
-            cancelled = [effects.CancelCall(request.request_id, request.calls)]
+            cancelled = request_logs.cancel_call(request, outcome, now_ms)
         target = request.target
         self._tracker.end_call(request)
         log = request_logs.request_event(
--- a/packages/targets/src/godwitglade/targets/forwarding.py
+++ b/packages/targets/src/godwitglade/targets/forwarding.py
@@ -17,6 +17,7 @@
 from godwitglade.targets import event_reader
 from godwitglade.targets import faults
 from godwitglade.targets import http_exchange
+from godwitglade.targets import response_bodies
 
 #: Statuses from which a caller infers that the request was not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -134,6 +135,7 @@
 class _Call:
     context: ForwardingContext
     effect: effects.Forward
+    attempt: attempts.Attempt
     connection: connections.Connection
     budget: http_exchange.Budget
 
@@ -223,7 +225,7 @@
         with self._attempts.use_connection(attempt, pool, connection) as use:
             if use.is_cancelled:
                 raise _not_sent_fault('cancelled')
-            call = _Call(context, effect, connection, budget)
+            call = _Call(context, effect, attempt, connection, budget)
             message, use.is_reusable = self._exchange(call)
             return message
 
@@ -272,10 +274,8 @@
         is_keep_alive = (
             response.headers.get('Connection', '').lower() != 'close'
         )
-        is_framed = (
-            'Content-Length' in response.headers
-            or 'Transfer-Encoding' in response.headers
-        )
+        framing = response_bodies.framing_of_response(response, request.method)
+        is_framed = framing is not response_bodies.Framing.CONNECTION
         return message, is_read and is_keep_alive and is_framed
 
     def _handle_response(
@@ -368,10 +368,56 @@
     def _read_body(
         self, call: _Call, response: urllib3_response.HTTPResponse
     ) -> bytes:
-        reply = http_exchange.read_reply(
-            call.connection, response, call.budget
+        limit_bytes = http_exchange.MAX_REPLY_BYTES
+        return b''.join(self._read_chunks(call, response, limit_bytes))
+
+    def _read_chunks(
+        self,
+        call: _Call,
+        response: urllib3_response.HTTPResponse,
+        limit_bytes: int,
+    ) -> typing.Iterator[bytes]:
+        """Yield a body as it arrives, and report how it ended."""
+        method = call.context.request.method
+        framing = response_bodies.framing_of_response(response, method)
+        received_bytes = 0
+        try:
+            for chunk in http_exchange.read_chunks(
+                call.connection, response, call.budget, limit_bytes
+            ):
+                received_bytes += len(chunk)
+                yield chunk
+        except faults.CallFaultError as error:
+            self._report_end(call, framing, received_bytes, str(error))
+            raise
+        if framing is response_bodies.Framing.CONNECTION:
+            self._report_end(call, framing, received_bytes, 'closed')
+
+    def _report_end(
+        self,
+        call: _Call,
+        framing: response_bodies.Framing,
+        received_bytes: int,
+        end: str,
+    ) -> None:
+        target, is_cancelled = call.effect.target, call.attempt.is_cancelled
+        is_target_gone = (
+            framing is response_bodies.Framing.CONNECTION
+            and not is_cancelled
+            and self._is_gone(target.address)
+        )
+        self._post(
+            messages.BodyEnded(
+                call.context.request.attempt_id,
+                target.name,
+                call.effect.call,
+                framing.value,
+                received_bytes,
+                end,
+                is_cancelled,
+                is_target_gone,
+            )
         )
-        return reply.content
 
     def _to_buffered(
         self, response: urllib3_response.HTTPResponse, body: bytes
@@ -426,11 +472,8 @@
         self._check_content_type(call.context, response)
         reader.restart()
         has_reported = False
-        for chunk in http_exchange.read_chunks(
-            call.connection,
-            response,
-            call.budget,
-            http_exchange.MAX_STREAM_BYTES,
+        for chunk in self._read_chunks(
+            call, response, http_exchange.MAX_STREAM_BYTES
         ):
             try:
                 complete_events = reader.feed(chunk)
