Add failing tests for bodies and streams that are cut and look complete

Reproduced on this code with a real edge process and a target that leaves out the length, cut by the deadline, by the resend of a slow call, by a host that leaves its targets, and by a target whose process ends (its kernel closes the connection and resets nothing).

--- a/tests/edge/test_cut_bodies.py
+++ b/tests/edge/test_cut_bodies.py
@@ -1,12 +1,18 @@
 """Bodies without a length that end early."""
 
+import concurrent.futures
 import contextlib
 import http.client
+import time
+from unittest import mock
 
 import pytest
 
+from bench.standins import edge_platform
+from godwitglade.routing import messages
 from tests.edge import deployment
 
+EVENTS = b''.join(edge_platform.event(n) for n in range(1, 7))
 #: A call of 600 ms that may be repeated is cancelled after 0.6 of that.
 SHORT = {'X_Deadline_Ms': '600'}
 
@@ -18,6 +24,76 @@
     running.stop()
 
 
+@pytest.mark.parametrize(
+    ('path', 'behaviours', 'status', 'content'),
+    [
+        ('/once/x', ['unframed_slow'], 504, None),
+        ('/read/x', ['unframed_slow', 'ok'], 200, b'whole'),
+        ('/read/x', ['unframed_slow'], 504, None),
+        ('/read/x', ['error_unframed_slow', 'ok'], 200, b'whole'),
+        ('/once/x', ['error_unframed_slow'], 504, None),
+    ],
+)
+def test_body_cut_by_a_cancelled_call_is_not_whole(
+    edge, path, behaviours, status, content
+):
+    edge.set_behaviours('app', *behaviours)
+    response = edge.send_request(path, **SHORT)
+    assert response.status == status
+    assert content in (None, response.content)
+
+
+@pytest.mark.parametrize(
+    ('path', 'behaviours', 'status', 'content'),
+    [
+        ('/once/x', ['unframed_exit'], 502, None),
+        ('/read/x', ['unframed_exit', 'ok'], 200, b'whole'),
+        ('/read/x', ['unframed_exit', 'unframed'], 200, b'whole'),
+    ],
+)
+def test_body_cut_by_the_end_of_its_target_is_not_whole(
+    edge, path, behaviours, status, content
+):
+    edge.set_behaviours('app', *behaviours)
+    response = edge.send_request(path)
+    assert response.status == status
+    assert content in (None, response.content)
+
+
+@pytest.mark.parametrize(
+    ('behaviour', 'fields'),
+    [('stream_unframed_slow', SHORT), ('stream_unframed_exit', {})],
+)
+def test_stream_that_was_cut_does_not_end_as_complete(edge, behaviour, fields):
+    edge.set_behaviours('engine', behaviour)
+    with pytest.raises(http.client.IncompleteRead) as caught:
+        edge.send_request('/stream/x', **fields)
+    assert caught.value.partial.startswith(edge_platform.event(1))
+
+
+def test_stream_cut_by_the_end_of_its_target_goes_on_at_another(edge):
+    edge.set_behaviours('engine', 'stream_unframed_exit', 'stream_unframed')
+    response = edge.send_request('/resume/x')
+    assert (response.status, response.content) == (200, EVENTS)
+    assert len(edge.runs('engine')) == 2
+
+
+def test_body_cut_by_a_host_that_leaves_its_targets_is_not_whole(edge):
+    edge.set_behaviours('app', 'unframed_slow', 'ok')
+    requests = edge.process.loop.host.components.requests
+    reachability = edge.process.loop.host.components.reachability
+    with concurrent.futures.ThreadPoolExecutor() as threads:
+        sent = threads.submit(edge.send_request, '/read/x')
+        edge.wait_for(lambda: edge.runs('app'))
+        time.sleep(0.1)
+        with mock.patch.object(reachability, 'is_silent', lambda now_ms: True):
+            edge.process.loop.post(messages.ReachabilityKnown(True, True))
+            edge.wait_for(lambda: '"cut_off"' in edge.log.text)
+        response = sent.result()
+    assert len(requests) == 0
+    assert response.content == b'whole' or response.status != 200
+
+
 @pytest.mark.parametrize(
     ('path', 'behaviour', 'fields', 'logged'),
     [
