Count a body that ends with its connection only if its target ended it

Cause: a response with neither a length nor chunks ends with its connection, and any end of the connection was taken for the end of the body: also the host's own, when it cancels a call (deadline, resend of a slow call, a host that leaves its targets), and that of a target's process that ends, whose connections the kernel closes like any other.

Other hosts always send a length or chunks, so a body of theirs without is lost.

--- a/packages/targets/src/godwitglade/targets/forwarding.py
+++ b/packages/targets/src/godwitglade/targets/forwarding.py
@@ -377,9 +377,10 @@
         response: urllib3_response.HTTPResponse,
         limit_bytes: int,
     ) -> typing.Iterator[bytes]:
-        """Yield a body as it arrives, and report how it ended."""
+        """Yield a body as it arrives; raises CallFaultError if it is cut."""
         method = call.context.request.method
         framing = response_bodies.framing_of_response(response, method)
+        is_framed = framing is not response_bodies.Framing.CONNECTION
         received_bytes = 0
         try:
             for chunk in http_exchange.read_chunks(
@@ -390,8 +391,33 @@
         except faults.CallFaultError as error:
             self._report_end(call, framing, received_bytes, str(error))
             raise
-        if framing is response_bodies.Framing.CONNECTION:
-            self._report_end(call, framing, received_bytes, 'closed')
+        if not is_framed:
+            self._check_end(call, received_bytes)
+
+    def _check_end(self, call: _Call, received_bytes: int) -> None:
+        """Raise CallFaultError unless the peer itself ended a body.
+
+        A cancelled call is marked before its connection is interrupted. The
+        kernel closes the connections of a process that ends, and resets them
+        only if bytes were left unread.
+        """
+        is_cancelled = call.attempt.is_cancelled
+        is_target_gone = not is_cancelled and self._is_gone(
+            call.effect.target.address
+        )
+        self._report_end(
+            call,
+            response_bodies.Framing.CONNECTION,
+            received_bytes,
+            'closed',
+            is_target_gone,
+        )
+        if is_cancelled:
+            raise _lost_fault('the call was cancelled during the body')
+        if is_target_gone:
+            raise _lost_fault("the target's process ended during the body")
+        if call.effect.target.is_host:
+            raise _lost_fault('the body from a host has no length or chunks')
 
     def _report_end(
         self,
@@ -399,22 +425,17 @@
         framing: response_bodies.Framing,
         received_bytes: int,
         end: str,
+        is_target_gone: bool = False,
     ) -> None:
-        target, is_cancelled = call.effect.target, call.attempt.is_cancelled
-        is_target_gone = (
-            framing is response_bodies.Framing.CONNECTION
-            and not is_cancelled
-            and self._is_gone(target.address)
-        )
         self._post(
             messages.BodyEnded(
                 call.context.request.attempt_id,
-                target.name,
+                call.effect.target.name,
                 call.effect.call,
                 framing.value,
                 received_bytes,
                 end,
-                is_cancelled,
+                call.attempt.is_cancelled,
                 is_target_gone,
             )
         )
