Reject responses with a transfer coding that cannot be decoded

Callers got the framing bytes of such a body as its content, with a 200 and a length: http.client reads any coding but 'chunked' until the connection ends.

Evidence: 4 of 6 new rows of test_response_with_a_malformed_head_is_lost failed before (two codings, both clients); all pass.

--- a/packages/common/src/godwitglade/common/whole_responses.py
+++ b/packages/common/src/godwitglade/common/whole_responses.py
@@ -64,6 +64,9 @@
         lengths = set(self.headers.get_all('Content-Length', ()))
         if len(lengths) > 1 or not all(map(_is_length, lengths)):
             raise IncompleteHeadError(f'content lengths {sorted(lengths)}')
+        codings = self.headers.get_all('Transfer-Encoding', ())
+        if any(coding.strip().lower() != 'chunked' for coding in codings):
+            raise IncompleteHeadError(f'transfer codings {codings}')
 
 
 def _is_length(value: str) -> bool:
--- a/tests/targets/test_whole_responses.py
+++ b/tests/targets/test_whole_responses.py
@@ -92,6 +92,9 @@
         b'Content-Length: five\r\n',
         b'Content-Length: -5\r\n',
         b'Content-Length: 5\r\nContent-Length: 4\r\n',
+        b'Transfer-Encoding: gzip, chunked\r\n',
+        b'Transfer-Encoding: identity\r\n',
+        b'Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n',
     ],
 )
 def test_response_with_a_malformed_head_is_lost(lines, read):
