Ask a target for a response before a body counts as ended by it

A target whose process ends closes its connections before its listener, or after; until the listener is closed, the kernel accepts connections for it. So callers still got cut bodies as whole ones if the host's check came between.

The target now has to respond on the new connection; refused, reset or closed means that its process ends, silence for 250 ms does not. The connection is kept, so that the next call opens none.

--- a/bench/standins/edge_platform.py
+++ b/bench/standins/edge_platform.py
@@ -72,13 +72,16 @@
         self.stop()
         self._server.reset_connections()
 
-    def exit(self) -> None:
-        """Stop listening and close all connections.
+    def exit(self, closing_s: float = 0.0) -> None:
+        """Accept no more connections, close the open ones, then the listener.
 
-        The kernel does so for a process that ends and has read all bytes.
+        The kernel does so for a process that ends and has read all bytes, in
+        the order of the descriptors, which takes ``closing_s`` here.
         """
-        self.stop()
+        self._server.shutdown()
         self._server.close_connections()
+        time.sleep(closing_s)
+        self._server.server_close()
 
 
 class _Listener(socketserver.ThreadingTCPServer):
@@ -533,6 +536,14 @@
     target.exit()
 
 
+def _unframed_exit_late(
+    target: Target, request: Request
+) -> typing.Iterator[bytes]:
+    yield _head_without_length(target, request)
+    yield b'who'
+    target.exit(closing_s=0.05)
+
+
 def _error_unframed_slow(
     target: Target, request: Request
 ) -> typing.Iterator[bytes]:
@@ -604,6 +615,7 @@
     'stream_unframed_cut': _stream_unframed_cut,
     'unframed_slow': _unframed_slow,
     'unframed_exit': _unframed_exit,
+    'unframed_exit_late': _unframed_exit_late,
     'error_unframed_slow': _error_unframed_slow,
     'stream_unframed_slow': _stream_unframed_slow,
     'stream_unframed_exit': _stream_unframed_exit,
--- a/packages/targets/src/godwitglade/targets/forwarding.py
+++ b/packages/targets/src/godwitglade/targets/forwarding.py
@@ -25,6 +25,8 @@
 CONNECT_TIMEOUT_MS = 500
 #: Time limit of the connection that shows whether a target still runs.
 GONE_CHECK_TIMEOUT_MS = 100
+#: Time limit of each step of the exchange that shows the same.
+END_CHECK_TIMEOUT_MS = 250
 
 
 class Caller(typing.Protocol):
@@ -257,6 +259,32 @@
         pool.release(connection)
         return False
 
+    def _has_ended(self, address: str, timeout_ms: int) -> bool:
+        """Return whether a target's process has ended or is just ending.
+
+        The kernel accepts connections until it closes the listener, so only
+        a response shows that the process still runs.
+        """
+        pool = self.pool(address)
+        budget = http_exchange.Budget(self._clock, timeout_ms, timeout_ms)
+        try:
+            connection = pool.open(timeout_ms)
+        except http_exchange.TRANSPORT_ERRORS as error:
+            return http_exchange.is_refused(error)
+        try:
+            path = self._wire.probe_path
+            http_exchange.send(connection, 'GET', path, None, budget)
+            response = http_exchange.receive(connection, budget)
+            http_exchange.read_reply(connection, response, budget)
+        except faults.CallFaultError as error:
+            connection.close()
+            return error.is_peer_closed
+        if _may_be_reused(response, 'GET'):
+            pool.release(connection)
+        else:
+            connection.close()
+        return False
+
     def _exchange(self, call: _Call) -> tuple[typing.Any, bool]:
         request = call.context.request
         http_exchange.send(
@@ -271,12 +299,7 @@
         )
         response = http_exchange.receive(call.connection, call.budget)
         message, is_read = self._handle_response(call, response)
-        is_keep_alive = (
-            response.headers.get('Connection', '').lower() != 'close'
-        )
-        framing = response_bodies.framing_of_response(response, request.method)
-        is_framed = framing is not response_bodies.Framing.CONNECTION
-        return message, is_read and is_keep_alive and is_framed
+        return message, is_read and _may_be_reused(response, request.method)
 
     def _handle_response(
         self, call: _Call, response: urllib3_response.HTTPResponse
@@ -402,8 +425,9 @@
         only if bytes were left unread.
         """
         is_cancelled = call.attempt.is_cancelled
-        is_target_gone = not is_cancelled and self._is_gone(
-            call.effect.target.address
+        is_target_gone = not is_cancelled and self._has_ended(
+            call.effect.target.address,
+            min(END_CHECK_TIMEOUT_MS, call.budget.wait_ms()),
         )
         self._report_end(
             call,
@@ -538,6 +562,16 @@
         raise CallerDisconnectedError() from error
 
 
+def _may_be_reused(
+    response: urllib3_response.HTTPResponse, method: str
+) -> bool:
+    """Return whether another call can follow on the connection."""
+    framing = response_bodies.framing_of_response(response, method)
+    is_closing = response.headers.get('Connection', '').lower() == 'close'
+    is_framed = framing is not response_bodies.Framing.CONNECTION
+    return is_framed and not is_closing
+
+
 def _status_line(response: urllib3_response.HTTPResponse) -> str:
     return f'{response.status} {response.reason or "Unknown"}'
 
--- a/tests/edge/test_cut_bodies.py
+++ b/tests/edge/test_cut_bodies.py
@@ -49,6 +49,8 @@
         ('/once/x', ['unframed_exit'], 502, None),
         ('/read/x', ['unframed_exit', 'ok'], 200, b'whole'),
         ('/read/x', ['unframed_exit', 'unframed'], 200, b'whole'),
+        ('/once/x', ['unframed_exit_late'], 502, None),
+        ('/read/x', ['unframed_exit_late', 'ok'], 200, b'whole'),
     ],
 )
 def test_body_cut_by_the_end_of_its_target_is_not_whole(
