--- a/packages/callers/src/godwitglade/callers/routed_calls.py
+++ b/packages/callers/src/godwitglade/callers/routed_calls.py
@@ -21,6 +21,7 @@
     post: Post,
 ) -> None:
     """Execute the effects of an exchange until the caller has its answer."""
+    context.may_start = exchange.may_start
     while True:
         effect = exchange.effect_queue.get(timeout=EFFECT_WAIT_S)
         if isinstance(effect, effects.Forward):
--- a/packages/callers/src/godwitglade/callers/routed_exchanges.py
+++ b/packages/callers/src/godwitglade/callers/routed_exchanges.py
@@ -24,10 +24,14 @@
 
 @attrs.frozen
 class Exchange:
-    """A caller's request, from its last byte to its response."""
+    """A caller's request, from its last byte to its response.
+
+    ``may_start`` is set once the first event of a stream need not wait.
+    """
 
     request_id: str
     effect_queue: queue.SimpleQueue = attrs.Factory(queue.SimpleQueue)
+    may_start: threading.Event = attrs.Factory(threading.Event)
 
 
 class Exchanges:
@@ -53,6 +57,12 @@
         if exchange is not None:
             exchange.effect_queue.put(effect)
 
+    def release(self, request_id: str) -> None:
+        """Let the first event of a stream that waits go to the caller."""
+        exchange = self._open_exchanges.get(request_id)
+        if exchange is not None:
+            exchange.may_start.set()
+
 
 class CallerDisconnectWatcher:
     """Notifies the loop of callers that close their connections."""
--- a/packages/daemon/src/godwitglade/daemon/routing_effect_runner.py
+++ b/packages/daemon/src/godwitglade/daemon/routing_effect_runner.py
@@ -18,6 +18,7 @@
 from godwitglade.platform import follower
 from godwitglade.routing import documents
 from godwitglade.routing import effects
+from godwitglade.routing import messages
 from godwitglade.routing import table_sharing
 from godwitglade.targets import forwarding
 
@@ -133,13 +134,18 @@
         event: events.Event,
         fields: dict[str, typing.Any],
         change: typing.Callable[[], None],
-    ) -> None:
-        """Write or remove a row; the loop asks for it again if it fails."""
+    ) -> bool:
+        """Write or remove a row; return False if the store did not.
+
+        The loop asks for it again.
+        """
         try:
             change()
         except errors.CodedError as error:
             fields = fields | {'reason': str(error)}
             logs.log_event(self._logger, event, fields)
+            return False
+        return True
 
     def _change_quarantine_row(
         self, trait: str, change: typing.Callable[[], None]
@@ -150,8 +156,12 @@
         )
 
     def _change_stream_row(self, change: typing.Callable[[], None]) -> None:
+        self._row_threads.submit(self._report_stream_row, change)
+
+    def _report_stream_row(self, change: typing.Callable[[], None]) -> None:
         event = events.Event.STREAM_ROW_FAILED
-        self._row_threads.submit(self._change_row, event, {}, change)
+        is_written = self._change_row(event, {}, change)
+        self.post(messages.StreamsRowWritten(is_written))
 
     @carry_out.register(effects.Forward)
     @carry_out.register(effects.ForwardHeldResponse)
@@ -160,6 +170,10 @@
     def _(self, effect: typing.Any) -> None:
         self._clients.exchanges.deliver(effect.request_id, effect)
 
+    @carry_out.register
+    def _(self, effect: effects.ReleaseStream) -> None:
+        self._clients.exchanges.release(effect.request_id)
+
     @carry_out.register
     def _(self, effect: effects.CancelCall) -> None:
         self._clients.forwarder.cancel(effect)
--- a/packages/routing/src/godwitglade/routing/effects.py
+++ b/packages/routing/src/godwitglade/routing/effects.py
@@ -17,7 +17,8 @@
     ``call`` numbers the sends of a request. ``timeout_ms`` is the time the
     target has to respond. ``inputs`` are the stage results that the request
     needs. With ``may_retry`` a failure of the target is reported instead of
-    forwarded. ``needs_new_connection`` forbids reuse of a connection.
+    forwarded. ``needs_new_connection`` forbids reuse of a connection. The
+    first event of a stream waits ``hold_ms`` at most for ReleaseStream.
     """
 
     request_id: str
@@ -29,6 +30,14 @@
     may_retry: bool = False
     is_stream: bool = False
     needs_new_connection: bool = False
+    hold_ms: int = 0
+
+
+@attrs.frozen
+class ReleaseStream:
+    """Let the first event of a stream that waits go to the caller."""
+
+    request_id: str
 
 
 @attrs.frozen
--- a/packages/routing/src/godwitglade/routing/host.py
+++ b/packages/routing/src/godwitglade/routing/host.py
@@ -38,6 +38,7 @@
 from godwitglade.routing import resumption
 from godwitglade.routing import stage_work
 from godwitglade.routing import stopping
+from godwitglade.routing import stream_rows
 from godwitglade.routing import stream_versions
 from godwitglade.routing import table_sharing
 from godwitglade.routing import target_changes
@@ -300,7 +301,10 @@
             return self.components.tables.handle(message, now_ms)
         if message.token.startswith(quarantine.TOKEN):
             return self._report_crash(message, now_ms)
-        if message.token == stream_versions.FLUSH_TOKEN:
+        if message.token in (
+            stream_versions.FLUSH_TOKEN,
+            stream_rows.TIMER_TOKEN,
+        ):
             return self.components.streams.handle(message, now_ms)
         return self.components.requests.handle(message, now_ms)
 
@@ -321,8 +325,9 @@
     def _(self, message: messages.QuarantineRead, now_ms: int) -> Effects:
         return self._update_quarantine(message, now_ms)
 
-    @_dispatch.register
-    def _(self, message: messages.StreamsRead, now_ms: int) -> Effects:
+    @_dispatch.register(messages.StreamsRead)
+    @_dispatch.register(messages.StreamsRowWritten)
+    def _(self, message: typing.Any, now_ms: int) -> Effects:
         return self.components.streams.handle(message, now_ms)
 
     @_dispatch.register
--- a/packages/routing/src/godwitglade/routing/messages.py
+++ b/packages/routing/src/godwitglade/routing/messages.py
@@ -69,7 +69,7 @@
 
 @attrs.frozen
 class StreamStarted:
-    """The first event of a stream was forwarded to the caller."""
+    """The first event of a stream arrived, or was forwarded to the caller."""
 
     request_id: str
     call: int
@@ -272,6 +272,13 @@
     host: str = ''
 
 
+@attrs.frozen
+class StreamsRowWritten:
+    """The row of this host about streams was written or removed, or not."""
+
+    is_written: bool
+
+
 @attrs.frozen
 class StreamsRead:
     """The rows of all hosts about versions, read after the start."""
--- a/packages/routing/src/godwitglade/routing/request_lifecycle.py
+++ b/packages/routing/src/godwitglade/routing/request_lifecycle.py
@@ -640,6 +640,7 @@
             may_retry=request.may_retry,
             is_stream=request.route.kind is documents.RequestKind.STREAM,
             needs_new_connection=not request.route.is_repeatable,
+            hold_ms=self._resumptions.hold_ms(request),
         )
         sent = request_logs.request_event(
             events.Event.REQUEST_SENT,
--- a/packages/routing/src/godwitglade/routing/resumption.py
+++ b/packages/routing/src/godwitglade/routing/resumption.py
@@ -98,7 +98,19 @@
         request.version = target.version(now_ms)
         begun = stream_versions.Begun(request.pool, request.version)
         key = stream_versions.key_of(request)
-        return self._streams.record_begun(key, begun, target.name, now_ms)
+        return self._streams.record_begun(
+            key, begun, target.name, request.request_id, now_ms
+        )
+
+    def hold_ms(self, request: request_.Request) -> int:
+        """Return how long the first event of a request has to wait.
+
+        A host that takes it over lets the event wait itself.
+        """
+        if request.is_handed_over or request.has_response_started:
+            return 0
+        is_resumable = request.route.is_resumable
+        return self._streams.hold_ms(request.pool) if is_resumable else 0
 
     def record_end(
         self, request: request_.Request, is_complete: bool, now_ms: int
--- a/packages/routing/src/godwitglade/routing/stream_versions.py
+++ b/packages/routing/src/godwitglade/routing/stream_versions.py
@@ -27,6 +27,7 @@
 from godwitglade.routing import pool_versions
 from godwitglade.routing import rendezvous
 from godwitglade.routing import request as request_
+from godwitglade.routing import stream_rows
 
 Effects = list[typing.Any]
 
@@ -51,11 +52,6 @@
 #: broke off.
 MAX_ROW_STREAMS = 256
 BROKEN_MS = 10 * clocks.SECOND_MS
-#: Interval between the writes of a row: all hosts together make at most one
-#: write in WRITE_SPACING_MS.
-MIN_WRITE_INTERVAL_MS = 300
-WRITE_SPACING_MS = 40
-REPEAT_WRITE_MS = 10 * clocks.SECOND_MS
 #: A target's entry may be this old when a stream begins there.
 LIST_LAG_MS = 3 * clocks.SECOND_MS
 MAX_TEXT_LENGTH = 200
@@ -100,8 +96,7 @@
         self._numbers = itertools.count(1)
         self._is_flush_due = False
         self._mixed_pools: frozenset[str] = frozenset()
-        self._row: effects.WriteStreams | None = None
-        self._row_ms = -REPEAT_WRITE_MS
+        self._row = stream_rows.StreamRow(lambda: len(members.serving()))
 
     def __len__(self) -> int:
         return len(self._streams)
@@ -112,7 +107,12 @@
         return None if stream is None else stream.begun
 
     def record_begun(
-        self, key: str, begun: Begun, target: str, now_ms: int
+        self,
+        key: str,
+        begun: Begun,
+        target: str,
+        request_id: str,
+        now_ms: int,
     ) -> Effects:
         """Record that an event of a stream arrived from a target."""
         known = self._streams.get(key)
@@ -123,8 +123,13 @@
         self._own[key] = None
         self._own.move_to_end(key)
         if begun.pool not in self._mixed_pools:
-            return []
-        return self._tell([key], now_ms)
+            return [effects.ReleaseStream(request_id)]
+        held = self._row.hold(key, request_id)
+        return held + self._tell([key], now_ms) + self._update_row(now_ms)
+
+    def hold_ms(self, pool: str) -> int:
+        """Return how long the first event of a stream waits for the row."""
+        return self._row.hold_ms if pool in self._mixed_pools else 0
 
     def record_end(self, key: str, is_complete: bool, now_ms: int) -> None:
         """Record that this host no longer brings a stream to its caller."""
@@ -194,8 +199,18 @@
             return []
         return self._tell(keys, now_ms, tells)
 
+    @handle.register
+    def _(self, message: messages.StreamsRowWritten, now_ms: int) -> Effects:
+        released = self._row.written(message.is_written)
+        if not message.is_written:
+            # The next maintenance tries again.
+            return released
+        return released + self._update_row(now_ms)
+
     @handle.register
     def _(self, message: shared_messages.TimerFired, now_ms: int) -> Effects:
+        if message.token == stream_rows.TIMER_TOKEN:
+            return self._update_row(now_ms)
         self._is_flush_due = False
         by_host: dict[tuple[str, int], list[str]] = {}
         for key, tells in self._untold.items():
@@ -240,18 +255,9 @@
             return []
         versions = self._versions.mixed(now_ms)
         if not versions:
-            is_written, self._row = self._row is not None, None
-            return [effects.RemoveStreams()] if is_written else []
-        hosts_ = len(self._members.serving())
-        interval_ms = max(MIN_WRITE_INTERVAL_MS, hosts_ * WRITE_SPACING_MS)
-        since_ms = now_ms - self._row_ms
-        if since_ms < interval_ms:
-            return []
+            return self._row.update(None, now_ms)
         row = effects.WriteStreams(versions, self._row_streams(now_ms))
-        if row == self._row and since_ms < REPEAT_WRITE_MS:
-            return []
-        self._row, self._row_ms = row, now_ms
-        return [row]
+        return self._row.update(row, now_ms)
 
     def _row_streams(self, now_ms: int) -> dict[str, tuple[str, str]]:
         """Return the streams of this host that callers may take up."""
--- a/packages/targets/src/godwitglade/targets/forwarding.py
+++ b/packages/targets/src/godwitglade/targets/forwarding.py
@@ -3,6 +3,7 @@
 A `HeaderCodec` reads and writes the protocol-specific headers.
 """
 
+import threading
 import typing
 
 import attrs
@@ -72,7 +73,8 @@
     """The state that all calls of one request share.
 
     ``failed_response`` is the last failed response, until it is relayed or
-    dropped. ``stream_content_type`` is that of the stream that has begun.
+    dropped. ``stream_content_type`` is that of the stream that has begun,
+    whose first event may wait for ``may_start``.
     """
 
     request: CallerRequest
@@ -80,6 +82,7 @@
     reader: event_reader.EventReader = attrs.Factory(event_reader.EventReader)
     failed_response: BufferedResponse | None = None
     stream_content_type: str | None = None
+    may_start: threading.Event = attrs.Factory(threading.Event)
 
 
 @attrs.frozen
@@ -486,6 +489,12 @@
         except OSError as error:
             raise CallerDisconnectedError() from error
 
+    def _hold_start(self, call: _Call) -> None:
+        hold_ms = call.effect.hold_ms
+        call.context.may_start.wait(hold_ms / clocks.SECOND_MS)
+        if call.attempt.is_cancelled:
+            raise _lost_fault('the call was cancelled before its first event')
+
     def _check_content_type(
         self,
         context: ForwardingContext,
@@ -529,6 +538,10 @@
             if not complete_events:
                 continue
             if not caller.has_started:
+                if call.effect.hold_ms:
+                    has_reported = True
+                    self._post(messages.StreamStarted(*ids, *reported))
+                    self._hold_start(call)
                 self._start_stream(caller, response)
             _write(caller, complete_events)
             if not has_reported:
--- a/tests/edge/test_resumed_streams.py
+++ b/tests/edge/test_resumed_streams.py
@@ -1,9 +1,17 @@
 """Streams that callers take up beside engines of two software versions."""
 
+import contextlib
+import http.client
+import time
+
 import pytest
 
+from bench.standins import edge_document
+from bench.standins import edge_platform
+from godwitglade.common import codec
 from tests.edge import deployment
 
+WRITE_S = 0.1
 RESUMED = {'X_Attempt_Id': 'a2', 'Resumes': 'a1', 'Last_Event_Id': '1'}
 
 
@@ -37,3 +45,45 @@
 
 def test_streams_of_two_versions_are_kept_in_the_store(edge):
     edge.wait_for(lambda: ('streams', 'h1') in edge.store.copy()[0])
+
+
+def kept_streams(store):
+    """Return the number of streams in the row of the host."""
+    row = store.copy()[0].get(('streams', 'h1'), {})
+    if 'value' not in row:
+        return 0
+    return len(codec.parse_json(edge_platform.decode(row['value']))['streams'])
+
+
+def test_first_event_reaches_the_caller_after_the_store_holds_its_version(
+    edge,
+):
+    edge.set_behaviours('engine', 'stream_slow')
+    edge.wait_for(lambda: ('streams', 'h1') in edge.store.copy()[0])
+    answer = edge.store.answer
+
+    def answer_slowly(request):
+        if request.method == 'POST':
+            time.sleep(WRITE_S)
+        return answer(request)
+
+    edge.store.answer = answer_slowly
+    connection = http.client.HTTPConnection(edge.address, timeout=5)
+    with contextlib.closing(connection):
+        fields = {
+            'Host': edge_document.HOST,
+            'X-Attempt-Id': 'a1',
+            'X-Deadline-Ms': '1500',
+            'Authorization': 'Bearer key-1',
+        }
+        connection.request('POST', '/resume/x', b'{}', fields)
+        response = connection.getresponse()
+        assert (response.status, kept_streams(edge.store)) == (200, 1)
+
+
+def test_first_event_does_not_wait_for_a_store_that_is_away(edge):
+    edge.wait_for(lambda: ('streams', 'h1') in edge.store.copy()[0])
+    edge.store.is_down = True
+    for number in range(3):
+        response = edge.send_request('/resume/x', X_Attempt_Id=f'b{number}')
+        assert response.status == 200
--- a/tests/routing/fleet.py
+++ b/tests/routing/fleet.py
@@ -296,9 +296,15 @@
                 effect.versions, effect.streams, host=node.name
             )
             self.stream_rows[node.name] = row
+        self._report_row(node)
 
     def _remove_streams(self, node, _effect):
         self.stream_rows.pop(node.name, None)
+        self._report_row(node)
+
+    def _report_row(self, node):
+        written = messages.StreamsRowWritten(not self.store_is_down)
+        self._later(self._post, node, written)
 
     def _tell_all(self, message):
         for node in self.nodes.values():
@@ -662,6 +668,7 @@
         effects.Answer: _answer,
         effects.WriteStreams: _write_streams,
         effects.RemoveStreams: _remove_streams,
+        effects.ReleaseStream: lambda *_: None,
         effects.WriteQuarantine: _write_row,
         effects.RemoveQuarantine: _remove_row,
     }
