Reject a transfer coding with a space after it

Callers got the framing bytes of a chunked body as its content, with a 200 and a length, and its end was that of the connection: http.client compares the coding literally, while the check of the head stripped it, and the framing counted as chunks, so that the end of the body was not checked either.

The check now accepts what http.client decodes, and nothing else.

Evidence: 6 new rows of test_response_with_a_malformed_head_is_lost (a space, a tab and a folded line after the coding, both clients) failed before; all tests of tests/targets pass.

--- a/packages/common/src/godwitglade/common/whole_responses.py
+++ b/packages/common/src/godwitglade/common/whole_responses.py
@@ -64,8 +64,9 @@
         lengths = set(self.headers.get_all('Content-Length', ()))
         if len(lengths) > 1 or not all(map(_is_length, lengths)):
             raise IncompleteHeadError(f'content lengths {sorted(lengths)}')
+        # http.client decodes no other spelling, not even with a space after.
         codings = self.headers.get_all('Transfer-Encoding', ())
-        if any(coding.strip().lower() != 'chunked' for coding in codings):
+        if any(coding.lower() != 'chunked' for coding in codings):
             raise IncompleteHeadError(f'transfer codings {codings}')
 
 
--- a/tests/targets/test_whole_responses.py
+++ b/tests/targets/test_whole_responses.py
@@ -95,6 +95,9 @@
         b'Transfer-Encoding: gzip, chunked\r\n',
         b'Transfer-Encoding: identity\r\n',
         b'Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n',
+        b'Transfer-Encoding: chunked \r\n',
+        b'Transfer-Encoding: chunked\t\r\n',
+        b'Transfer-Encoding: chunked\r\n \r\n',
     ],
 )
 def test_response_with_a_malformed_head_is_lost(lines, read):
