Tell a target at its limit from one that has ended

Callers of requests that may run once got 502 for a whole body without a length, and others were sent again, when the target had as many connections as it accepts: it resets any beyond, and the check after such a body took the reset for the end of the process. The check after any lost call did so, too, where the reset came while the connection was opened: an answer that a target at its limit dropped counted as a crash, which is evidence for a quarantine.

After a reset the connection is tried once more. The kernel resets what waits in the queue of a listener that it closes, and then refuses; a target at its limit resets again.

--- a/packages/targets/src/godwitglade/targets/forwarding.py
+++ b/packages/targets/src/godwitglade/targets/forwarding.py
@@ -25,6 +25,8 @@
 CONNECT_TIMEOUT_MS = 500
 #: Time limit of the connection that shows whether a target still runs.
 GONE_CHECK_TIMEOUT_MS = 100
+#: Connections that are tried, should one be reset.
+GONE_CHECKS = 2
 #: Time limit of each step of the exchange that shows the same.
 END_CHECK_TIMEOUT_MS = 250
 
@@ -249,14 +251,19 @@
         """Return whether a target's process has evidently ended.
 
         Only a refused connection shows that: the network can be the cause
-        of a connection that breaks or times out.
+        of one that breaks or times out. A target at its limit resets
+        connections, and so does the kernel when it closes a listener, but
+        then it refuses the next one.
         """
         pool = self.pool(address)
-        try:
-            connection = pool.open(GONE_CHECK_TIMEOUT_MS)
-        except http_exchange.TRANSPORT_ERRORS as error:
-            return http_exchange.is_refused(error)
-        pool.release(connection)
+        for _ in range(GONE_CHECKS):
+            try:
+                pool.release(pool.open(GONE_CHECK_TIMEOUT_MS))
+            except http_exchange.TRANSPORT_ERRORS as error:
+                if http_exchange.is_reset(error):
+                    continue
+                return http_exchange.is_refused(error)
+            return False
         return False
 
     def _has_ended(self, address: str, timeout_ms: int) -> bool:
@@ -269,8 +276,8 @@
         budget = http_exchange.Budget(self._clock, timeout_ms, timeout_ms)
         try:
             connection = pool.open(timeout_ms)
-        except http_exchange.TRANSPORT_ERRORS as error:
-            return http_exchange.is_refused(error)
+        except http_exchange.TRANSPORT_ERRORS:
+            return self._is_gone(address)
         try:
             path = self._wire.probe_path
             http_exchange.send(connection, 'GET', path, None, budget)
@@ -278,7 +285,7 @@
             http_exchange.read_reply(connection, response, budget)
         except faults.CallFaultError as error:
             connection.close()
-            return error.is_peer_closed
+            return error.is_peer_closed and self._is_gone(address)
         if _may_be_reused(response, 'GET'):
             pool.release(connection)
         else:
--- a/packages/targets/src/godwitglade/targets/http_exchange.py
+++ b/packages/targets/src/godwitglade/targets/http_exchange.py
@@ -183,3 +183,9 @@
     """Return whether a connection failed because the peer refused it."""
     refused = (ConnectionRefusedError, ConnectionResetError)
     return isinstance(error, refused) or isinstance(error.__cause__, refused)
+
+
+def is_reset(error: BaseException) -> bool:
+    """Return whether the peer reset a connection while it was opened."""
+    causes = (error, error.__cause__)
+    return any(isinstance(cause, ConnectionResetError) for cause in causes)
--- /dev/null
+++ b/tests/targets/test_ends_of_bodies.py
@@ -0,0 +1,154 @@
+"""Bodies without a length, by what the target does after their end."""
+
+import contextlib
+import socket
+import threading
+
+import attrs
+import pytest
+
+from bench.standins import edge_platform
+from bench.standins import server
+from godwitglade.common import clock as clocks
+from godwitglade.edge import headers
+from godwitglade.routing import effects
+from godwitglade.routing import messages
+from godwitglade.targets import forwarding
+from tests.routing import builders
+
+FIELDS = {'X-Attempt-Id': 'a1', 'X-Server-Signature': 's'}
+WHOLE = edge_platform.response(200, FIELDS, b'whole')
+UNFRAMED = WHOLE.replace(b'Content-Length: 5\r\n', b'')
+REPORT = edge_platform.response(200, {}, b'{"born": 1000}')
+LEFT = edge_platform.response(200, {'Connection': 'close'}, b'{}')
+
+
+@attrs.define
+class Target:
+    """Serves one script of responses on each connection, then nothing.
+
+    A script of None resets its connection. ``is_listening`` says whether
+    the listener accepts more connections after the scripts.
+    """
+
+    scripts: list
+    is_listening: bool = True
+    paths: list = attrs.Factory(list)
+    address: str = ''
+
+    @contextlib.contextmanager
+    def running(self):
+        """Run the target for the ``with`` block."""
+        with socket.create_server(('127.0.0.1', 0)) as listener:
+            self.address = '127.0.0.1:%d' % listener.getsockname()[1]
+            thread = threading.Thread(
+                target=self._accept, args=(listener,), daemon=True
+            )
+            thread.start()
+            yield self
+
+    def _accept(self, listener):
+        with contextlib.suppress(OSError):
+            for script in self.scripts:
+                connection, _ = listener.accept()
+                if script is None:
+                    server.reset_on_close(connection)
+                    connection.close()
+                    continue
+                threading.Thread(
+                    target=self._serve, args=(connection, script), daemon=True
+                ).start()
+            if not self.is_listening:
+                listener.close()
+
+    def _serve(self, connection, script):
+        with connection, connection.makefile('rb') as rfile:
+            for raw in script:
+                request = edge_platform.read_request(rfile)
+                if request is None:
+                    return
+                self.paths.append(request.path)
+                connection.sendall(raw)
+                if raw is UNFRAMED:
+                    return
+            rfile.read()
+
+
+@attrs.define
+class Caller:
+    """Keeps what a caller receives."""
+
+    has_started: bool = False
+    content: bytes = b''
+
+    def start_response(self, status, headers_, size):
+        self.has_started = True
+
+    def write(self, chunk):
+        self.content += chunk
+
+
+@attrs.define
+class Host:
+    """Forwards requests to one target."""
+
+    target: Target
+    posted: list = attrs.Factory(list)
+    forwarder: forwarding.Forwarder = None
+
+    def __attrs_post_init__(self):
+        codec = headers.HeaderCodec()
+        self.forwarder = forwarding.Forwarder(
+            clocks.Clock(), codec, self.posted.append
+        )
+
+    def forward(self, call=1):
+        """Forward a request; return the message and the caller's content."""
+        request = forwarding.CallerRequest('POST', '/x', {}, b'', 'a1')
+        caller = Caller()
+        context = forwarding.ForwardingContext(request, caller)
+        listed = builders.listed('t', started_ms=1_000)
+        listed = attrs.evolve(listed, address=self.target.address)
+        effect = effects.Forward('r1', call, listed, 1_500)
+        return self.forwarder.forward(context, effect), caller.content
+
+
+def forward_once(scripts, is_listening=True):
+    with Target(scripts, is_listening).running() as target:
+        return Host(target).forward()
+
+
+@pytest.mark.parametrize(
+    'scripts',
+    [
+        [[UNFRAMED], [REPORT]],
+        [[UNFRAMED], [LEFT]],
+        [[UNFRAMED], []],
+        [[UNFRAMED], None, None, None],
+    ],
+    ids=['responds', 'responds and closes', 'busy', 'at its limit'],
+)
+def test_body_ended_by_a_target_that_runs_is_whole(scripts):
+    message, content = forward_once(scripts)
+    assert isinstance(message, messages.ResponseCompleted)
+    assert content == b'whole'
+
+
+@pytest.mark.parametrize(
+    ('scripts', 'is_listening'),
+    [
+        ([[UNFRAMED]], False),
+        ([[UNFRAMED], None], False),
+    ],
+    ids=['refuses', 'resets, then refuses'],
+)
+def test_body_ended_by_a_target_that_ended_is_lost(scripts, is_listening):
+    message, content = forward_once(scripts, is_listening)
+    assert isinstance(message, messages.CallLost)
+    assert content == b''
+
+
+def test_target_that_resets_connections_at_its_limit_is_not_gone():
+    with Target([None] * 200).running() as target:
+        outcomes = [Host(target).forward()[0] for _ in range(20)]
+    assert [m for m in outcomes if getattr(m, 'is_target_gone', False)] == []
