Close the connection of the check after a body

A target that sends a response once more, late, put the second response to the check where the response to the next call was due: that call was lost, and its caller got 502 if it may run once. The response to a check has no id, so that such a connection must not be used again; stage calls follow the same rule.

--- a/packages/targets/src/godwitglade/targets/forwarding.py
+++ b/packages/targets/src/godwitglade/targets/forwarding.py
@@ -284,11 +284,10 @@
             response = http_exchange.receive(connection, budget)
             http_exchange.read_reply(connection, response, budget)
         except faults.CallFaultError as error:
-            connection.close()
             return error.is_peer_closed and self._is_gone(address)
-        if _may_be_reused(response, 'GET'):
-            pool.release(connection)
-        else:
+        finally:
+            # A second response to this request would have no id to tell it
+            # from the next one.
             connection.close()
         return False
 
--- a/tests/targets/test_ends_of_bodies.py
+++ b/tests/targets/test_ends_of_bodies.py
@@ -152,3 +152,11 @@
     with Target([None] * 200).running() as target:
         outcomes = [Host(target).forward()[0] for _ in range(20)]
     assert [m for m in outcomes if getattr(m, 'is_target_gone', False)] == []
+
+
+def test_late_second_response_to_a_check_is_given_to_no_request():
+    scripts = [[UNFRAMED], [REPORT, REPORT + WHOLE], [WHOLE]]
+    with Target(scripts).running() as target:
+        host = Host(target)
+        outcomes = [host.forward(call) for call in (1, 2)]
+    assert [content for _, content in outcomes] == [b'whole', b'whole']
