Count a body as cut if its target has started again since

Callers got 200 with a part of the target's body when the target's process had ended and a new one listened at its address before this host read the end of the connection: a host that stands still, or whose caller of a stream does not read, comes to the end late. The check then got its response from the new process.

The check reads the start that the response says and compares it with that of the target's entry; a response that doesn't say it counts as before.

--- a/packages/targets/src/godwitglade/targets/forwarding.py
+++ b/packages/targets/src/godwitglade/targets/forwarding.py
@@ -9,6 +9,8 @@
 from urllib3 import response as urllib3_response
 
 from godwitglade.common import clock as clocks
+from godwitglade.common import codec
+from godwitglade.common import errors
 from godwitglade.routing import effects
 from godwitglade.routing import messages
 from godwitglade.routing import targets
@@ -107,10 +109,12 @@
 class HeaderCodec(typing.Protocol):
     """Reads and writes the headers that callers and targets use.
 
-    ``probe_path`` is a path at which every target responds.
+    ``probe_path`` is a path at which every target responds with what it says
+    of itself; ``start_field`` of that is the Unix time of its start in ms.
     """
 
     probe_path: str
+    start_field: str
 
     def target_headers(
         self, context: ForwardingContext, effect: effects.Forward, left_ms: int
@@ -266,30 +270,32 @@
             return False
         return False
 
-    def _has_ended(self, address: str, timeout_ms: int) -> bool:
+    def _has_ended(self, target: targets.TargetEntry, timeout_ms: int) -> bool:
         """Return whether a target's process has ended or is just ending.
 
         The kernel accepts connections until it closes the listener, so only
-        a response shows that the process still runs.
+        a response shows that the process still runs. One that started later
+        than the target's entry says has taken the place of another.
         """
-        pool = self.pool(address)
+        pool = self.pool(target.address)
         budget = http_exchange.Budget(self._clock, timeout_ms, timeout_ms)
         try:
             connection = pool.open(timeout_ms)
         except http_exchange.TRANSPORT_ERRORS:
-            return self._is_gone(address)
+            return self._is_gone(target.address)
         try:
             path = self._wire.probe_path
             http_exchange.send(connection, 'GET', path, None, budget)
             response = http_exchange.receive(connection, budget)
-            http_exchange.read_reply(connection, response, budget)
+            report = http_exchange.read_reply(connection, response, budget)
         except faults.CallFaultError as error:
-            return error.is_peer_closed and self._is_gone(address)
+            return error.is_peer_closed and self._is_gone(target.address)
         finally:
             # A second response to this request would have no id to tell it
             # from the next one.
             connection.close()
-        return False
+        started_ms = _start_of(report.content, self._wire.start_field)
+        return 0 < target.started_ms < started_ms
 
     def _exchange(self, call: _Call) -> tuple[typing.Any, bool]:
         request = call.context.request
@@ -432,7 +438,7 @@
         """
         is_cancelled = call.attempt.is_cancelled
         is_target_gone = not is_cancelled and self._has_ended(
-            call.effect.target.address,
+            call.effect.target,
             min(END_CHECK_TIMEOUT_MS, call.budget.wait_ms()),
         )
         self._report_end(
@@ -578,6 +584,16 @@
     return is_framed and not is_closing
 
 
+def _start_of(report: bytes, field: str) -> int:
+    """Return when a target started by its own report, or 0."""
+    try:
+        plain = codec.parse_json(report)
+    except errors.MalformedError:
+        return 0
+    started_ms = plain.get(field) if isinstance(plain, dict) else None
+    return started_ms if type(started_ms) is int else 0
+
+
 def _status_line(response: urllib3_response.HTTPResponse) -> str:
     return f'{response.status} {response.reason or "Unknown"}'
 
--- a/tests/targets/test_ends_of_bodies.py
+++ b/tests/targets/test_ends_of_bodies.py
@@ -20,6 +20,8 @@
 WHOLE = edge_platform.response(200, FIELDS, b'whole')
 UNFRAMED = WHOLE.replace(b'Content-Length: 5\r\n', b'')
 REPORT = edge_platform.response(200, {}, b'{"born": 1000}')
+RESTARTED = edge_platform.response(200, {}, b'{"born": 2000}')
+ODD = edge_platform.response(200, {}, b'{"born": "2000"}')
 LEFT = edge_platform.response(200, {'Connection': 'close'}, b'{}')
 
 
@@ -122,11 +124,18 @@
     'scripts',
     [
         [[UNFRAMED], [REPORT]],
+        [[UNFRAMED], [ODD]],
         [[UNFRAMED], [LEFT]],
         [[UNFRAMED], []],
         [[UNFRAMED], None, None, None],
     ],
-    ids=['responds', 'responds and closes', 'busy', 'at its limit'],
+    ids=[
+        'responds',
+        'malformed',
+        'responds and closes',
+        'busy',
+        'at its limit',
+    ],
 )
 def test_body_ended_by_a_target_that_runs_is_whole(scripts):
     message, content = forward_once(scripts)
@@ -139,8 +148,9 @@
     [
         ([[UNFRAMED]], False),
         ([[UNFRAMED], None], False),
+        ([[UNFRAMED], [RESTARTED]], True),
     ],
-    ids=['refuses', 'resets, then refuses'],
+    ids=['refuses', 'resets, then refuses', 'has started again'],
 )
 def test_body_ended_by_a_target_that_ended_is_lost(scripts, is_listening):
     message, content = forward_once(scripts, is_listening)
