Count a body as cut if its target accepts no connection after it

Callers got 200 with a part of the target's body when the machine or container ended with the target's process: its kernel closes the connections and is then gone, so that the connection of the check is not refused, but gets no answer. The check took that for a target that runs.

A target that accepts the connection and then is silent still counts as running.

Evidence: test_body_ended_by_a_target_whose_machine_has_gone_is_lost failed in two of two runs before; tests/targets and tests/edge/test_cut_bodies.py passed in three of three runs after. A whole body whose target can't be reached right after it counts as cut now; how often that happens on choked links was not measured.

--- a/packages/targets/src/godwitglade/targets/forwarding.py
+++ b/packages/targets/src/godwitglade/targets/forwarding.py
@@ -29,7 +29,7 @@
 GONE_CHECK_TIMEOUT_MS = 100
 #: Connections that are tried, should one be reset.
 GONE_CHECKS = 2
-#: Time limit of each step of the exchange that shows the same.
+#: Time limit of the exchange that shows the same, once connected.
 END_CHECK_TIMEOUT_MS = 250
 
 
@@ -270,20 +270,25 @@
             return False
         return False
 
-    def _has_ended(self, target: targets.TargetEntry, timeout_ms: int) -> bool:
+    def _has_ended(self, call: _Call) -> bool:
         """Return whether a target's process has ended or is just ending.
 
         The kernel accepts connections until it closes the listener, so only
         a response shows that the process still runs. One that started later
-        than the target's entry says has taken the place of another.
+        than the target's entry says has taken the place of another. A target
+        that accepts the connection and is silent counts as running.
         """
+        target = call.effect.target
         pool = self.pool(target.address)
-        budget = http_exchange.Budget(self._clock, timeout_ms, timeout_ms)
         try:
-            connection = pool.open(timeout_ms)
-        except http_exchange.TRANSPORT_ERRORS:
-            return self._is_gone(target.address)
+            connection = pool.open(call.budget.wait_ms())
+        except http_exchange.TRANSPORT_ERRORS as error:
+            # A machine that ended with its process does not even refuse.
+            is_reset = http_exchange.is_reset(error)
+            return not is_reset or self._is_gone(target.address)
         try:
+            timeout_ms = min(END_CHECK_TIMEOUT_MS, call.budget.wait_ms())
+            budget = http_exchange.Budget(self._clock, timeout_ms, timeout_ms)
             path = self._wire.probe_path
             http_exchange.send(connection, 'GET', path, None, budget)
             response = http_exchange.receive(connection, budget)
@@ -437,10 +442,7 @@
         only if bytes were left unread.
         """
         is_cancelled = call.attempt.is_cancelled
-        is_target_gone = not is_cancelled and self._has_ended(
-            call.effect.target,
-            min(END_CHECK_TIMEOUT_MS, call.budget.wait_ms()),
-        )
+        is_target_gone = not is_cancelled and self._has_ended(call)
         self._report_end(
             call,
             response_bodies.Framing.CONNECTION,
--- a/tests/targets/test_ends_of_bodies.py
+++ b/tests/targets/test_ends_of_bodies.py
@@ -111,7 +111,7 @@
         context = forwarding.ForwardingContext(request, caller)
         listed = builders.listed('t', started_ms=1_000)
         listed = attrs.evolve(listed, address=self.target.address)
-        effect = effects.Forward('r1', call, listed, 1_500)
+        effect = effects.Forward('r1', call, listed, 3_000)
         return self.forwarder.forward(context, effect), caller.content
 
 
@@ -170,3 +170,22 @@
         host = Host(target)
         outcomes = [host.forward(call) for call in (1, 2)]
     assert [content for _, content in outcomes] == [b'whole', b'whole']
+
+
+def test_body_ended_by_a_target_whose_machine_has_gone_is_lost():
+    with contextlib.ExitStack() as stack:
+        target = stack.enter_context(Target([[UNFRAMED]]).running())
+        host = Host(target)
+        pool = host.forwarder.pool(target.address)
+        pool.release(pool.open(500))
+        # The kernel does not answer on an address whose queue is full.
+        silent = socket.create_server(('127.0.0.1', 0), backlog=0)
+        pool.address = '127.0.0.1:%d' % silent.getsockname()[1]
+        stack.enter_context(silent)
+        for _ in range(3):
+            opened = stack.enter_context(socket.socket())
+            opened.setblocking(False)
+            opened.connect_ex(silent.getsockname())
+        message, content = host.forward()
+    assert isinstance(message, messages.CallLost)
+    assert content == b''
