Reset the connection of a cut stream that has no chunks

HTTP/1.0 callers (also proxies, whose default it often is) got streams that ended like complete ones when the target's stream was cut or the time was over: such a response has neither chunks nor a length, so that its body ends with the connection, and a host closed that in the same way after a whole and a cut body.

Such a connection is now set to end with a reset from its head on, until the body is whole; the kernel then resets it also when the process is killed. Other responses are closed as before.

--- a/packages/daemon/src/godwitglade/daemon/connections.py
+++ b/packages/daemon/src/godwitglade/daemon/connections.py
@@ -7,6 +7,7 @@
 
 import io
 import socket
+import struct
 import typing
 
 from cheroot import makefile
@@ -16,6 +17,9 @@
 
 READ_TIMEOUT_MS = 10 * clocks.SECOND_MS
 
+_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
+_END_ON_CLOSE = struct.pack('ii', 0, 0)
+
 
 class BoundedIO(socket.SocketIO):
     """Raw bytes of a socket, readable until ``deadline_ms``.
@@ -91,6 +95,16 @@
         if is_close_requested or self._is_body_unread():
             self.close_connection = True
         super().send_headers()
+        names = {name.lower() for name, _ in self.outheaders}
+        if not self.chunked_write and b'content-length' not in names:
+            # An HTTP/1.0 client takes the end of the connection for the end
+            # of the body, also when this process is killed.
+            self.conn.set_reset_on_close(True)
+
+    def respond(self) -> None:
+        """Answer the request; the body is whole once this returns."""
+        super().respond()
+        self.conn.set_reset_on_close(False)
 
     def _is_body_unread(self) -> bool:
         if self.chunked_read:
@@ -105,6 +119,7 @@
     clock: typing.ClassVar[clocks.Clock] = clocks.Clock()
     read_timeout_ms: typing.ClassVar[int] = READ_TIMEOUT_MS
     is_new = True
+    is_reset_on_close = False
 
     def __init__(
         self,
@@ -125,3 +140,15 @@
     def limit_read_time(self, timeout_ms: int) -> None:
         """Make reads fail once ``timeout_ms`` have passed."""
         self._raw.deadline_ms = self.clock.monotonic_ms() + timeout_ms
+
+    def set_reset_on_close(self, is_reset: bool) -> None:
+        """Choose whether the end of the connection is a reset."""
+        if is_reset == self.is_reset_on_close:
+            return
+        self.is_reset_on_close = is_reset
+        option = _RESET_ON_CLOSE if is_reset else _END_ON_CLOSE
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
+
+    def _close_kernel_socket(self) -> None:
+        if not self.is_reset_on_close:
+            super()._close_kernel_socket()
--- a/tests/edge/test_cut_bodies.py
+++ b/tests/edge/test_cut_bodies.py
@@ -3,11 +3,13 @@
 import concurrent.futures
 import contextlib
 import http.client
+import socket
 import time
 from unittest import mock
 
 import pytest
 
+from bench.standins import edge_document
 from bench.standins import edge_platform
 from godwitglade.routing import messages
 from tests.edge import deployment
@@ -73,6 +75,34 @@
     assert caught.value.partial.startswith(edge_platform.event(1))
 
 
+@pytest.mark.parametrize(
+    ('behaviour', 'is_cut'),
+    [('stream_unframed', False), ('stream_unframed_exit', True)],
+)
+def test_cut_stream_to_a_caller_without_chunks_is_reset(
+    edge, behaviour, is_cut
+):
+    edge.set_behaviours('engine', behaviour)
+    host, _, port = edge.address.rpartition(':')
+    head = [
+        'POST /stream/x HTTP/1.0',
+        f'Host: {edge_document.HOST}',
+        'X-Attempt-Id: a1',
+        'X-Deadline-Ms: 1500',
+        'Authorization: Bearer key-1',
+    ]
+    received, is_reset = b'', False
+    with socket.create_connection((host, int(port)), 5) as connection:
+        connection.sendall('\r\n'.join([*head, '', '']).encode())
+        try:
+            while chunk := connection.recv(1_000):
+                received += chunk
+        except ConnectionResetError:
+            is_reset = True
+    assert edge_platform.event(2) in received
+    assert is_reset is is_cut
+
+
 def test_stream_cut_by_the_end_of_its_target_goes_on_at_another(edge):
     edge.set_behaviours('engine', 'stream_unframed_exit', 'stream_unframed')
     response = edge.send_request('/resume/x')
