Reject callers' chunks with a malformed size

A request whose body has a chunk of the size -1, +0, 0_0 or 0x0 ran with what came before it: cheroot takes any number that is not positive, in any spelling of Python's, for the size of the last chunk. The end of the body was believed without being one, and another parser before this host reads another body.

Evidence: 4 of 6 rows of test_malformed_size_of_a_chunk_does_not_end_the_body failed before, with 200; all pass, as do 40 other tests of tests/edge/test_edge that were selected by name (chunked, head, caller).

--- a/packages/callers/src/godwitglade/callers/request_reading.py
+++ b/packages/callers/src/godwitglade/callers/request_reading.py
@@ -1,7 +1,10 @@
 """Reads the bodies of callers' requests."""
 
+import re
 import typing
 
+_CHUNK_SIZE = re.compile(rb'[0-9A-Fa-f]+[ \t]*(;.*)?\r?\n')
+
 
 class Rejection(Exception):
     """A request is rejected before it is posted to the loop."""
@@ -12,11 +15,34 @@
         self.reason = reason
 
 
+class _ChunkLines:
+    """A chunked body; raises ValueError for a malformed size of a chunk.
+
+    cheroot would take a negative size for that of the last chunk.
+    """
+
+    def __init__(self, rfile: typing.Any) -> None:
+        self._rfile = rfile
+        self._is_trailer = False
+        self.read = rfile.read
+
+    def readline(self) -> bytes:
+        """Return the next line, of a size or of the trailers."""
+        line = self._rfile.readline()
+        if not self._is_trailer:
+            if not _CHUNK_SIZE.fullmatch(line):
+                raise ValueError('the size of a chunk is malformed')
+            self._is_trailer = int(line.partition(b';')[0], 16) == 0
+        return line
+
+
 def read_body(request: typing.Any, limit_bytes: int) -> bytes:
     """Return the body of a cheroot request; raises Rejection."""
     length = int(request.inheaders.get(b'Content-Length', 0))
     if length > limit_bytes:
         raise Rejection(413, 'the body is too large')
+    if request.chunked_read:
+        request.rfile.rfile = _ChunkLines(request.rfile.rfile)
     try:
         body = request.rfile.read(limit_bytes + 1)
         if request.chunked_read and len(body) <= limit_bytes:
--- a/tests/edge/test_edge.py
+++ b/tests/edge/test_edge.py
@@ -247,6 +247,18 @@
     assert raw.count(b'HTTP/1.1 ') == 2
 
 
+@pytest.mark.parametrize('size', ['-1', '+0', '0_0', '0x0', ' ', ';a=b'])
+def test_malformed_size_of_a_chunk_does_not_end_the_body(edge, size):
+    raw = send_raw(
+        edge,
+        'POST /once/x HTTP/1.1\r\nHost: desk.example\r\nX-Attempt-Id: a1\r\n'
+        'Authorization: Bearer key-1\r\nTransfer-Encoding: chunked\r\n\r\n'
+        f'5\r\nabcde\r\n{size}\r\n\r\n',
+    )
+    assert raw.startswith(b'HTTP/1.1 400')
+    assert not edge.runs('app')
+
+
 def test_body_over_the_limit_is_rejected_and_connection_closed(edge):
     response = edge.send_request('/once/x', body=b'x' * 10_001)
     assert response.status == 413
