Reject targets' chunks with a malformed size

Callers got a body that ended at a chunk of the size +0, 0_0 or 0x0 as a whole one: http.client, like cheroot, takes any spelling of Python's for a size, so that of the last chunk, too. Requests and responses now share one strict parser.

--- a/packages/callers/src/godwitglade/callers/request_reading.py
+++ b/packages/callers/src/godwitglade/callers/request_reading.py
@@ -1,9 +1,8 @@
 """Reads the bodies of callers' requests."""
 
-import re
 import typing
 
-_CHUNK_SIZE = re.compile(rb'[0-9A-Fa-f]+[ \t]*(;.*)?\r?\n')
+from godwitglade.common import chunk_sizes
 
 
 class Rejection(Exception):
@@ -16,10 +15,7 @@
 
 
 class _ChunkLines:
-    """A chunked body; raises ValueError for a malformed size of a chunk.
-
-    cheroot would take a negative size for that of the last chunk.
-    """
+    """A chunked body; raises ValueError for a malformed size of a chunk."""
 
     def __init__(self, rfile: typing.Any) -> None:
         self._rfile = rfile
@@ -30,9 +26,7 @@
         """Return the next line, of a size or of the trailers."""
         line = self._rfile.readline()
         if not self._is_trailer:
-            if not _CHUNK_SIZE.fullmatch(line):
-                raise ValueError('the size of a chunk is malformed')
-            self._is_trailer = int(line.partition(b';')[0], 16) == 0
+            self._is_trailer = chunk_sizes.parse(line) == 0
         return line
 
 
--- a/packages/common/src/godwitglade/common/whole_responses.py
+++ b/packages/common/src/godwitglade/common/whole_responses.py
@@ -15,6 +15,8 @@
 from urllib3 import connection as urllib3_connection
 from urllib3 import connectionpool
 
+from godwitglade.common import chunk_sizes
+
 #: Defects of a head for which the parser leaves out lines.
 SKIPPED = (
     email.errors.FirstHeaderLineIsContinuationDefect,
@@ -33,11 +35,14 @@
     """
 
     _has_read = False
+    #: Whether the next line is the size of a chunk.
+    is_size_next = False
 
     def readline(self, size: int | None = -1) -> bytes:
         """Return the next line, empty if the peer has sent nothing at all.
 
-        Raises IncompleteHeadError if the connection ends before the line.
+        Raises IncompleteHeadError if the connection ends before the line, or
+        if it should be the size of a chunk and is not.
         """
         line = super().readline(size)
         is_limited = size is not None and 0 <= size <= len(line)
@@ -45,8 +50,16 @@
         if not is_whole and (line or self._has_read):
             raise IncompleteHeadError('the response ends within a line')
         self._has_read = True
+        if self.is_size_next:
+            self._check_size(line)
         return line
 
+    def _check_size(self, line: bytes) -> None:
+        try:
+            self.is_size_next = chunk_sizes.parse(line) > 0
+        except ValueError as error:
+            raise IncompleteHeadError(str(error)) from error
+
 
 class Response(http.client.HTTPResponse):
     """A response with a complete head, a valid length and whole chunks."""
@@ -68,6 +81,7 @@
         codings = self.headers.get_all('Transfer-Encoding', ())
         if any(coding.lower() != 'chunked' for coding in codings):
             raise IncompleteHeadError(f'transfer codings {codings}')
+        self.fp.is_size_next = self.chunked
 
 
 def _is_length(value: str) -> bool:
--- a/tests/targets/test_whole_responses.py
+++ b/tests/targets/test_whole_responses.py
@@ -114,3 +114,24 @@
     ]
     with served(*cuts) as address:
         assert [fetch(address) for _ in cuts] == [None] * len(cuts)
+
+
+@pytest.mark.parametrize('read', [fetch, fetch_by_pool])
+@pytest.mark.parametrize('size', [b'-1', b'+0', b'0_0', b'0x0', b'', b';a=b'])
+def test_response_with_a_malformed_size_of_a_chunk_is_lost(size, read):
+    raw = HEADS['chunks'] + b'\r\n5\r\nwhole\r\n' + size + b'\r\n\r\n'
+    with served(raw) as address:
+        assert read(address) is None
+
+
+@pytest.mark.parametrize('read', [fetch, fetch_by_pool])
+@pytest.mark.parametrize(
+    'chunks',
+    [
+        b'5;a=b\r\nwhole\r\n0\r\n\r\n',
+        b'002 \r\nwh\r\n3\r\nole\r\n000\r\nX-Trailer: 1\r\n\r\n',
+    ],
+)
+def test_response_with_whole_chunks_is_read(chunks, read):
+    with served(HEADS['chunks'] + b'\r\n' + chunks) as address:
+        assert read(address) == b'whole'
