Send no check to a host whose body has no length

Such a body counts as cut whatever the check shows, and the check reached the other host at its listener for handed-over requests: it answered 404 there, and logged a refused request that no caller had sent, while the caller waited.

--- a/packages/targets/src/godwitglade/targets/forwarding.py
+++ b/packages/targets/src/godwitglade/targets/forwarding.py
@@ -442,7 +442,9 @@
         only if bytes were left unread.
         """
         is_cancelled = call.attempt.is_cancelled
-        is_target_gone = not is_cancelled and self._has_ended(call)
+        is_host = call.effect.target.is_host
+        is_checked = not is_cancelled and not is_host
+        is_target_gone = is_checked and self._has_ended(call)
         self._report_end(
             call,
             response_bodies.Framing.CONNECTION,
@@ -454,7 +456,7 @@
             raise _lost_fault('the call was cancelled during the body')
         if is_target_gone:
             raise _lost_fault("the target's process ended during the body")
-        if call.effect.target.is_host:
+        if is_host:
             raise _lost_fault('the body from a host has no length or chunks')
 
     def _report_end(
--- a/tests/targets/test_ends_of_bodies.py
+++ b/tests/targets/test_ends_of_bodies.py
@@ -104,12 +104,12 @@
             clocks.Clock(), codec, self.posted.append
         )
 
-    def forward(self, call=1):
+    def forward(self, call=1, **fields):
         """Forward a request; return the message and the caller's content."""
         request = forwarding.CallerRequest('POST', '/x', {}, b'', 'a1')
         caller = Caller()
         context = forwarding.ForwardingContext(request, caller)
-        listed = builders.listed('t', started_ms=1_000)
+        listed = builders.listed('t', started_ms=1_000, **fields)
         listed = attrs.evolve(listed, address=self.target.address)
         effect = effects.Forward('r1', call, listed, 3_000)
         return self.forwarder.forward(context, effect), caller.content
@@ -189,3 +189,10 @@
         message, content = host.forward()
     assert isinstance(message, messages.CallLost)
     assert content == b''
+
+
+def test_body_without_a_length_from_a_host_is_lost_without_a_check():
+    with Target([[UNFRAMED], [REPORT]]).running() as target:
+        message, content = Host(target).forward(is_host=True)
+    assert isinstance(message, messages.CallLost)
+    assert (content, target.paths) == (b'', ['/x'])
