Reject interim responses that are not skipped

Callers got '103 Early Hints' or '101 Switching Protocols' as the final response, with a length of 0, which they take for an interim one too, so that they waited until their deadline: http.client skips no interim response but 100, and the end of its head was taken for the end of the response.

Such a call is lost now: sent again if it may be, and answered with 502 if not.

--- a/packages/common/src/godwitglade/common/whole_responses.py
+++ b/packages/common/src/godwitglade/common/whole_responses.py
@@ -7,6 +7,7 @@
 """
 
 import email.errors
+import http
 import http.client
 import io
 import typing
@@ -71,6 +72,9 @@
     def begin(self) -> None:
         """Read the head; raises IncompleteHeadError."""
         super().begin()
+        if self.status < http.HTTPStatus.OK:
+            # http.client skips no interim response but '100 Continue'.
+            raise IncompleteHeadError(f'status {self.status} is no final one')
         skipped = [d for d in self.headers.defects if isinstance(d, SKIPPED)]
         if skipped:
             raise IncompleteHeadError(f'a line of the head: {skipped[0]!r}')
--- a/tests/targets/test_ends_of_bodies.py
+++ b/tests/targets/test_ends_of_bodies.py
@@ -196,3 +196,12 @@
         message, content = Host(target).forward(is_host=True)
     assert isinstance(message, messages.CallLost)
     assert (content, target.paths) == (b'', ['/x'])
+
+
+INTERIM = edge_platform.response(103, FIELDS) + WHOLE
+
+
+def test_interim_response_is_not_taken_for_the_response():
+    message, content = forward_once([[INTERIM], [REPORT]])
+    assert isinstance(message, messages.CallLost)
+    assert content == b''
