--- a/packages/targets/src/godwitglade/targets/forwarding.py
+++ b/packages/targets/src/godwitglade/targets/forwarding.py
@@ -10,6 +10,8 @@
 from urllib3 import response as urllib3_response
 
 from godwitglade.common import clock as clocks
+from godwitglade.common import codec
+from godwitglade.common import errors
 from godwitglade.routing import effects
 from godwitglade.routing import messages
 from godwitglade.routing import targets
@@ -26,7 +28,9 @@
 CONNECT_TIMEOUT_MS = 500
 #: Time limit of the connection that shows whether a target still runs.
 GONE_CHECK_TIMEOUT_MS = 100
-#: Time limit of each step of the exchange that shows the same.
+#: Connections that are tried, should one be reset.
+GONE_CHECKS = 2
+#: Time limit of the exchange that shows the same, once connected.
 END_CHECK_TIMEOUT_MS = 250
 
 
@@ -108,10 +112,12 @@
 class HeaderCodec(typing.Protocol):
     """Reads and writes the headers that callers and targets use.
 
-    ``probe_path`` is a path at which every target responds.
+    ``probe_path`` is a path at which every target responds with what it says
+    of itself; ``start_field`` of that is the Unix time of its start in ms.
     """
 
     probe_path: str
+    start_field: str
 
     def target_headers(
         self, context: ForwardingContext, effect: effects.Forward, left_ms: int
@@ -252,41 +258,52 @@
         """Return whether a target's process has evidently ended.
 
         Only a refused connection shows that: the network can be the cause
-        of a connection that breaks or times out.
+        of one that breaks or times out. A target at its limit resets
+        connections, and so does the kernel when it closes a listener, but
+        then it refuses the next one.
         """
         pool = self.pool(address)
-        try:
-            connection = pool.open(GONE_CHECK_TIMEOUT_MS)
-        except http_exchange.TRANSPORT_ERRORS as error:
-            return http_exchange.is_refused(error)
-        pool.release(connection)
+        for _ in range(GONE_CHECKS):
+            try:
+                pool.release(pool.open(GONE_CHECK_TIMEOUT_MS))
+            except http_exchange.TRANSPORT_ERRORS as error:
+                if http_exchange.is_reset(error):
+                    continue
+                return http_exchange.is_refused(error)
+            return False
         return False
 
-    def _has_ended(self, address: str, timeout_ms: int) -> bool:
+    def _has_ended(self, call: _Call) -> bool:
         """Return whether a target's process has ended or is just ending.
 
         The kernel accepts connections until it closes the listener, so only
-        a response shows that the process still runs.
+        a response shows that the process still runs. One that started later
+        than the target's entry says has taken the place of another. A target
+        that accepts the connection and is silent counts as running.
         """
-        pool = self.pool(address)
-        budget = http_exchange.Budget(self._clock, timeout_ms, timeout_ms)
+        target = call.effect.target
+        pool = self.pool(target.address)
         try:
-            connection = pool.open(timeout_ms)
+            connection = pool.open(call.budget.wait_ms())
         except http_exchange.TRANSPORT_ERRORS as error:
-            return http_exchange.is_refused(error)
+            # A machine that ended with its process does not even refuse.
+            is_reset = http_exchange.is_reset(error)
+            return not is_reset or self._is_gone(target.address)
         try:
+            timeout_ms = min(END_CHECK_TIMEOUT_MS, call.budget.wait_ms())
+            budget = http_exchange.Budget(self._clock, timeout_ms, timeout_ms)
             path = self._wire.probe_path
             http_exchange.send(connection, 'GET', path, None, budget)
             response = http_exchange.receive(connection, budget)
-            http_exchange.read_reply(connection, response, budget)
+            report = http_exchange.read_reply(connection, response, budget)
         except faults.CallFaultError as error:
+            return error.is_peer_closed and self._is_gone(target.address)
+        finally:
+            # A second response to this request would have no id to tell it
+            # from the next one.
             connection.close()
-            return error.is_peer_closed
-        if _may_be_reused(response, 'GET'):
-            pool.release(connection)
-        else:
-            connection.close()
-        return False
+        started_ms = _start_of(report.content, self._wire.start_field)
+        return 0 < target.started_ms < started_ms
 
     def _exchange(self, call: _Call) -> tuple[typing.Any, bool]:
         request = call.context.request
@@ -428,10 +445,9 @@
         only if bytes were left unread.
         """
         is_cancelled = call.attempt.is_cancelled
-        is_target_gone = not is_cancelled and self._has_ended(
-            call.effect.target.address,
-            min(END_CHECK_TIMEOUT_MS, call.budget.wait_ms()),
-        )
+        is_host = call.effect.target.is_host
+        is_checked = not is_cancelled and not is_host
+        is_target_gone = is_checked and self._has_ended(call)
         self._report_end(
             call,
             response_bodies.Framing.CONNECTION,
@@ -443,7 +459,7 @@
             raise _lost_fault('the call was cancelled during the body')
         if is_target_gone:
             raise _lost_fault("the target's process ended during the body")
-        if call.effect.target.is_host:
+        if is_host:
             raise _lost_fault('the body from a host has no length or chunks')
 
     def _report_end(
@@ -585,6 +601,16 @@
     return is_framed and not is_closing
 
 
+def _start_of(report: bytes, field: str) -> int:
+    """Return when a target started by its own report, or 0."""
+    try:
+        plain = codec.parse_json(report)
+    except errors.MalformedError:
+        return 0
+    started_ms = plain.get(field) if isinstance(plain, dict) else None
+    return started_ms if type(started_ms) is int else 0
+
+
 def _status_line(response: urllib3_response.HTTPResponse) -> str:
     return f'{response.status} {response.reason or "Unknown"}'
 
