Answer open requests before a planned stop has to end the process

What callers saw: a request that still ran, or still waited, when the longest time of a planned stop was over got no answer. Its connection closed when the process exited, also for requests that may run only once.

Cause: `Stopping.may_end` ends the loop at the limit whether or not requests are open; nothing answered them before `os._exit`.

Change: at 0.94 of the limit (6.8 of 8 s after SIGTERM) every open request is ended: 503 with a retry time if it has not run, 502 if it may have run, and a stream that has begun is cut. Its call is cancelled.

--- a/packages/routing/src/godwitglade/routing/error_replies.py
+++ b/packages/routing/src/godwitglade/routing/error_replies.py
@@ -19,6 +19,8 @@
 MAX_RETRY_AFTER_MS = 4_000
 #: Retry time for callers of requests that crash targets.
 QUARANTINE_RETRY_AFTER_MS = 30_000
+#: Reason of the replies to requests that a stopping host cannot finish.
+STOPPING = 'stopping'
 
 
 def refused(request: request_.Request, reason: str, wait_ms: int) -> Effects:
@@ -60,6 +62,17 @@
     return [answer]
 
 
+def stopped(request: request_.Request) -> Effects:
+    """Return the effects that end a request because this host stops."""
+    if request.has_response_started:
+        return [effects.AbortResponse(request.request_id)]
+    if request.has_run or request.target is not None:
+        return [effects.Answer(request.request_id, 502, STOPPING)]
+    return [
+        effects.Answer(request.request_id, 503, STOPPING, MIN_RETRY_AFTER_MS)
+    ]
+
+
 def expired(request: request_.Request) -> Effects:
     """Return the effects that end a request whose deadline has passed."""
     if request.has_response_started:
--- a/packages/routing/src/godwitglade/routing/host.py
+++ b/packages/routing/src/godwitglade/routing/host.py
@@ -422,6 +422,8 @@
         self.components.rate_limits.maintain(directory.all(), now_ms)
         if self.components.stopping.should_close(now_ms):
             effects_.append(effects.StopListening())
+        if self.components.stopping.should_answer(now_ms):
+            effects_ += self.components.requests.answer_all(now_ms)
         return [timer, *effects_, *self._stop_if_done(now_ms)]
 
     def _check_reachability(self, now_ms: int) -> Effects:
--- a/packages/routing/src/godwitglade/routing/request_lifecycle.py
+++ b/packages/routing/src/godwitglade/routing/request_lifecycle.py
@@ -453,6 +453,19 @@
             for effect in request_logs.cancel_call(request, 'cut_off', now_ms)
         ]
 
+    def answer_all(self, now_ms: int) -> Effects:
+        """End all requests, since the process is about to end."""
+        return [
+            effect
+            for request in list(self._requests.values())
+            for effect in self._finish(
+                request,
+                error_replies.STOPPING,
+                error_replies.stopped(request),
+                now_ms,
+            )
+        ]
+
     def clear_running(self, now_ms: int) -> Effects:
         """Clear the traits of responses that have been running for long."""
         return [
--- a/packages/routing/src/godwitglade/routing/stopping.py
+++ b/packages/routing/src/godwitglade/routing/stopping.py
@@ -10,6 +10,9 @@
 #: the load balancer needs two not-ready replies, one second apart, and new
 #: connections may be on their way.
 LISTENER_GRACE_MS = 2_300
+#: Share of the longest stop after which open requests are answered; the rest
+#: is for writing these answers.
+ANSWER_SHARE = 0.94
 
 
 @attrs.define(eq=False)
@@ -40,6 +43,12 @@
         self.is_closing = now_ms - self.requested_ms >= LISTENER_GRACE_MS
         return self.is_closing
 
+    def should_answer(self, now_ms: int) -> bool:
+        """Return whether all open requests have to be answered now."""
+        if self.requested_ms is None:
+            return False
+        return now_ms >= self.requested_ms + ANSWER_SHARE * self.limit_ms
+
     def may_end(self, is_idle: bool, now_ms: int) -> bool:
         """Return whether the process may end now."""
         if self.requested_ms is None:
--- a/tests/routing/test_request_lifecycle.py
+++ b/tests/routing/test_request_lifecycle.py
@@ -202,6 +202,25 @@
     assert bool(find_effect(effects_, effects.CancelCall)) is is_sent
 
 
+@pytest.mark.parametrize(
+    ('stages', 'has_started', 'expected'),
+    [
+        ((), False, 502),
+        ((documents.Stage('encode'),), False, 503),
+        ((), True, 'cut'),
+    ],
+)
+def test_request_open_when_the_process_ends_is_answered(
+    stages, has_started, expected
+):
+    harness = Harness(builders.route(Kind.STREAM, stages=stages))
+    harness.arrive(item_counts=(2,) if stages else (), item_key='k')
+    if has_started:
+        harness.handle(messages.StreamStarted('r1', 1))
+    assert caller_status(harness.requests.answer_all(20)) == expected
+    assert not len(harness.requests)
+
+
 def test_shorter_caller_deadline_overrides_the_timeout():
     harness = Harness(ROUTES['at_most_once'])
     forward = find_effect(harness.arrive(budget_ms=300), effects.Forward)
