Refuse requests on arrival that a planned stop cannot finish

What callers saw: a request whose last byte came late in a planned stop, for example a body that was sent in parts, was taken and sent to a target, and then ended without the target's answer when the process did. It could have been served at once by another host. The same holds for streams that take longer than a stop may.

Cause: admission did not know of the stop.

Change: a stopping host takes a request if its deadline passes before open requests are answered. Otherwise it takes it only while the listener may still be open, and if the time that most requests of the route take fits (mean and mean deviation, as for the start of a response).

--- a/packages/routing/src/godwitglade/routing/error_replies.py
+++ b/packages/routing/src/godwitglade/routing/error_replies.py
@@ -68,6 +68,8 @@
         return [effects.AbortResponse(request.request_id)]
     if request.has_run or request.target is not None:
         return [effects.Answer(request.request_id, 502, STOPPING)]
+    if request.arrived.is_taken_over:
+        return [effects.Answer(request.request_id, 421, STOPPING)]
     return [
         effects.Answer(request.request_id, 503, STOPPING, MIN_RETRY_AFTER_MS)
     ]
--- a/packages/routing/src/godwitglade/routing/forecasts.py
+++ b/packages/routing/src/godwitglade/routing/forecasts.py
@@ -1,4 +1,4 @@
-"""Estimates of the time that the stages of a request will take.
+"""Estimates of the time that a request and its stages will take.
 
 They are based on the waits last reported by the owners of pools. In a burst
 of load, a request that cannot be in time is refused on arrival instead of
@@ -12,34 +12,40 @@
 
 #: A reported wait is used for this time, and decreases as time passes.
 WAIT_TTL_MS = 600
-#: Weight of a new sample in the response start time of a route.
-START_GAIN = 0.1
+#: Weight of a new sample in the response times of a route.
+SAMPLE_GAIN = 0.1
 
 
 @attrs.define
-class _StartTime:
-    """Mean and mean deviation of times to the start of a response."""
+class _ResponseTime:
+    """Mean and mean deviation of times to the start or end of a response."""
 
     mean_ms: float
     deviation_ms: float = 0.0
 
+    @property
+    def expected_ms(self) -> float:
+        """Return the time that most responses take at most."""
+        return self.mean_ms + self.deviation_ms
+
     def add(self, elapsed_ms: int) -> None:
         """Update the estimates with one time."""
         error_ms = elapsed_ms - self.mean_ms
-        self.mean_ms += START_GAIN * error_ms
-        self.deviation_ms += START_GAIN * (abs(error_ms) - self.deviation_ms)
+        self.mean_ms += SAMPLE_GAIN * error_ms
+        self.deviation_ms += SAMPLE_GAIN * (abs(error_ms) - self.deviation_ms)
 
 
 @attrs.define(eq=False)
 class Forecasts:
-    """Queue waits of stage pools, and response start times of targets.
+    """Queue waits of stage pools, and response times of targets.
 
-    The start times are kept by route: the prompts of some are many times as
+    The response times are kept by route: the prompts of some are many times as
     long as those of others in the same pool.
     """
 
     _waits: dict[str, tuple[int, int]] = attrs.Factory(dict)
-    _starts: dict[str, _StartTime] = attrs.Factory(dict)
+    _starts: dict[str, _ResponseTime] = attrs.Factory(dict)
+    _ends: dict[str, _ResponseTime] = attrs.Factory(dict)
 
     def record_wait(self, pool: str, wait_ms: int, now_ms: int) -> None:
         """Record the wait reported by the owner of a pool."""
@@ -47,13 +53,25 @@
 
     def record_start(self, route: str, elapsed_ms: int) -> None:
         """Record the time from a send to the start of the response."""
-        start = self._starts.setdefault(route, _StartTime(float(elapsed_ms)))
+        start = self._starts.setdefault(
+            route, _ResponseTime(float(elapsed_ms))
+        )
         start.add(elapsed_ms)
 
     def start_ms(self, route: str) -> float:
         """Estimate the time from a send to the start of the response."""
         start = self._starts.get(route)
-        return start.mean_ms + start.deviation_ms if start is not None else 0.0
+        return start.expected_ms if start is not None else 0.0
+
+    def record_end(self, route: str, elapsed_ms: int) -> None:
+        """Record the time from the arrival to the end of the response."""
+        end = self._ends.setdefault(route, _ResponseTime(float(elapsed_ms)))
+        end.add(elapsed_ms)
+
+    def end_ms(self, route: str) -> float:
+        """Estimate the time from the arrival to the end of the response."""
+        end = self._ends.get(route)
+        return end.expected_ms if end is not None else 0.0
 
     def wait_ms(self, pool: str, now_ms: int) -> int:
         """Estimate the time that a job of ``pool`` would wait now."""
--- a/packages/routing/src/godwitglade/routing/host.py
+++ b/packages/routing/src/godwitglade/routing/host.py
@@ -131,6 +131,7 @@
     rate_limits_ = rate_limits.RateLimits(self_id.name, members, cut_off)
     versions = pool_versions.PoolVersions()
     streams = stream_versions.StreamVersions(self_id, members, versions)
+    stopping_ = stopping.Stopping(settings.stop_limit_ms)
     requests_ = request_lifecycle.Requests(
         self_id,
         document_state_,
@@ -143,6 +144,7 @@
         resumption.Resumptions(versions, streams, directory),
         reachability_,
         hand_over_,
+        stopping_,
     )
     stage_work_ = stage_work.StageWork(
         self_id, address, members, document_state_, directory, cut_off
@@ -150,7 +152,6 @@
     stage_work_.on_job_ended = requests_.job_ended
     stage_work_.on_job_started = requests_.job_started
     stage_work_.resubmit = requests_.resubmit
-    stopping_ = stopping.Stopping(settings.stop_limit_ms)
     return Components(
         members,
         facts_,
--- a/packages/routing/src/godwitglade/routing/request_lifecycle.py
+++ b/packages/routing/src/godwitglade/routing/request_lifecycle.py
@@ -31,6 +31,7 @@
 from godwitglade.routing import request_logs
 from godwitglade.routing import resumption
 from godwitglade.routing import stage_jobs
+from godwitglade.routing import stopping
 from godwitglade.routing import stream_versions
 from godwitglade.routing import target_changes
 from godwitglade.routing import target_selection
@@ -87,7 +88,9 @@
         resumptions: resumption.Resumptions,
         reachability_: reachability.Reachability,
         hand_over_: hand_over.HandOver,
+        stopping_: stopping.Stopping,
     ) -> None:
+        self._stopping = stopping_
         self._resumptions = resumptions
         self._reachability = reachability_
         self._hand_over = hand_over_
@@ -123,6 +126,11 @@
         if self._quarantine.refuses(request, now_ms):
             log = request_logs.refusal_event(message, 503, 'quarantined')
             return [*error_replies.quarantined(request), log]
+        expected_ms = self.forecasts.end_ms(request.route.name)
+        if not self._stopping.may_take(
+            request.deadline_ms, expected_ms, now_ms
+        ):
+            return self._refuse_while_stopping(request)
         self._requests[request.request_id] = request
         self.budgets.record_request(request.pool, now_ms)
         timer = shared_effects.StartTimer(
@@ -241,6 +249,9 @@
         if not request.has_response_started:
             self._record_start(request, now_ms)
             effects_ += self._record_limit(request, message, now_ms)
+        if not request.is_resume:
+            elapsed_ms = now_ms - request.arrived.read_ms
+            self.forecasts.record_end(request.route.name, elapsed_ms)
         effects_ += self._quarantine.record_success(request, now_ms)
         return effects_ + self._finish(
             request, outcome, [], now_ms, is_done=True
@@ -837,6 +848,14 @@
         ending = error_replies.refused(request, reason, wait_ms)
         return self._finish(request, reason, ending, now_ms)
 
+    def _refuse_while_stopping(self, request: request_.Request) -> Effects:
+        """Refuse a request on arrival that another host can finish."""
+        (answer,) = error_replies.stopped(request)
+        log = request_logs.refusal_event(
+            request.arrived, answer.status, answer.reason
+        )
+        return [answer, log]
+
     def _refuse_quarantined(
         self, request: request_.Request, now_ms: int
     ) -> Effects:
--- a/packages/routing/src/godwitglade/routing/stopping.py
+++ b/packages/routing/src/godwitglade/routing/stopping.py
@@ -10,6 +10,8 @@
 #: the load balancer needs two not-ready replies, one second apart, and new
 #: connections may be on their way.
 LISTENER_GRACE_MS = 2_300
+#: Longest time that the listener takes to close.
+CLOSE_MS = 500
 #: Share of the longest stop after which open requests are answered; the rest
 #: is for writing these answers.
 ANSWER_SHARE = 0.94
@@ -43,11 +45,27 @@
         self.is_closing = now_ms - self.requested_ms >= LISTENER_GRACE_MS
         return self.is_closing
 
+    def may_take(
+        self, deadline_ms: int, expected_ms: float, now_ms: int
+    ) -> bool:
+        """Return whether a request that arrives now may be taken.
+
+        ``expected_ms`` is the time that most such requests take at most. It
+        does not count for requests that are read after the listener has
+        closed: little time is left, and other hosts can serve them.
+        """
+        if self.requested_ms is None or deadline_ms <= self._answers_ms:
+            return True
+        is_late = now_ms - self.requested_ms > LISTENER_GRACE_MS + CLOSE_MS
+        return not is_late and now_ms + expected_ms < self._answers_ms
+
     def should_answer(self, now_ms: int) -> bool:
         """Return whether all open requests have to be answered now."""
-        if self.requested_ms is None:
-            return False
-        return now_ms >= self.requested_ms + ANSWER_SHARE * self.limit_ms
+        return self.requested_ms is not None and now_ms >= self._answers_ms
+
+    @property
+    def _answers_ms(self) -> float:
+        return self.requested_ms + ANSWER_SHARE * self.limit_ms
 
     def may_end(self, is_idle: bool, now_ms: int) -> bool:
         """Return whether the process may end now."""
--- a/tests/edge/test_planned_stop.py
+++ b/tests/edge/test_planned_stop.py
@@ -3,6 +3,7 @@
 import contextlib
 import http.client
 import socket
+import time
 
 import pytest
 
@@ -23,14 +24,18 @@
     running = deployment.Deployment()
     running.store.put('op', 'config', edge_document.document(2, routes=ROUTES))
     running.wait_for(lambda: '"version": 2' in running.log.text)
-    bounds = host.Settings(stop_limit_ms=STOP_LIMIT_MS)
-    running.process.loop.post(messages.SettingsReloaded(bounds))
+    set_limit(running, STOP_LIMIT_MS)
     for server in running.process.servers[:2]:
         server.shutdown_timeout = STOP_LIMIT_MS / 1_000
     yield running
     running.stop()
 
 
+def set_limit(edge, limit_ms):
+    bounds = host.Settings(stop_limit_ms=limit_ms)
+    edge.process.loop.post(messages.SettingsReloaded(bounds))
+
+
 def request_head(path, length=2, **headers):
     lines = [f'{n.replace("_", "-")}: {v}\r\n' for n, v in headers.items()]
     return (
@@ -84,3 +89,31 @@
         edge.wait_for(lambda: 'request_admitted' in edge.log.text)
         edge.process.loop.post(messages.StopRequested())
         assert read_response(caller) == expected
+
+
+@pytest.mark.parametrize(
+    ('headers', 'expected'), [({}, 503), ({'X_Deadline_Ms': '400'}, 200)]
+)
+def test_request_read_late_in_a_stop_is_run_only_if_it_can_end(
+    edge, headers, expected
+):
+    set_limit(edge, 5_000)
+    with connect(edge.address) as caller:
+        caller.sendall(request_head('/once/x', **headers) + b'{')
+        edge.process.loop.post(messages.StopRequested())
+        time.sleep(3)
+        caller.sendall(b'}')
+        assert read_response(caller) == (expected, True)
+    assert len(edge.runs('app')) == (expected == 200)
+
+
+def test_stream_that_would_outlast_a_stop_is_refused_on_arrival(edge):
+    requests = edge.process.loop.host.components.requests
+    requests.forecasts.record_end('stream', STOP_LIMIT_MS)
+    edge.process.loop.post(messages.StopRequested())
+    edge.wait_for(lambda: 'stopping' in edge.log.text)
+    response = edge.send_request('/stream/x', X_Deadline_Ms='9000')
+    assert response.status == 503
+    assert 'Retry-After' in response.headers
+    assert response.headers['Connection'] == 'close'
+    assert not edge.runs('engine')
--- a/tests/routing/test_request_lifecycle.py
+++ b/tests/routing/test_request_lifecycle.py
@@ -22,6 +22,7 @@
 from godwitglade.routing import request_lifecycle
 from godwitglade.routing import resumption
 from godwitglade.routing import stage_jobs
+from godwitglade.routing import stopping
 from godwitglade.routing import stream_versions
 from godwitglade.routing import targets
 from tests.routing import builders
@@ -65,6 +66,7 @@
             resumption.Resumptions(versions, streams, self.directory),
             reachability.Reachability(self.directory, random.Random(1)),
             hand_over.HandOver('h1', members, cut_off, random.Random(1)),
+            stopping.Stopping(7_000),
         )
 
     def handle(self, message, now_ms=10):
--- a/tests/routing/test_routing_components.py
+++ b/tests/routing/test_routing_components.py
@@ -197,6 +197,29 @@
     assert stop.may_end(is_idle, 100 + elapsed_ms) is may_end
 
 
+@pytest.mark.parametrize(
+    ('elapsed_ms', 'left_ms', 'expected_ms', 'may_take'),
+    [
+        (0, 20_000, 0, True),
+        (0, 20_000, 6_000, True),
+        (0, 20_000, 7_000, False),
+        (2_300, 20_000, 4_000, True),
+        (2_300, 20_000, 4_500, False),
+        (2_300, 4_000, 9_000, True),
+        (3_000, 20_000, 0, False),
+        (3_000, 3_500, 0, True),
+        (6_500, 200, 0, False),
+    ],
+)
+def test_stopping_host_takes_only_what_it_can_finish(
+    elapsed_ms, left_ms, expected_ms, may_take
+):
+    stop = stopping.Stopping(7_000, requested_ms=100, is_closing=True)
+    now_ms = 100 + elapsed_ms
+    taken = stop.may_take(now_ms + left_ms, expected_ms, now_ms)
+    assert taken is may_take
+
+
 def test_listener_closes_once_after_the_grace_period():
     stop = stopping.Stopping(7_000, requested_ms=100)
     times_ms = [100, 100 + stopping.LISTENER_GRACE_MS, 5_000]
