Close the listener for handed-over requests in a planned stop

What callers saw: requests that hosts cut off from all targets hand over were read until the process exited, and the process did not wait for the threads that write their answers. The last of them could end without an answer.

Cause: only the callers' listener was closed; the end of the process was not ordered after the threads of the other one.

Change: both listeners close at the same time, and the process ends after the threads of both.

--- a/packages/daemon/src/godwitglade/daemon/servers.py
+++ b/packages/daemon/src/godwitglade/daemon/servers.py
@@ -117,6 +117,18 @@
     return _configure(http_server, connection_class, threads)
 
 
+def stop_all(http_servers: typing.Iterable[server.HTTPServer]) -> None:
+    """Stop listeners at the same time; return when all their threads ended."""
+    threads = [
+        threading.Thread(target=http_server.stop, daemon=True)
+        for http_server in http_servers
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+
+
 def set_limits(
     http_server: GatewayServer,
     max_header_bytes: int,
--- a/tests/edge/test_planned_stop.py
+++ b/tests/edge/test_planned_stop.py
@@ -117,3 +117,16 @@
     assert 'Retry-After' in response.headers
     assert response.headers['Connection'] == 'close'
     assert not edge.runs('engine')
+
+
+def test_listener_for_other_hosts_closes_and_its_requests_are_answered(edge):
+    edge.set_behaviours('app', 'endless_status')
+    taken_over = '{}:{}'.format(*edge.process.servers[1].bind_addr)
+    with connect(taken_over) as caller:
+        caller.sendall(request_head('/once/x') + b'{}')
+        edge.wait_for(lambda: edge.runs('app'))
+        edge.process.loop.post(messages.StopRequested())
+        time.sleep((STOP_LIMIT_MS - 500) / 1_000)
+        with pytest.raises(ConnectionRefusedError):
+            connect(taken_over)
+        assert read_response(caller) == (502, True)
