Keep a closed connection from ending a request on another connection

What callers saw: a request ended without an answer, its connection closed, and its call to a target cancelled, although its caller was still there.

Cause: the watcher of callers' connections polls descriptors without a lock and looks the request up afterwards. Between the two, the connection can end and the next one that is accepted gets its descriptor; the request on that one was then taken for the one whose caller had left. Callers that close their connection after the response make such events.

Change: after an event the watcher polls again with its lock held, so that an event is always of the connection that is watched then.

--- a/packages/callers/src/godwitglade/callers/routed_exchanges.py
+++ b/packages/callers/src/godwitglade/callers/routed_exchanges.py
@@ -65,10 +65,9 @@
 
     def add(self, descriptor: int, request_id: str) -> None:
         """Watch the connection of a request."""
-        events = select.EPOLLRDHUP | select.EPOLLONESHOT
         with self._lock:
             self._watched[descriptor] = request_id
-            self._epoll.register(descriptor, events)
+            self._epoll.register(descriptor, select.EPOLLRDHUP)
 
     def remove(self, descriptor: int) -> None:
         """Stop watching, before the connection is reused or closed."""
@@ -79,8 +78,18 @@
     def run(self) -> None:
         """Watch connections forever; needs a thread of its own."""
         while True:
-            for descriptor, _ in self._epoll.poll(POLL_TIMEOUT_S):
-                with self._lock:
-                    request_id = self._watched.get(descriptor)
-                if request_id is not None:
-                    self._post(messages.CallerDisconnected(request_id))
+            self._epoll.poll(POLL_TIMEOUT_S)
+            for request_id in self._pop_closed():
+                self._post(messages.CallerDisconnected(request_id))
+
+    def _pop_closed(self) -> list[str]:
+        """Stop watching closed connections; return their requests.
+
+        Polls again with the lock held: an event may be of a connection that
+        has ended meanwhile and whose descriptor is that of another one now.
+        """
+        with self._lock:
+            closed = [descriptor for descriptor, _ in self._epoll.poll(0)]
+            for descriptor in closed:
+                self._epoll.unregister(descriptor)
+            return [self._watched.pop(descriptor) for descriptor in closed]
