Answer requests that arrive while a listener closes

What callers saw: in a planned stop, a request on a kept connection that came between the last poll of the connections and their close was not read; its connection was reset, on a busy host up to some tenths of a second later.

Cause: cheroot closes all idle connections after it has stopped polling them, also those on which a request has arrived meanwhile.

Change: the connections are polled once more, without a wait, right before they are closed. Those with a request go to a thread and are answered.

Evidence: the new test sends a request in that gap; before, its connection was reset.

--- a/packages/daemon/src/godwitglade/daemon/servers.py
+++ b/packages/daemon/src/godwitglade/daemon/servers.py
@@ -4,6 +4,7 @@
 import typing
 
 import attrs
+from cheroot import connections as cheroot_connections
 from cheroot import server
 from cheroot import wsgi
 
@@ -88,11 +89,28 @@
     return _configure(http_server, listener.connection_class, listener.threads)
 
 
+class _Connections(cheroot_connections.ConnectionManager):
+    """Idle connections; those with a request are served before the end."""
+
+    def close(self) -> None:
+        """Serve the requests that have arrived; close the rest."""
+        for descriptor, conn in list(self._selector.select(timeout=0)):
+            if conn is not self.server:
+                self._selector.unregister(descriptor)
+                self.server.process_conn(conn)
+        super().close()
+
+
 class GatewayServer(server.HTTPServer):
     """A server that assigns no thread to a connection without data."""
 
     header_timeout_ms = HEADER_TIMEOUT_MS
 
+    def prepare(self) -> None:
+        """Bind the address; raises OSError."""
+        super().prepare()
+        self._connections = _Connections(self)
+
     def process_conn(self, conn: connections.BoundedConnection) -> None:
         """Serve a connection, or wait for the first bytes on a new one."""
         if conn.is_new:
--- a/tests/edge/test_planned_stop.py
+++ b/tests/edge/test_planned_stop.py
@@ -130,3 +130,21 @@
         with pytest.raises(ConnectionRefusedError):
             connect(taken_over)
         assert read_response(caller) == (502, True)
+
+
+def test_request_that_arrives_while_the_listener_closes_is_answered(
+    edge, monkeypatch
+):
+    connections = edge.process.servers[0]._connections
+    stop_polling = connections.stop
+    with connect(edge.address) as caller:
+        edge.wait_for(lambda: connections._num_connections)
+
+        def stop():
+            stop_polling()
+            caller.sendall(request_head('/once/x') + b'{}')
+            time.sleep(0.1)
+
+        monkeypatch.setattr(connections, 'stop', stop)
+        edge.process.loop.post(messages.StopRequested())
+        assert read_response(caller) == (200, True)
