--- a/tests/routing/test_request_lifecycle.py
+++ b/tests/routing/test_request_lifecycle.py
@@ -54,6 +54,7 @@
         versions.set_listed('app', self.directory.versions('app'), 0)
         versions.is_complete, versions.confirmed_ms = True, 0
         streams = stream_versions.StreamVersions(SELF, members, versions)
+        self.stopping = stopping.Stopping(7_000)
         self.requests = request_lifecycle.Requests(
             SELF,
             self.document_state,
@@ -66,7 +67,7 @@
             resumption.Resumptions(versions, streams, self.directory),
             reachability.Reachability(self.directory, random.Random(1)),
             hand_over.HandOver('h1', members, cut_off, random.Random(1)),
-            stopping.Stopping(7_000),
+            self.stopping,
         )
 
     def handle(self, message, now_ms=10):
@@ -223,6 +224,19 @@
     assert not len(harness.requests)
 
 
+@pytest.mark.parametrize(
+    ('is_taken_over', 'expected'), [(False, 503), (True, 421)]
+)
+def test_request_that_a_stopping_host_cannot_finish_is_refused(
+    is_taken_over, expected
+):
+    harness = Harness(ROUTES['at_most_once'])
+    harness.stopping.requested_ms = 0
+    effects_ = harness.arrive(now_ms=6_500, is_taken_over=is_taken_over)
+    assert caller_status(effects_) == expected
+    assert not find_effect(effects_, effects.Forward)
+
+
 def test_shorter_caller_deadline_overrides_the_timeout():
     harness = Harness(ROUTES['at_most_once'])
     forward = find_effect(harness.arrive(budget_ms=300), effects.Forward)
