Let a test wait until the loop has handled the stop it posted

test_planned_stop_answers_open_request_and_closes_listener failed once of three whole runs: the host still reported ready right after the test had posted the stop.

Cause: a race of the test. The loop handles the message on its own thread; with a loop that another message holds for 0.3 s, the host reports ready right after the post in one of one runs, and not ready once the message is handled.

Change: the test waits for the loop before it asks. It still requires that the host is not ready as soon as the stop has been handled.

--- a/tests/edge/test_edge.py
+++ b/tests/edge/test_edge.py
@@ -412,6 +412,7 @@
     with socket.create_connection((host, int(port)), timeout=5) as connection:
         connection.sendall(request_text('/once/x').encode())
         edge.process.loop.post(messages.StopRequested())
+        edge.process.loop.call(lambda *_: None, 5_000)
         assert not edge.is_ready()
         assert b'Connection: close' in connection.recv(4_096)
     deadline_s = time.monotonic() + 5
