--- a/packages/daemon/src/godwitglade/daemon/servers.py
+++ b/packages/daemon/src/godwitglade/daemon/servers.py
@@ -1,9 +1,12 @@
 """HTTP listeners: CherryPy applications on CherryPy's WSGI server."""
 
+import contextlib
+import select
 import threading
 import typing
 
 import attrs
+from cheroot import connections as cheroot_connections
 from cheroot import server
 from cheroot import wsgi
 
@@ -88,11 +91,43 @@
     return _configure(http_server, listener.connection_class, listener.threads)
 
 
+class _Connections(cheroot_connections.ConnectionManager):
+    """Idle connections; those with a request are served before the end."""
+
+    def close(self) -> None:
+        """Serve the requests that have arrived; close the rest.
+
+        Each connection is checked right before it is closed: to close many
+        takes long on a busy host.
+        """
+        for descriptor, conn in list(self._selector.connections):
+            if conn is self.server:
+                continue
+            self._selector.unregister(descriptor)
+            if _has_data(descriptor):
+                self.server.process_conn(conn)
+                continue
+            with contextlib.suppress(OSError):
+                conn.close()
+        super().close()
+
+
+def _has_data(descriptor: int) -> bool:
+    poll = select.poll()
+    poll.register(descriptor, select.POLLIN)
+    return bool(poll.poll(0))
+
+
 class GatewayServer(server.HTTPServer):
     """A server that assigns no thread to a connection without data."""
 
     header_timeout_ms = HEADER_TIMEOUT_MS
 
+    def prepare(self) -> None:
+        """Bind the address; raises OSError."""
+        super().prepare()
+        self._connections = _Connections(self)
+
     def process_conn(self, conn: connections.BoundedConnection) -> None:
         """Serve a connection, or wait for the first bytes on a new one."""
         if conn.is_new:
@@ -117,6 +152,18 @@
     return _configure(http_server, connection_class, threads)
 
 
+def stop_all(http_servers: typing.Iterable[server.HTTPServer]) -> None:
+    """Stop listeners at the same time; return when all their threads ended."""
+    threads = [
+        threading.Thread(target=http_server.stop, daemon=True)
+        for http_server in http_servers
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+
+
 def set_limits(
     http_server: GatewayServer,
     max_header_bytes: int,
--- a/packages/routing/src/godwitglade/routing/host.py
+++ b/packages/routing/src/godwitglade/routing/host.py
@@ -132,6 +132,7 @@
     rate_limits_ = rate_limits.RateLimits(self_id.name, members, cut_off)
     versions = pool_versions.PoolVersions()
     streams = stream_versions.StreamVersions(self_id, members, versions)
+    stopping_ = stopping.Stopping(settings.stop_limit_ms)
     requests_ = request_lifecycle.Requests(
         self_id,
         document_state_,
@@ -144,6 +145,7 @@
         resumption.Resumptions(versions, streams, directory),
         reachability_,
         hand_over_,
+        stopping_,
     )
     stage_work_ = stage_work.StageWork(
         self_id, address, members, document_state_, directory, cut_off
@@ -151,7 +153,6 @@
     stage_work_.on_job_ended = requests_.job_ended
     stage_work_.on_job_started = requests_.job_started
     stage_work_.resubmit = requests_.resubmit
-    stopping_ = stopping.Stopping(settings.stop_limit_ms)
     return Components(
         members,
         facts_,
@@ -427,6 +428,8 @@
         self.components.rate_limits.maintain(directory.all(), now_ms)
         if self.components.stopping.should_close(now_ms):
             effects_.append(effects.StopListening())
+        if self.components.stopping.should_answer(now_ms):
+            effects_ += self.components.requests.answer_all(now_ms)
         return [timer, *effects_, *self._stop_if_done(now_ms)]
 
     def _check_reachability(self, now_ms: int) -> Effects:
