Keep the loop running when an effect cannot be carried out

Change: an effect that raises is reported as loop_fault; the others and the messages after it are handled.

Evidence: test_effect_that_raises_does_not_end_the_loop failed before.

--- a/packages/daemon/src/godwitglade/daemon/loop.py
+++ b/packages/daemon/src/godwitglade/daemon/loop.py
@@ -59,7 +59,8 @@
     """Passes messages and due timers to a host, one at a time.
 
     ``carry_out`` is called with each effect. ``report_fault`` is called with
-    a message whose handling raised and the exception; the message is dropped.
+    a message whose handling raised, or an effect whose carrying out raised,
+    and the exception; only that message or effect is dropped.
     """
 
     def __init__(
@@ -137,7 +138,10 @@
 
     def _carry_out_all(self, effects: typing.Iterable[typing.Any]) -> None:
         for effect in effects:
-            self._carry_out(effect)
+            try:
+                self._carry_out(effect)
+            except Exception as error:
+                self._report_fault(effect, error)
 
 
 class Inbox:
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -53,6 +53,26 @@
     assert applied == [effects.Count('after')]
 
 
+def test_effect_that_raises_does_not_end_the_loop():
+    applied, faults = [], []
+
+    def carry_out(effect):
+        if effect.name == 'odd':
+            raise TypeError(effect.name)
+        applied.append(effect.name)
+
+    loop_ = loop.Loop(
+        EchoHost(),
+        clock.ManualClock(),
+        carry_out,
+        lambda effect, error: faults.append((effect.name, type(error))),
+    )
+    for message in ('odd', 'after'):
+        loop_.post(message)
+        loop_.run_once()
+    assert (applied, faults) == (['after'], [('odd', TypeError)])
+
+
 @pytest.mark.parametrize('is_raising', [True, False])
 def test_loop_call_returns_the_result_or_the_error(harness, is_raising):
     loop_, clock_, _, _ = harness
