Report a call to an address that cannot be opened as failed

Callers of a request that was sent to a target with an odd address got no answer, or 500, and the loop did not learn that the call had ended: an address such as '127.0.0.1:x' or one that cannot be encoded as a host name raised ValueError, InvalidURL or OverflowError, which the forwarder passed on.

Change: connections raise LocationParseError, an HTTPError; a request whose headers cannot be written counts as not sent; the peer client reports no reply.

--- a/packages/peers/src/godwitglade/peers/client.py
+++ b/packages/peers/src/godwitglade/peers/client.py
@@ -29,7 +29,16 @@
 REQUEST_LINE_BYTES = 26
 STATUS_LINE_BYTES = 19
 
-SEND_ERRORS = (urllib3.exceptions.HTTPError, common_errors.CodedError, OSError)
+#: ValueError and OverflowError are raised for an address that is no host and
+#: port, TypeError for a message that cannot be written as JSON.
+SEND_ERRORS = (
+    urllib3.exceptions.HTTPError,
+    common_errors.CodedError,
+    OSError,
+    ValueError,
+    OverflowError,
+    TypeError,
+)
 
 
 class Client:
--- a/packages/targets/src/godwitglade/targets/connections.py
+++ b/packages/targets/src/godwitglade/targets/connections.py
@@ -6,11 +6,13 @@
 moment are dropped.
 """
 
+import http.client
 import socket
 import struct
 import threading
 import typing
 
+from urllib3 import exceptions as urllib3_errors
 from urllib3 import response as urllib3_response
 
 from godwitglade.common import clock as clocks
@@ -26,6 +28,8 @@
 RECENT_CONTACT_MS = 300
 #: A wait may exceed the requested timeout by this much.
 TIMEOUT_TOLERANCE_MS = 20
+#: Raised for an address that is no host and port.
+ADDRESS_ERRORS = (ValueError, OverflowError, http.client.InvalidURL)
 
 _DISCARD_ON_CLOSE = struct.pack('ii', 1, 0)
 
@@ -50,10 +54,8 @@
     """An HTTP connection to ``address``, used by one call at a time."""
 
     def __init__(self, address: str, clock: clocks.Clock) -> None:
-        host, _, port = address.rpartition(':')
-        self._http = whole_responses.HTTPConnection(
-            host.strip('[]'), int(port)
-        )
+        self._address = address
+        self._http: whole_responses.HTTPConnection | None = None
         self._clock = clock
         self._socket: socket.socket | None = None
         self._timeout_ms = 0
@@ -64,8 +66,15 @@
 
     def open(self, timeout_ms: int) -> None:
         """Open the connection; raises urllib3's HTTPError or OSError."""
-        self._http.timeout = timeout_ms / clocks.SECOND_MS
-        self._http.connect()
+        host, _, port = self._address.rpartition(':')
+        try:
+            self._http = whole_responses.HTTPConnection(
+                host.strip('[]'), int(port)
+            )
+            self._http.timeout = timeout_ms / clocks.SECOND_MS
+            self._http.connect()
+        except ADDRESS_ERRORS as error:
+            raise urllib3_errors.LocationParseError(self._address) from error
         plain = self._http.sock
         timeout_s = plain.gettimeout()
         self._socket = _DeadlineSocket(fileno=plain.detach())
@@ -169,7 +178,8 @@
 
     def close(self) -> None:
         """Close the connection."""
-        self._http.close()
+        if self._http is not None:
+            self._http.close()
 
     def discard(self) -> None:
         """Close the connection and drop unsent data.
--- a/packages/targets/src/godwitglade/targets/http_exchange.py
+++ b/packages/targets/src/godwitglade/targets/http_exchange.py
@@ -107,6 +107,11 @@
         connection.send(method, path, body, budget.wait_ms(), headers)
     except TRANSPORT_ERRORS as error:
         raise _to_fault(error, budget) from error
+    except ValueError as error:
+        # Headers are checked before anything is sent.
+        raise faults.CallFaultError(
+            FaultKind.ERROR, type(error).__name__, was_sent=False
+        ) from error
 
 
 def receive(
