Keep following a table after any odd response of the store

A host stopped following a table of the store until its restart: the thread that follows it ended on a response that was no object, whose rows were no list, that promised more rows and had none, or whose era or version was no number; only CodedError, KeyError and TypeError were caught. A version of null made the follower read the whole table without a pause.

Change: any failure of a read counts as a lost store, with its pause; a version must be an integer; a row without a key is skipped with row_skipped, the others hold.

--- a/packages/platform/src/godwitglade/platform/follower.py
+++ b/packages/platform/src/godwitglade/platform/follower.py
@@ -42,11 +42,24 @@
     are given out again.
     """
 
-    rows: list[dict[str, typing.Any]]
-    version: int
+    rows: list[dict[str, typing.Any]] = attrs.field(
+        validator=attrs.validators.instance_of(list)
+    )
+    version: int = attrs.field(validator=attrs.validators.instance_of(int))
     outage_ms: int = 0
     era: int = 0
 
+    def usable(self, log: Log) -> 'Rows':
+        """Return these without rows that have no key; log the others."""
+        rows = []
+        for row in self.rows:
+            if isinstance(row, dict) and isinstance(row.get('key'), str):
+                rows.append(row)
+            else:
+                fields = {'reason': 'the row has no key'}
+                log(events.Event.ROW_SKIPPED, fields)
+        return attrs.evolve(self, rows=rows)
+
 
 class Client(typing.Protocol):
     """Reads rows from a store; raises CodedError."""
@@ -75,6 +88,12 @@
     pause_ms: int = 0
 
 
+def describe(error: Exception) -> str:
+    """Return what is logged about a failed read."""
+    is_expected = isinstance(error, errors.CodedError)
+    return str(error) if is_expected else repr(error)
+
+
 @attrs.define(eq=False)
 class Availability:
     """Whether the store responds; logs every change of that."""
@@ -117,6 +136,7 @@
         self._table = table
         self._apply = apply
         self._clock = clock
+        self._log = log
         self._availability = Availability(log, table)
         self._pace = pace
         self._version: int | None = None
@@ -173,8 +193,10 @@
             last_ms = self._full_read_started_ms
             is_repeated = last_ms is None or started_ms - last_ms < RETRY_MS
             return RETRY_MS if is_repeated else 0
-        except (errors.CodedError, KeyError, TypeError) as error:
-            self._availability.record_failure(str(error))
+        except Exception as error:
+            # An odd response, like a fault of the client, must not end the
+            # thread.
+            self._availability.record_failure(describe(error))
             self._version = None
             return RETRY_MS
         is_new_era, self._era = result.era != self._era, result.era
@@ -190,7 +212,7 @@
         self._availability.record_success()
         self._version = result.version
         try:
-            self._apply(result, is_full_read, started_ms)
+            self._apply(result.usable(self._log), is_full_read, started_ms)
         except Exception as error:
             # Otherwise one odd row would end the thread, and all news.
             self._availability.record_failure(repr(error))
--- a/packages/platform/src/godwitglade/platform/initial_read.py
+++ b/packages/platform/src/godwitglade/platform/initial_read.py
@@ -4,7 +4,6 @@
 import typing
 
 from godwitglade.common import clock as clocks
-from godwitglade.common import errors
 from godwitglade.platform import follower
 
 
@@ -29,11 +28,11 @@
     pause = threading.Event()
     while True:
         try:
-            rows = client.read(table)
-        except errors.CodedError as error:
-            availability.record_failure(str(error))
+            apply_rows(client.read(table).usable(log))
+        except Exception as error:
+            # An odd response must not end the reading.
+            availability.record_failure(follower.describe(error))
             pause.wait(follower.RETRY_MS / clocks.SECOND_MS)
         else:
             availability.record_success()
-            apply_rows(rows)
             return
--- a/packages/platform/src/godwitglade/platform/registration.py
+++ b/packages/platform/src/godwitglade/platform/registration.py
@@ -4,7 +4,6 @@
 import typing
 
 from godwitglade.common import clock as clocks
-from godwitglade.common import errors
 from godwitglade.platform import follower
 
 
@@ -32,8 +31,8 @@
     while True:
         try:
             client.write(table, key, value)
-        except errors.CodedError as error:
-            availability.record_failure(str(error))
+        except Exception as error:
+            availability.record_failure(follower.describe(error))
             pause.wait(follower.RETRY_MS / clocks.SECOND_MS)
             continue
         availability.record_success()
