Refuse documents and target entries with values out of range

With a host, prefix or pool of another type, requests raised in the loop and their callers got no answer until their timeout; a limit below 0 or of another type broke all connections or gave 500. - headroomMb of 1e305, or a target entry with a field nested 1,000 deep, raised OverflowError or RecursionError, which the decoder let through: the whole table counted as unreadable, four times a second, and neither it nor what was added to it was used any more; keys expired. - apiKeys as a text made each of its letters a key. - Numbers up to 1e308 in target entries were kept, and could not be written into the messages between hosts.

Change: value_checks bounds what documents and entries contain.

--- a/packages/routing/src/godwitglade/routing/documents.py
+++ b/packages/routing/src/godwitglade/routing/documents.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from godwitglade.routing import value_checks as checks
+
 
 class RequestKind(enum.Enum):
     """Whether a request may run more than once, and whether it streams."""
@@ -23,17 +25,17 @@
     ``result_bytes`` is the approximate size of one result.
     """
 
-    pool: str
+    pool: str = checks.text_field()
     after: tuple[int, ...] = ()
-    result_bytes: int = 0
+    result_bytes: int = checks.field(0, default=0)
 
 
 @attrs.frozen
 class WeightedPool:
     """A pool and its share of a route's requests."""
 
-    name: str
-    weight: float = 1.0
+    name: str = checks.text_field()
+    weight: float = checks.field(0, default=1.0)
 
 
 @attrs.frozen
@@ -46,20 +48,23 @@
     route (``needs_no_key``) needs no key.
     """
 
-    name: str
-    host: str
-    prefix: str
+    name: str = checks.text_field()
+    host: str = checks.text_field()
+    prefix: str = checks.text_field()
     kind: RequestKind
     pools: tuple[WeightedPool, ...]
-    timeout_ms: int
-    objective_ms: int
-    rank: int = 0
-    max_targets: int = 1
+    timeout_ms: int = checks.field(0, checks.MAX_TIMEOUT_MS)
+    objective_ms: int = checks.field(0, checks.MAX_TIMEOUT_MS)
+    rank: int = checks.field(default=0)
+    max_targets: int = checks.field(1, default=1)
     stages: tuple[Stage, ...] = ()
     needs_no_key: bool = False
     has_prompt: bool = False
     is_resumable: bool = False
 
+    def __attrs_post_init__(self) -> None:
+        checks.stage_order([stage.after for stage in self.stages])
+
     @property
     def is_repeatable(self) -> bool:
         """Return whether a request of this route may run more than once."""
@@ -75,28 +80,28 @@
     ``result_ttl_ms`` after their call, unless they are freed earlier.
     """
 
-    max_items: int
-    call_ms: float
-    item_ms: float
-    result_memory_bytes: int
-    result_ttl_ms: int
-    concurrency: int = 1
+    max_items: int = checks.field(1, checks.MAX_COUNT)
+    call_ms: float = checks.field(0)
+    item_ms: float = checks.field(0)
+    result_memory_bytes: int = checks.field(0)
+    result_ttl_ms: int = checks.field(0)
+    concurrency: int = checks.field(1, checks.MAX_COUNT, default=1)
 
 
 @attrs.frozen
 class Engine:
     """Capacity of a model engine: concurrent requests, tokens in memory."""
 
-    slots: int
-    memory_tokens: int
+    slots: int = checks.field(1, checks.MAX_COUNT)
+    memory_tokens: int = checks.field(0)
 
 
 @attrs.frozen
 class Pool:
     """A group of interchangeable targets."""
 
-    name: str
-    max_connections: int = 1
+    name: str = checks.text_field()
+    max_connections: int = checks.field(1, checks.MAX_COUNT, default=1)
     batching: Batching | None = None
     engine: Engine | None = None
 
@@ -105,10 +110,14 @@
 class Limits:
     """Limits on the size of a caller's requests and on its idle times."""
 
-    max_header_bytes: int = 16 * 1024
-    max_body_bytes: int = 4 * 1024 * 1024
-    header_timeout_ms: int = 3_000
-    idle_timeout_ms: int = 15_000
+    max_header_bytes: int = checks.field(1, default=16 * 1024)
+    max_body_bytes: int = checks.field(0, default=4 * 1024 * 1024)
+    header_timeout_ms: int = checks.field(
+        1, checks.MAX_TIMEOUT_MS, default=3_000
+    )
+    idle_timeout_ms: int = checks.field(
+        1, checks.MAX_TIMEOUT_MS, default=15_000
+    )
 
 
 @attrs.frozen
--- a/tests/edge/deployment.py
+++ b/tests/edge/deployment.py
@@ -32,8 +32,10 @@
 class Deployment:
     """A store, two targets of each pool, and an edge process."""
 
-    def __init__(self, revoke_ms=None):
+    def __init__(self, revoke_ms=None, rows=()):
         self.store = edge_platform.Store()
+        for row in rows:
+            self.store.put(*row)
         self.targets = [
             edge_platform.Target(f'{pool}-{n}', pool)
             for pool in ('app', 'engine', 'encode')
