Bound what hosts tell one another

A time to live without bound kept it for good. - A suspicion with the highest refutation number made the host contradict it with a number that cannot be written, with the same effect. - A job of 2**53 items made the owner of its pool allocate memory until it ended; a wait of 'nan' raised for every job of the pool.

Change: the codec refuses numbers beyond 2**53 and texts as numbers; facts of other hosts are dropped if their value or version is too large, and their time to live is at most an hour; such suspicions are not contradicted; jobs of more than 10,000 items are refused.

--- a/packages/coordination/src/godwitglade/coordination/facts.py
+++ b/packages/coordination/src/godwitglade/coordination/facts.py
@@ -44,6 +44,10 @@
 #: Maximum rate at which one host starts urgent exchanges.
 URGENT_SENDS_PER_S = 4
 
+#: Versions above this, and longer times to live, are not believed.
+MAX_VERSION = 2**52
+MAX_TTL_MS = 60 * clock.MINUTE_MS
+
 #: A fact about to expire is not applied again from a slower host.
 MIN_TTL_MS = 2 * clock.SECOND_MS
 
@@ -195,7 +199,7 @@
         new_effects: Effects = []
         is_urgent = False
         for record in records:
-            if record.ttl_ms < MIN_TTL_MS:
+            if record.ttl_ms < MIN_TTL_MS or not _is_sound(record):
                 continue
             record_effects = self._apply(record, now_ms, is_forwarded)
             is_urgent |= (
@@ -213,7 +217,7 @@
         is_forwarded: bool = True,
     ) -> Effects:
         key = _key_of(record.kind, record.key, record.origin)
-        expiry_ms = now_ms + record.ttl_ms
+        expiry_ms = now_ms + min(record.ttl_ms, MAX_TTL_MS)
         if key not in self._expiry_ms and not self._ensure_capacity(expiry_ms):
             return [effects.Count('facts.dropped')]
         if not self._records.merge(key, record, is_forwarded):
@@ -300,6 +304,15 @@
     return '\0'.join((kind, key))
 
 
+def _is_sound(record: bodies.FactRecord) -> bool:
+    """Return whether a fact of another host can be sent on."""
+    try:
+        size_bytes = len(codec.to_json(record.value))
+    except (TypeError, RecursionError):
+        return False
+    return size_bytes <= VALUE_LIMIT_BYTES and record.version <= MAX_VERSION
+
+
 def _version_of(record: bodies.FactRecord) -> tuple[int, str]:
     return (record.version, record.origin)
 
--- a/packages/coordination/src/godwitglade/coordination/membership.py
+++ b/packages/coordination/src/godwitglade/coordination/membership.py
@@ -28,6 +28,8 @@
 
 TICK_TOKEN = 'members:tick'
 REPAIR_TOKEN = 'members:repair:'
+#: A host does not contradict a suspicion of a higher number.
+MAX_REFUTATION = 2**31
 
 #: A table with less than this share of a peer's members is repaired early.
 MIN_SIZE_RATIO = 0.9
@@ -318,7 +320,8 @@
         own = self.table.own
         is_same_incarnation = record.host.incarnation == own.host.incarnation
         is_newer = members.record_version(record) > members.record_version(own)
-        return is_same_incarnation and is_newer
+        is_sound = record.refutation < MAX_REFUTATION
+        return is_same_incarnation and is_newer and is_sound
 
     def _replace_own(
         self, refutation: int, state: bodies.MemberState, now_ms: int
--- a/packages/peers/src/godwitglade/peers/codec.py
+++ b/packages/peers/src/godwitglade/peers/codec.py
@@ -36,7 +36,10 @@
     ValueError,
     KeyError,
     AttributeError,
+    RecursionError,
 )
+#: Larger numbers could not be added to or written in a message again.
+MAX_NUMBER = 2**53 - 1
 
 
 @attrs.frozen
@@ -113,6 +116,7 @@
     )
     for scalar in (str, int, bool):
         converter.register_structure_hook(scalar, _structure_scalar)
+    converter.register_structure_hook(float, _structure_float)
     for list_class in LIST_CLASSES:
         _register_list(converter, list_class)
     return converter
@@ -122,9 +126,23 @@
     # bool is a subclass of int, but must not be accepted as one.
     if type(value) is not scalar_type:
         raise TypeError(f'expected {scalar_type.__name__}')
+    if scalar_type is int:
+        _check_range(value)
     return value
 
 
+def _structure_float(value: typing.Any, _float_type: type) -> float:
+    if type(value) not in (int, float):
+        raise TypeError('expected float')
+    _check_range(value)
+    return float(value)
+
+
+def _check_range(value: float) -> None:
+    if not -MAX_NUMBER <= value <= MAX_NUMBER:
+        raise ValueError('the number is out of range')
+
+
 def _register_list(converter: cattrs.Converter, list_class: type) -> None:
     fields = attrs.fields(attrs.resolve_types(list_class))
 
--- a/packages/routing/src/godwitglade/routing/batching.py
+++ b/packages/routing/src/godwitglade/routing/batching.py
@@ -36,6 +36,8 @@
 TIMEOUT_SLACK_MS = 400
 #: Times an item is tried before its job fails.
 MAX_TRIES = 3
+#: Items of a job; a host would run out of memory over a larger number.
+MAX_ITEMS = 10_000
 #: A job that would miss its objective is queued only if at most this many
 #: full calls, of all its stages together, are ahead of it.
 MAX_LATE_QUEUE_CALLS = 1.0
@@ -182,7 +184,12 @@
             ahead_ms > MAX_LATE_QUEUE_CALLS * full_call_ms
             or backlog_ms > MAX_LATE_BACKLOG_CALLS * full_call_ms
         )
-        if end_ms > job.deadline_ms or (end_ms > job.due_ms and is_queue_long):
+        is_sound = 0 <= job.request.count <= MAX_ITEMS
+        if (
+            not is_sound
+            or end_ms > job.deadline_ms
+            or (end_ms > job.due_ms and is_queue_long)
+        ):
             return [
                 self._report_ended(job, bodies.Ending.REFUSED, wait.wait_ms)
             ]
