Keep a request for a full read that comes during a call to the store

The next full read followed after up to the 10 s (targets) of the pace.

Change: the request is kept until a read that started after it has been applied; a read that fails leaves it in force.

--- a/packages/platform/src/godwitglade/platform/follower.py
+++ b/packages/platform/src/godwitglade/platform/follower.py
@@ -153,13 +153,15 @@
         The first read after a time without following is a full one.
         """
         if is_following and not self._is_following:
-            self._version = None
+            self._is_read_requested = True
         self._is_following = is_following
         self._wake_event.set()
 
     def request_full_read(self) -> None:
-        """Make the next read a full one, without waiting for its pause."""
-        self._version = None
+        """Make the next read a full one, without waiting for its pause.
+
+        It follows the call that is under way, if there is one.
+        """
         self._is_read_requested = True
         self._wake_event.set()
 
@@ -174,9 +176,20 @@
         """Read once and return the pause before the next read, in ms."""
         if not self._is_following and not self._is_read_requested:
             return IDLE_MS
+        # Other threads may set it again from here on.
+        is_requested, self._is_read_requested = self._is_read_requested, False
+        pause_ms, is_applied = self._read(is_requested)
+        if is_requested and not is_applied:
+            self._is_read_requested = True
+        return pause_ms
+
+    def _read(self, is_requested: bool) -> tuple[int, bool]:
+        """Read once; return the pause, and whether rows were applied."""
         started_ms = self._clock.monotonic_ms()
-        is_full_read = self._version is None or self._is_full_read_due(
-            started_ms
+        is_full_read = (
+            is_requested
+            or self._version is None
+            or self._is_full_read_due(started_ms)
         )
         try:
             if is_full_read:
@@ -192,18 +205,18 @@
             self._version = None
             last_ms = self._full_read_started_ms
             is_repeated = last_ms is None or started_ms - last_ms < RETRY_MS
-            return RETRY_MS if is_repeated else 0
+            return (RETRY_MS if is_repeated else 0), False
         except Exception as error:
             # An odd response, like a fault of the client, must not end the
             # thread.
             self._availability.record_failure(describe(error))
             self._version = None
-            return RETRY_MS
+            return RETRY_MS, False
         is_new_era, self._era = result.era != self._era, result.era
         if is_new_era and not is_full_read:
             # The feed may have left out changes between two equal versions.
             self._version = None
-            return 0
+            return 0, False
         response_ms = self._clock.monotonic_ms()
         if self._availability.is_lost:
             outage_ms = response_ms - self._last_response_ms
@@ -217,11 +230,8 @@
             # Otherwise one odd row would end the thread, and all news.
             self._availability.record_failure(repr(error))
             self._version = None
-            return RETRY_MS
-        if is_full_read:
-            self._is_read_requested = False
-            return 0
-        return self._pace.pause_ms
+            return RETRY_MS, False
+        return (0 if is_full_read else self._pace.pause_ms), True
 
     def _is_full_read_due(self, now_ms: int) -> bool:
         return now_ms - self._full_read_started_ms >= self._pace.full_read_ms
--- a/tests/platform/test_follower.py
+++ b/tests/platform/test_follower.py
@@ -286,6 +286,28 @@
     assert applied == [True, False, True]
 
 
+@pytest.mark.parametrize('method', ['feed', 'read'])
+def test_read_requested_during_a_call_follows_it(method):
+    clock, applied = Clock(), []
+    store = Store(clock)
+    made = make_follower(clock, store, applied)
+    if method == 'feed':
+        made.run_once()
+    call = getattr(store, method)
+
+    def call_and_request(*args):
+        setattr(store, method, call)
+        made.request_full_read()
+        return call(*args)
+
+    setattr(store, method, call_and_request)
+    assert made.run_once() == 0
+    made.run_once()
+    assert applied[-2:] == [method == 'read', True]
+    made.run_once()
+    assert applied[-1] is False
+
+
 def test_read_on_request_is_repeated_until_it_succeeds():
     clock, applied = Clock(), []
     store = Store(clock)
