Tell all followers when the store has gone back

A host that the store lost when it went back was registered again only after up to 12 s (the listed test_host_that_the_store_lost_is_registered_again): its follower of the hosts pauses for 2 s after a change, and a feed that then begins at a version that the store has given out again waits for its whole 10 s before its response shows the new era. The other followers had seen it within 0.3 s.

Change: a follower that sees a new era makes the others that follow read their tables in full, which they would do later anyway. A feed that already waits still ends first.

--- a/packages/platform/src/godwitglade/platform/follower.py
+++ b/packages/platform/src/godwitglade/platform/follower.py
@@ -146,6 +146,7 @@
         self._wake_event = threading.Event()
         self._is_following = True
         self._is_read_requested = True
+        self.on_new_era: typing.Callable[[int], None] = lambda _era: None
 
     def set_following(self, is_following: bool) -> None:
         """Follow the table, or read it only on request.
@@ -165,6 +166,11 @@
         self._is_read_requested = True
         self._wake_event.set()
 
+    def expect_era(self, era: int) -> None:
+        """Read the table again if it was read in another era."""
+        if self._is_following and self._era not in (0, era):
+            self.request_full_read()
+
     def run(self) -> None:
         """Poll forever; meant to run on a dedicated thread."""
         while True:
@@ -212,7 +218,10 @@
             self._availability.record_failure(describe(error))
             self._version = None
             return RETRY_MS, False
-        is_new_era, self._era = result.era != self._era, result.era
+        last_era, self._era = self._era, result.era
+        is_new_era = last_era != self._era
+        if is_new_era and last_era:
+            self.on_new_era(self._era)
         if is_new_era and not is_full_read:
             # The feed may have left out changes between two equal versions.
             self._version = None
@@ -235,3 +244,18 @@
 
     def _is_full_read_due(self, now_ms: int) -> bool:
         return now_ms - self._full_read_started_ms >= self._pace.full_read_ms
+
+
+def share_eras(followers: typing.Collection[Follower]) -> None:
+    """Make each follower tell the others when the store has gone back.
+
+    A feed from a version that the store gives out again shows a new era only
+    when its wait ends.
+    """
+
+    def tell(era: int) -> None:
+        for other in followers:
+            other.expect_era(era)
+
+    for each in followers:
+        each.on_new_era = tell
--- a/tests/platform/test_follower.py
+++ b/tests/platform/test_follower.py
@@ -274,6 +274,30 @@
     assert applied == [True, True]
 
 
+@pytest.mark.parametrize('is_following', [True, False])
+def test_new_era_is_told_to_the_followers_of_other_tables(is_following):
+    clock, applied, noticed = Clock(), [], []
+    store, other_store = Store(clock), Store(clock)
+    made = make_follower(clock, store, applied)
+    other = make_follower(clock, other_store, noticed)
+    follower.share_eras([made, other])
+    era = 1
+    for each in (store, other_store):
+        read, feed = each.read, each.feed
+        each.read = lambda t, read=read: attrs.evolve(read(t), era=era)
+        each.feed = lambda *a, feed=feed: attrs.evolve(feed(*a), era=era)
+    for each in (made, other):
+        each.run_once()
+        each.run_once()
+    other.set_following(is_following)
+    era = 2
+    made.run_once()
+    made.run_once()
+    other.run_once()
+    assert applied == [True, False, True]
+    assert noticed == [True, False] + [True] * is_following
+
+
 def test_follower_starts_again_with_a_full_read():
     clock, applied = Clock(), []
     made = make_follower(clock, Store(clock), applied)
