Use no permit for a target that has asked for a pause since

Change: the request is sent as if it had no permit, so to another target, or refused with the end of the pause.

Evidence: the row of test_permit_is_not_used_after_its_target_asked_for_a_pause with a pause failed before.

--- a/packages/routing/src/godwitglade/routing/request_lifecycle.py
+++ b/packages/routing/src/godwitglade/routing/request_lifecycle.py
@@ -765,6 +765,7 @@
             left_ms < MIN_TIME_LEFT_MS
             or self._quarantine.refuses(request, now_ms)
             or not (is_listed and target.is_usable(now_ms))
+            or now_ms < target.paused_until_ms
         ):
             return self._send(request, now_ms, request.has_held_response)
         return self._send_to(request, target, now_ms)
--- a/tests/routing/test_request_lifecycle.py
+++ b/tests/routing/test_request_lifecycle.py
@@ -53,6 +53,7 @@
         versions.set_listed('app', self.directory.versions('app'), 0)
         versions.is_complete, versions.confirmed_ms = True, 0
         streams = stream_versions.StreamVersions(SELF, members, versions)
+        self.limits = rate_limits.RateLimits('h1', members, cut_off)
         self.requests = request_lifecycle.Requests(
             SELF,
             self.document_state,
@@ -61,7 +62,7 @@
             budget.Bounds(allowance=allowance),
             lambda: 1,
             quarantine.Quarantine('h1', lambda: ['h1']),
-            rate_limits.RateLimits('h1', members, cut_off),
+            self.limits,
             resumption.Resumptions(versions, streams, self.directory),
             reachability.Reachability(self.directory, random.Random(1)),
             hand_over.HandOver('h1', members, cut_off, random.Random(1)),
@@ -254,6 +255,29 @@
     assert caller_status(harness.arrive()) == 503
 
 
+@pytest.mark.parametrize(('pause_ms', 'expected'), [(0, None), (2_000, 503)])
+def test_permit_is_not_used_after_its_target_asked_for_a_pause(
+    pause_ms, expected
+):
+    harness = Harness(builders.route(), target_count=1)
+    (target,) = harness.directory.all()
+    harness.limits.record_limit(target, targets.NamedLimit(10_000), 0)
+    timers = harness.arrive()
+    (timer,) = [
+        effect
+        for effect in timers
+        if isinstance(effect, shared_effects.StartTimer)
+        and effect.token.startswith(request_lifecycle.PERMIT_TOKEN)
+    ]
+    notice = targets.Notice(pause_ms=pause_ms)
+    harness.directory.apply_notice(target, notice, 10)
+    fired = shared_messages.TimerFired(timer.token)
+    sent = harness.handle(fired, timer.due_ms)
+    is_sent = find_effect(sent, effects.Forward) is not None
+    assert is_sent is (expected is None)
+    assert caller_status(sent) == expected
+
+
 def test_retries_stay_within_the_budget():
     harness = Harness(ROUTES['idempotent'], allowance=4.0)
     retried = 0
