--- a/packages/platform/src/godwitglade/platform/follower.py
+++ b/packages/platform/src/godwitglade/platform/follower.py
@@ -42,11 +42,24 @@
     are given out again.
     """
 
-    rows: list[dict[str, typing.Any]]
-    version: int
+    rows: list[dict[str, typing.Any]] = attrs.field(
+        validator=attrs.validators.instance_of(list)
+    )
+    version: int = attrs.field(validator=attrs.validators.instance_of(int))
     outage_ms: int = 0
     era: int = 0
 
+    def usable(self, log: Log) -> 'Rows':
+        """Return these without rows that have no key; log the others."""
+        rows = []
+        for row in self.rows:
+            if isinstance(row, dict) and isinstance(row.get('key'), str):
+                rows.append(row)
+            else:
+                fields = {'reason': 'the row has no key'}
+                log(events.Event.ROW_SKIPPED, fields)
+        return attrs.evolve(self, rows=rows)
+
 
 class Client(typing.Protocol):
     """Reads rows from a store; raises CodedError."""
@@ -75,6 +88,12 @@
     pause_ms: int = 0
 
 
+def describe(error: Exception) -> str:
+    """Return what is logged about a failed read."""
+    is_expected = isinstance(error, errors.CodedError)
+    return str(error) if is_expected else repr(error)
+
+
 @attrs.define(eq=False)
 class Availability:
     """Whether the store responds; logs every change of that."""
@@ -117,6 +136,7 @@
         self._table = table
         self._apply = apply
         self._clock = clock
+        self._log = log
         self._availability = Availability(log, table)
         self._pace = pace
         self._version: int | None = None
@@ -126,6 +146,7 @@
         self._wake_event = threading.Event()
         self._is_following = True
         self._is_read_requested = True
+        self.on_new_era: typing.Callable[[int], None] = lambda _era: None
 
     def set_following(self, is_following: bool) -> None:
         """Follow the table, or read it only on request.
@@ -133,16 +154,23 @@
         The first read after a time without following is a full one.
         """
         if is_following and not self._is_following:
-            self._version = None
+            self._is_read_requested = True
         self._is_following = is_following
         self._wake_event.set()
 
     def request_full_read(self) -> None:
-        """Make the next read a full one, without waiting for its pause."""
-        self._version = None
+        """Make the next read a full one, without waiting for its pause.
+
+        It follows the call that is under way, if there is one.
+        """
         self._is_read_requested = True
         self._wake_event.set()
 
+    def expect_era(self, era: int) -> None:
+        """Read the table again if it was read in another era."""
+        if self._is_following and self._era not in (0, era):
+            self.request_full_read()
+
     def run(self) -> None:
         """Poll forever; meant to run on a dedicated thread."""
         while True:
@@ -154,9 +182,20 @@
         """Read once and return the pause before the next read, in ms."""
         if not self._is_following and not self._is_read_requested:
             return IDLE_MS
+        # Other threads may set it again from here on.
+        is_requested, self._is_read_requested = self._is_read_requested, False
+        pause_ms, is_applied = self._read(is_requested)
+        if is_requested and not is_applied:
+            self._is_read_requested = True
+        return pause_ms
+
+    def _read(self, is_requested: bool) -> tuple[int, bool]:
+        """Read once; return the pause, and whether rows were applied."""
         started_ms = self._clock.monotonic_ms()
-        is_full_read = self._version is None or self._is_full_read_due(
-            started_ms
+        is_full_read = (
+            is_requested
+            or self._version is None
+            or self._is_full_read_due(started_ms)
         )
         try:
             if is_full_read:
@@ -172,16 +211,21 @@
             self._version = None
             last_ms = self._full_read_started_ms
             is_repeated = last_ms is None or started_ms - last_ms < RETRY_MS
-            return RETRY_MS if is_repeated else 0
-        except (errors.CodedError, KeyError, TypeError) as error:
-            self._availability.record_failure(str(error))
+            return (RETRY_MS if is_repeated else 0), False
+        except Exception as error:
+            # An odd response, like a fault of the client, must not end the
+            # thread.
+            self._availability.record_failure(describe(error))
             self._version = None
-            return RETRY_MS
-        is_new_era, self._era = result.era != self._era, result.era
+            return RETRY_MS, False
+        last_era, self._era = self._era, result.era
+        is_new_era = last_era != self._era
+        if is_new_era and last_era:
+            self.on_new_era(self._era)
         if is_new_era and not is_full_read:
             # The feed may have left out changes between two equal versions.
             self._version = None
-            return 0
+            return 0, False
         response_ms = self._clock.monotonic_ms()
         if self._availability.is_lost:
             outage_ms = response_ms - self._last_response_ms
@@ -190,16 +234,28 @@
         self._availability.record_success()
         self._version = result.version
         try:
-            self._apply(result, is_full_read, started_ms)
+            self._apply(result.usable(self._log), is_full_read, started_ms)
         except Exception as error:
             # Otherwise one odd row would end the thread, and all news.
             self._availability.record_failure(repr(error))
             self._version = None
-            return RETRY_MS
-        if is_full_read:
-            self._is_read_requested = False
-            return 0
-        return self._pace.pause_ms
+            return RETRY_MS, False
+        return (0 if is_full_read else self._pace.pause_ms), True
 
     def _is_full_read_due(self, now_ms: int) -> bool:
         return now_ms - self._full_read_started_ms >= self._pace.full_read_ms
+
+
+def share_eras(followers: typing.Collection[Follower]) -> None:
+    """Make each follower tell the others when the store has gone back.
+
+    A feed from a version that the store gives out again shows a new era only
+    when its wait ends.
+    """
+
+    def tell(era: int) -> None:
+        for other in followers:
+            other.expect_era(era)
+
+    for each in followers:
+        each.on_new_era = tell
