Cut, copy and end answers of targets in the soak

Callers send short deadlines or leave; a quarter of them stays with one host, back to back, while it keeps their connection. Hosts get signals in series, SIGHUP among planned changes, and restarts run beside other faults. Half of the hosts may run another build (--other-path). The check of whole responses says what it saw, and one more compares the id that each response names.

--- a/bench/processes.py
+++ b/bench/processes.py
@@ -99,6 +99,10 @@
         """Send SIGTERM to the process."""
         self._popen.terminate()
 
+    def hang_up(self) -> None:
+        """Send SIGHUP to the process."""
+        self._popen.send_signal(signal.SIGHUP)
+
     def pause(self) -> None:
         """Pause the process with SIGSTOP until `resume`."""
         self._popen.send_signal(signal.SIGSTOP)
--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -39,6 +39,12 @@
     streams_s: typing.Annotated[
         float, typer.Option(help='Let engines break off streams so long.')
     ] = 6.0,
+    answers_s: typing.Annotated[
+        float, typer.Option(help='Let answers be cut or copied so long.')
+    ] = 10.0,
+    other_path: typing.Annotated[
+        str, typer.Option(help='PYTHONPATH of every second host.')
+    ] = '',
     failed: typing.Annotated[
         bool, typer.Option(help='Run the seeds that failed before first.')
     ] = False,
@@ -51,6 +57,8 @@
         limit_s=limit_s,
         cut_s=cut_s,
         streams_s=streams_s,
+        answers_s=answers_s,
+        other_path=other_path,
     )
     queue = _seeds_to_run(seeds, seed, minutes, failed)
     results = [_run_seed(number, plan) for number in queue]
--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -17,8 +17,13 @@
 MEAN_PAUSE_S = 0.03
 #: Share of requests with a part that crashes engines, while there is one.
 BAD_SHARE = 0.03
+#: Share of callers that stay with one host while it keeps their connection.
+STAYING_SHARE = 0.25
+#: Callers in a hurry send such a deadline, or leave after such a silence.
+HURRIED_S = (0.05, 0.8)
 #: Callers wait this much longer than the deadline that they send.
 RESPONSE_MARGIN_S = 2.5
+WAIT_S = clusters.TIMEOUT_S + RESPONSE_MARGIN_S
 HEADERS_BY_PATH = {
     '/once/x': {},
     '/read/x': {},
@@ -42,7 +47,8 @@
     ``status`` is None without a response; ``is_complete`` tells whether the
     whole response body was received. ``parts`` are those of its prompt and
     its path. An attempt that ``resumes`` the stream of another one has its
-    events up to ``last_event_id`` already.
+    events up to ``last_event_id`` already. ``answers_id`` is the attempt that
+    the response names.
     """
 
     attempt_id: str
@@ -59,6 +65,7 @@
     resumes: str = ''
     last_event_id: int = 0
     parts: tuple[str, ...] = ()
+    answers_id: str | None = None
 
 
 class Callers:
@@ -89,8 +96,13 @@
     def _run(self, seed: int) -> None:
         rng = random.Random(seed)
         idle: dict[str, http.client.HTTPConnection] = {}
-        while not self._stopped.wait(rng.uniform(0, 2 * MEAN_PAUSE_S)):
-            edge = rng.choice(self._cluster.edges)
+        stays = rng.random() < STAYING_SHARE
+        is_reusable = False
+        while not self._stopped.wait(
+            0 if stays and is_reusable else rng.uniform(0, 2 * MEAN_PAUSE_S)
+        ):
+            if not (stays and is_reusable):
+                edge = rng.choice(self._cluster.edges)
             path = rng.choice(list(HEADERS_BY_PATH))
             bad = sorted(self._cluster.bad_parts)
             is_bad = bool(bad) and rng.random() < BAD_SHARE
@@ -149,11 +161,20 @@
         recent = [validity.key for validity in self._cluster.keys[-3:]]
         key = rng.choices(recent, [1, 8, 1][-len(recent) :])[0]
         attempt_id = f'a{next(self._numbers)}'
+        deadline_s, wait_s = clusters.TIMEOUT_S, WAIT_S
+        if rng.random() < self._cluster.hurried_share:
+            hurried_s = rng.uniform(*HURRIED_S)
+            deadline_s, wait_s = rng.choice(
+                ((hurried_s, wait_s), (deadline_s, hurried_s))
+            )
+        connection.timeout = wait_s
+        if connection.sock is not None:
+            connection.sock.settimeout(wait_s)
         headers = {
             'Host': edge_document.HOST,
             'Authorization': f'Bearer {key}',
             'X-Attempt-Id': attempt_id,
-            'X-Deadline-Ms': str(int(clusters.TIMEOUT_S * 1_000)),
+            'X-Deadline-Ms': str(int(deadline_s * 1_000)),
             **HEADERS_BY_PATH.get(path, {}),
         }
         if path in PROMPT_PATHS:
@@ -182,6 +203,7 @@
             fields: dict[str, typing.Any] = {
                 'status': response.status,
                 'signature': response.headers.get('X-Server-Signature'),
+                'answers_id': response.headers.get('X-Attempt-Id'),
             }
             record = attrs.evolve(record, **fields)
             try:
@@ -195,6 +217,4 @@
 
 
 def _connect(edge: clusters.Edge) -> http.client.HTTPConnection:
-    return http.client.HTTPConnection(
-        edge.callers.address, timeout=clusters.TIMEOUT_S + RESPONSE_MARGIN_S
-    )
+    return http.client.HTTPConnection(edge.callers.address, timeout=WAIT_S)
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -190,13 +190,24 @@
             )
         else:
             expected = standins.response_body(request.attempt_id)
-        is_correct = (
-            request.body == expected
-            if request.is_complete
-            else expected.startswith(request.body)
-        )
-        if not is_correct or request.signature is None:
-            yield f'MIXED: {request.attempt_id} got {request.body[-80:]!r}'
+        at = f'{request.attempt_id} ({request.path}) at {request.edge}'
+        if not expected.startswith(request.body) or request.signature is None:
+            yield f'MIXED: {at} got {request.body[-80:]!r}'
+        elif request.is_complete and request.body != expected:
+            kind = 'stream' if request.path in STREAM_PATHS else 'body'
+            yield (
+                f'MIXED: {at} got a {kind} that ends as complete after '
+                f'{len(request.body)} of {len(expected)} bytes'
+            )
+
+
+def _responses_belong_to_their_request(record: Record) -> Violations:
+    for request in record.requests:
+        if request.answers_id not in (None, request.attempt_id):
+            yield (
+                f'MIXED: {request.attempt_id} ({request.path}) at '
+                f'{request.edge} got the answer to {request.answers_id}'
+            )
 
 
 def _non_idempotent_requests_run_once(record: Record) -> Violations:
@@ -482,6 +493,7 @@
 
 CHECKS: tuple[typing.Callable[[Record], Violations], ...] = (
     _responses_are_complete,
+    _responses_belong_to_their_request,
     _non_idempotent_requests_run_once,
     _refused_requests_do_not_run,
     _revoked_keys_are_refused,
--- a/bench/soak/clusters.py
+++ b/bench/soak/clusters.py
@@ -50,6 +50,8 @@
     """An edge process that can be restarted.
 
     ``incarnation`` counts its starts; ``faults`` are the failures seen.
+    ``is_taken`` while a fault stops or signals its process. ``python_path``
+    is that of another build, which the process runs instead.
     """
 
     name: str
@@ -63,6 +65,8 @@
     incarnation: int = 0
     process: processes.Process | None = None
     faults: list[str] = attrs.field(factory=list)
+    is_taken: bool = False
+    python_path: str = ''
     _log_offset: int = 0
 
     @property
@@ -79,7 +83,9 @@
         settings.write_text(yaml.safe_dump(self._settings()))
         self.process = processes.Process(
             'godwitglade.edge',
-            environment=os.environ | {'GODWITGLADE_CONFIG': str(settings)},
+            environment=os.environ
+            | {'GODWITGLADE_CONFIG': str(settings)}
+            | ({'PYTHONPATH': self.python_path} if self.python_path else {}),
             log_path=self.log_path,
         )
 
@@ -102,13 +108,14 @@
             )
             self.process.kill()
             return
-        if status == -signal.SIGTERM and not self._has_started():
+        if status == -signal.SIGTERM and not self.has_started():
             # The signal came before the program installed its handler.
             return
         if status:
             self.faults.append(f'{self.name} exited with status {status}')
 
-    def _has_started(self) -> bool:
+    def has_started(self) -> bool:
+        """Tell whether the process has set its handlers of signals."""
         with self.log_path.open(encoding='utf-8', errors='replace') as log:
             log.seek(self._log_offset)
             return '"event": "started"' in log.read()
@@ -139,9 +146,15 @@
     """The components of one soak test, and changes by the operator."""
 
     def __init__(
-        self, directory: pathlib.Path, hosts: int, rng: random.Random
+        self,
+        directory: pathlib.Path,
+        hosts: int,
+        rng: random.Random,
+        other_path: str = '',
     ) -> None:
         self.rng = rng
+        #: Share of requests whose callers wait less than the others.
+        self.hurried_share = 0.0
         self.store = standins.Store()
         self.targets: list[standins.Target] = []
         self.retired_targets: list[standins.Target] = []
@@ -157,6 +170,8 @@
             )
             for n in range(1, hosts + 1)
         ]
+        for edge in self.edges[1::2]:
+            edge.python_path = other_path
         for number, pool in enumerate(POOLS * 3):
             version = VERSIONS[number % len(VERSIONS)]
             self.add_target(pool, f'z{number % 2}', version)
@@ -192,6 +207,7 @@
             name = f'{pool}-{os.getpid()}-{self._target_count}'
         target = standins.Target(name, pool, zone, version)
         target.bad_parts = self.bad_parts
+        target.rng.seed(self.rng.getrandbits(64))
         self.targets.append(target)
         self.store.put('servers', name, target.entry())
         return target
--- a/bench/soak/core.py
+++ b/bench/soak/core.py
@@ -43,6 +43,8 @@
     limit_s: float = 0.0
     cut_s: float = 0.0
     streams_s: float = 0.0
+    answers_s: float = 0.0
+    other_path: str = ''
 
 
 @attrs.frozen
@@ -55,7 +57,9 @@
 
 def run(seed: int, plan: Plan, directory: pathlib.Path) -> Result:
     """Run a seed and return its result; logs stay in ``directory``."""
-    cluster = clusters.Cluster(directory, plan.hosts, random.Random(seed))
+    cluster = clusters.Cluster(
+        directory, plan.hosts, random.Random(seed), plan.other_path
+    )
     try:
         cluster.start()
         record = _run(cluster, plan)
@@ -79,6 +83,9 @@
     limits = _limit_targets(cluster, plan) if plan.limit_s else ()
     streams = _break_streams(cluster, plan) if plan.streams_s else None
     cuts = _cut_hosts(cluster, plan) if plan.cut_s else ()
+    faults.inject(
+        cluster, faults.ANSWER_FAULTS, plan.answers_s, plan.mean_gap_s / 2
+    )
     faults.inject(cluster, faults.FAULTS, plan.faults_s, plan.mean_gap_s)
     _restart_exited(cluster.edges)
     time.sleep(CONTACT_WAIT_S)
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -1,6 +1,7 @@
 """Random faults from outside the processes; they may overlap."""
 
 import contextlib
+import threading
 import time
 import typing
 
@@ -21,6 +22,12 @@
     'silent',
 )
 STORE_DELAY_S = 0.8
+SLOW_SHARE = 0.5
+COPIED_SHARE = 0.5
+HURRIED_SHARE = 0.3
+#: Signals that a process gets in series, at most this far apart.
+MAX_SIGNALS = 4
+MAX_SIGNAL_GAP_S = 0.3
 
 
 #: What links to targets do that a host is cut off from.
@@ -68,34 +75,92 @@
     return repair
 
 
+def _take_host(cluster: clusters.Cluster) -> clusters.Edge | None:
+    """Return a host that runs and that no other fault stops, if any."""
+    edge = cluster.rng.choice(cluster.edges)
+    if edge.is_taken or not edge.process.is_running:
+        return None
+    edge.is_taken = True
+    return edge
+
+
+def _repair_host(edge: clusters.Edge, repair: Repair) -> Repair:
+    def repair_and_leave() -> None:
+        repair()
+        edge.is_taken = False
+
+    return repair_and_leave
+
+
 def pause_host(cluster: clusters.Cluster) -> Repair:
     """Pause a process with SIGSTOP until the repair."""
-    process = cluster.rng.choice(cluster.edges).process
-    process.pause()
-    return process.resume
+    edge = _take_host(cluster)
+    if edge is None:
+        return _repair_nothing
+    edge.process.pause()
+    return _repair_host(edge, edge.process.resume)
 
 
 def kill_host(cluster: clusters.Cluster) -> Repair:
     """Kill a process; the repair starts a new one."""
-    edge = cluster.rng.choice(cluster.edges)
-    if not edge.process.is_running:
+    edge = _take_host(cluster)
+    if edge is None:
         return _repair_nothing
     edge.process.kill()
-    return edge.start
+    return _repair_host(edge, edge.start)
 
 
 def restart_host(cluster: clusters.Cluster) -> Repair:
-    """Terminate a process and start a new one."""
-    edge = cluster.rng.choice(cluster.edges)
-    if not edge.process.is_running:
+    """Terminate a process and start a new one, beside other faults."""
+    return _signal_host(cluster, ())
+
+
+def signal_host(cluster: clusters.Cluster) -> Repair:
+    """Send a process signals in series, the last of which ends it."""
+    count = cluster.rng.randrange(1, MAX_SIGNALS)
+    names = cluster.rng.choices(('hang_up', 'pause', 'resume'), k=count)
+    return _signal_host(cluster, (*names, 'resume'))
+
+
+def _signal_host(
+    cluster: clusters.Cluster, names: typing.Sequence[str]
+) -> Repair:
+    edge = _take_host(cluster)
+    if edge is None:
         return _repair_nothing
-    edge.process.resume()
-    edge.stop()
-    edge.start()
+    gaps_s = [cluster.rng.uniform(0, MAX_SIGNAL_GAP_S) for _ in names]
+    is_killed = bool(names) and cluster.rng.random() < 0.5
+
+    def signal() -> None:
+        # SIGHUP ends a process that has set no handlers yet.
+        _await(edge.has_started)
+        for name, gap_s in zip(names, gaps_s):
+            getattr(edge.process, name)()
+            time.sleep(gap_s)
+        if is_killed:
+            edge.process.kill()
+        else:
+            edge.stop()
+        edge.start()
+        _await(edge.is_ready)
+
+    thread = threading.Thread(target=signal, daemon=True)
+    thread.start()
+    return _repair_host(edge, thread.join)
+
+
+def _await(condition: typing.Callable[[], bool]) -> None:
     with contextlib.suppress(processes.ConditionTimeoutError):
         processes.await_condition(
-            edge.is_ready, 'ready', clusters.READY_WAIT_S
+            condition, 'a host has started', clusters.READY_WAIT_S
         )
+
+
+def reload_host(cluster: clusters.Cluster) -> Repair:
+    """Send a process SIGHUP."""
+    edge = cluster.rng.choice(cluster.edges)
+    if not edge.is_taken and edge.process.is_running and edge.has_started():
+        edge.process.hang_up()
     return _repair_nothing
 
 
@@ -124,9 +189,56 @@
     return repair
 
 
+def _end_target(cluster: clusters.Cluster, pool: str) -> Repair:
+    running = [t for t in cluster.targets if t.pool == pool and not t.is_down]
+    if len(running) < 2:
+        return _repair_nothing
+    target = cluster.rng.choice(running)
+    target.end()
+
+    def repair() -> None:
+        target.come_back()
+        if target in cluster.targets:
+            born = {'born': int(time.time() * 1_000)}
+            cluster.store.put('servers', target.name, target.entry(**born))
+
+    return repair
+
+
+def end_app(cluster: clusters.Cluster) -> Repair:
+    """End a target like a process; it comes back at the same address."""
+    return _end_target(cluster, 'app')
+
+
+def end_engine(cluster: clusters.Cluster) -> Repair:
+    """End an engine like a process; it comes back at the same address."""
+    return _end_target(cluster, 'engine')
+
+
+def _target_fault(name: str, value: float) -> Fault:
+    def fault(cluster: clusters.Cluster) -> Repair:
+        target = cluster.rng.choice(cluster.targets)
+        setattr(target, name, value)
+        return lambda: setattr(target, name, 0.0)
+
+    return fault
+
+
+def hurry_callers(cluster: clusters.Cluster) -> Repair:
+    """Make callers send short deadlines, or leave before the answer."""
+    cluster.hurried_share = HURRIED_SHARE
+
+    def repair() -> None:
+        cluster.hurried_share = 0.0
+
+    return repair
+
+
 def replace_target(cluster: clusters.Cluster) -> Repair:
     """Retire a target after starting another one of its pool."""
     target = cluster.rng.choice(cluster.targets)
+    if target.is_down:
+        return _repair_nothing
     cluster.add_target(target.pool, target.zone, target.version)
     cluster.retire(target)
     return _repair_nothing
@@ -146,6 +258,16 @@
     replace_target,
     rotate_keys,
     restart_host,
+    reload_host,
+)
+#: How targets answer, and what ends calls to them too early.
+ANSWER_FAULTS: tuple[Fault, ...] = (
+    end_app,
+    end_engine,
+    _target_fault('slow_share', SLOW_SHARE),
+    _target_fault('copied_share', COPIED_SHARE),
+    hurry_callers,
+    signal_host,
 )
 FAULTS: tuple[Fault, ...] = (
     break_callers_link,
@@ -160,6 +282,7 @@
     _store_fault('loses_answers', True, False),
     discard_history,
     fail_target,
+    *ANSWER_FAULTS,
     *PLANNED_CHANGES,
 )
 
--- a/bench/soak/proxy.py
+++ b/bench/soak/proxy.py
@@ -40,20 +40,32 @@
         self._delay_s = delay_s
         self._mode = Mode.PASS
         self._open: set[asyncio.StreamWriter] = set()
-        listener = socket.create_server(('127.0.0.1', 0), backlog=512)
+        self._listen(0)
+
+    def _listen(self, port: int) -> None:
+        listener = socket.create_server(('127.0.0.1', port), backlog=512)
         self.address = '127.0.0.1:%d' % listener.getsockname()[1]
         self._listener = asyncio.run_coroutine_threadsafe(
             asyncio.start_server(self._serve, sock=listener), LOOP
         ).result()
 
-    def close(self) -> None:
-        """Refuse connections from now on, and reset the open ones."""
+    def refuse(self) -> None:
+        """Refuse connections from now on; the open ones stay."""
 
-        def stop() -> None:
+        async def stop() -> None:
             self._listener.close()
-            self._reset_all()
 
-        LOOP.call_soon_threadsafe(stop)
+        asyncio.run_coroutine_threadsafe(stop(), LOOP).result()
+
+    def accept(self) -> None:
+        """Accept connections again at the same address."""
+        if not self._listener.is_serving():
+            self._listen(int(self.address.rpartition(':')[2]))
+
+    def close(self) -> None:
+        """Refuse connections from now on, and reset the open ones."""
+        self.refuse()
+        LOOP.call_soon_threadsafe(self._reset_all)
 
     @property
     def mode(self) -> Mode:
--- a/bench/soak/standins.py
+++ b/bench/soak/standins.py
@@ -10,6 +10,7 @@
 
 import attrs
 
+from bench.soak import answers
 from bench.soak import proxy
 from bench.standins import edge_platform
 from godwitglade.common import codec
@@ -18,6 +19,8 @@
 EVENT_PAUSE_S = 0.02
 RUN_DURATION_S = 0.02
 CRASH_DELAY_S = 0.08
+#: Share of crashes after which the kernel closes and resets nothing.
+FIN_SHARE = 0.5
 
 
 @attrs.frozen
@@ -141,6 +144,10 @@
         self.crashed_by: frozenset[str] = frozenset()
         self.draining_since_s: float | None = None
         self.breaking_share = 0.0
+        self.slow_share = 0.0
+        self.copied_share = 0.0
+        self.is_down = False
+        self.rng = random.Random(name)
         super().__init__(name, pool, zone)
         self.link = proxy.Link(self.address)
 
@@ -167,40 +174,79 @@
         )
         if self.bad_parts & set(parts_of(request)):
             return self._crash(request)
-        if behaviour == 'ok' and self.pool == 'engine':
-            return self._stream(request)
         if behaviour == 'ok':
-            time.sleep(RUN_DURATION_S)
-            body = response_body(request.attempt_id)
-            return edge_platform.response(200, self.headers(request), body)
+            return self._answer(request)
         return super().answer(request)
 
+    @property
+    def _links(self) -> list[proxy.Link]:
+        return [self.link, *LINKS_BY_TARGET[self.link.address]]
+
+    def end(self) -> None:
+        """End as a process does that has read all bytes."""
+        self.is_down = True
+        for link in self._links:
+            link.refuse()
+        self.exit()
+
+    def come_back(self) -> None:
+        """Listen at the same address again, after `end`."""
+        self.restart()
+        for link in self._links:
+            link.accept()
+        self.is_down = False
+
     def _crash(self, request: edge_platform.Request) -> typing.Iterator[bytes]:
         if self.pool == 'engine':
-            yield edge_platform.head_of_stream(self, request)
+            head = edge_platform.head_of_stream(self, request)
+            framing = b'Transfer-Encoding: chunked\r\n'
+            yield self.rng.choice((head, head.replace(framing, b'')))
         time.sleep(CRASH_DELAY_S)
         if self.crashed_s is None:
             self.crashed_s = time.monotonic()
             self.crashed_by = self.bad_parts & set(parts_of(request))
+            if self.rng.random() < FIN_SHARE:
+                self.end()
+                return
             # Connections are refused from now on.
-            for link in (self.link, *LINKS_BY_TARGET[self.link.address]):
+            for link in self._links:
                 link.close()
             self.crash()
 
-    def _stream(
-        self, request: edge_platform.Request
-    ) -> typing.Iterator[bytes]:
-        first = int(request.headers.get('Last-Event-Id') or 0) + 1
-        yield edge_platform.head_of_stream(self, request)
-        is_broken = random.random() < self.breaking_share
-        for number in range(first, EVENT_COUNT + 1):
-            time.sleep(EVENT_PAUSE_S)
-            if is_broken and number > first + 1:
-                return
-            yield edge_platform.chunk(
+    def _answer(self, request: edge_platform.Request) -> answers.Answer:
+        rng = self.rng
+        headers = self.headers(request)
+        is_broken = rng.random() < self.breaking_share
+        pause_s = 0.0
+        if self.pool == 'engine':
+            headers['Content-Type'] = 'text/event-stream'
+            first = int(request.headers.get('Last-Event-Id') or 0) + 1
+            numbers = range(first, EVENT_COUNT + 1)
+            parts = [
                 event(request.attempt_id, number, self.version)
-            )
-        yield b'0\r\n\r\n'
+                for number in numbers[: 2 if is_broken else None]
+            ]
+            shares, pause_s = answers.STREAM_FRAMINGS, EVENT_PAUSE_S
+        else:
+            time.sleep(RUN_DURATION_S)
+            parts = answers.to_parts(response_body(request.attempt_id))
+            shares = answers.PLAIN_FRAMINGS
+        framing = answers.draw_framing(rng, shares)
+        if rng.random() < self.slow_share:
+            pause_s += rng.choice(answers.SLOW_S) / max(1, len(parts))
+        elif framing == 'connection':
+            pause_s = EVENT_PAUSE_S
+        is_copied = rng.random() < self.copied_share
+        return answers.Answer(
+            headers,
+            parts,
+            # Nobody can tell that an answer without framing broke off.
+            'chunks' if is_broken else framing,
+            rng,
+            pause_s,
+            is_copied,
+            not is_broken,
+        )
 
 
 def parts_of(request: edge_platform.Request) -> tuple[str, ...]:
--- a/bench/standins/edge_platform.py
+++ b/bench/standins/edge_platform.py
@@ -44,15 +44,20 @@
     """Serves ``answer(request) -> bytes | iterable of bytes`` on loopback.
 
     An answer of None resets the connection. An iterable is sent as it is
-    produced, and the connection closes after it; bytes leave it open.
+    produced, and the connection closes after it; bytes leave it open. A
+    callable gets the connection's handler, sends by itself and returns whether
+    the connection stays open; ``handler.sending`` is held meanwhile.
     """
 
     def __init__(self) -> None:
         self.requests: list[Request] = []
         self.connections = 0
-        self._server = _Listener(('127.0.0.1', 0), self)
+        self._listen(('127.0.0.1', 0))
         host, port = self._server.server_address
         self.address = f'{host}:{port}'
+
+    def _listen(self, address: tuple[str, int]) -> None:
+        self._server = _Listener(address, self)
         thread = threading.Thread(
             target=self._server.serve_forever, args=(0.02,), daemon=True
         )
@@ -80,6 +85,10 @@
         self.stop()
         self._server.close_connections()
 
+    def restart(self) -> None:
+        """Listen at the same address again."""
+        self._listen(self._server.server_address)
+
 
 class _Listener(socketserver.ThreadingTCPServer):
     daemon_threads = True
@@ -121,11 +130,15 @@
     def handle(self) -> None:
         stand_in = self.server.stand_in
         stand_in.connections += 1
+        self.sending = threading.Lock()
         self.connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         try:
             while (request := read_request(self.rfile)) is not None:
                 stand_in.requests.append(request)
-                if not self._send(stand_in.answer(request)):
+                answer = stand_in.answer(request)
+                with self.sending:
+                    is_open = self._send(answer)
+                if not is_open:
                     return
         except OSError:
             # The client closed the connection first.
@@ -138,6 +151,8 @@
         if isinstance(answer, bytes):
             self.wfile.write(answer)
             return True
+        if callable(answer):
+            return answer(self)
         for part in answer:
             self.wfile.write(part)
         return False
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -58,6 +58,8 @@
 RECOVERED = make_request(attempt_id='a9', sent_s=41, ended_s=42)
 RECOVERED = attrs.evolve(RECOVERED, body=standins.response_body('a9'))
 CUT = {'status': None, 'body': b'', 'is_complete': False}
+CUT_BODY = standins.response_body('a1')[:-1]
+CUT_STREAM = standins.stream_body('a1', 0, ['v1'])[:24]
 STREAM = {'path': '/stream/x', 'body': standins.stream_body('a1', 0, ['v1'])}
 
 
@@ -74,6 +76,24 @@
         (make_request(**CUT), [], []),
         (make_request(body=b'another'), [make_run()], ['MIXED']),
         (make_request(signature=None), [make_run()], ['MIXED']),
+        (make_request(answers_id='a1'), [make_run()], []),
+        (make_request(answers_id='a7'), [make_run()], ['MIXED']),
+        (
+            make_request(answers_id='a7', status=500),
+            [make_run()],
+            ['MIXED'],
+        ),
+        (make_request(body=CUT_BODY), [make_run()], ['MIXED']),
+        (
+            make_request(body=CUT_BODY, is_complete=False, sent_s=24.0),
+            [make_run()],
+            [],
+        ),
+        (
+            make_request(**STREAM | {'body': CUT_STREAM}),
+            [make_run()],
+            ['MIXED'],
+        ),
         (
             make_request(**STREAM | {'body': b'id: 2\n\n'}),
             [make_run()],
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -18,6 +18,7 @@
     limit_s=7.0,
     cut_s=6.0,
     streams_s=4.0,
+    answers_s=6.0,
     faults_s=4.0,
     planned_s=3.0,
 )
