Let second answers of the soak's targets meet the next answer

Change: all targets of a pool are slow or answer twice at a time, most requests may use any connection meanwhile, and runs take up to 0.2 s longer.

--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -32,6 +32,7 @@
     '/staged/x': {'X-Chunks': '3', 'X-Chunk-Key': 'k1'},
 }
 RESUMED_PATH = '/resume/x'
+REPEATABLE_PATH = '/read/x'
 #: Attempts to take up a stream that broke off.
 MAX_RESUMES = 3
 PROMPT_PATHS = ('/stream/x', '/resume/x')
@@ -104,6 +105,8 @@
             if not (stays and is_reusable):
                 edge = rng.choice(self._cluster.edges)
             path = rng.choice(list(HEADERS_BY_PATH))
+            if rng.random() < self._cluster.repeatable_share:
+                path = REPEATABLE_PATH
             bad = sorted(self._cluster.bad_parts)
             is_bad = bool(bad) and rng.random() < BAD_SHARE
             parts = (FIRST_PART, f'50{rng.randrange(SUBJECT_COUNT):02x}')
--- a/bench/soak/clusters.py
+++ b/bench/soak/clusters.py
@@ -155,6 +155,8 @@
         self.rng = rng
         #: Share of requests whose callers wait less than the others.
         self.hurried_share = 0.0
+        #: Share of requests, besides others, that may use any connection.
+        self.repeatable_share = 0.0
         self.store = standins.Store()
         self.targets: list[standins.Target] = []
         self.retired_targets: list[standins.Target] = []
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -25,6 +25,7 @@
 SLOW_SHARE = 0.5
 COPIED_SHARE = 0.5
 HURRIED_SHARE = 0.3
+REPEATABLE_SHARE = 0.8
 #: Signals that a process gets in series, at most this far apart.
 MAX_SIGNALS = 4
 MAX_SIGNAL_GAP_S = 0.3
@@ -215,15 +216,33 @@
     return _end_target(cluster, 'engine')
 
 
-def _target_fault(name: str, value: float) -> Fault:
+def _pool_fault(name: str, value: float) -> Fault:
     def fault(cluster: clusters.Cluster) -> Repair:
-        target = cluster.rng.choice(cluster.targets)
-        setattr(target, name, value)
-        return lambda: setattr(target, name, 0.0)
+        pool = cluster.rng.choice(('app', 'engine'))
+        targets = [t for t in cluster.targets if t.pool == pool]
+
+        def apply(share: float) -> None:
+            for target in targets:
+                setattr(target, name, share)
+
+        apply(value)
+        return lambda: apply(0.0)
 
     return fault
 
 
+def copy_answers(cluster: clusters.Cluster) -> Repair:
+    """Let targets answer twice on connections that are in use again."""
+    cluster.repeatable_share = REPEATABLE_SHARE
+    repair_pool = _pool_fault('copied_share', COPIED_SHARE)(cluster)
+
+    def repair() -> None:
+        cluster.repeatable_share = 0.0
+        repair_pool()
+
+    return repair
+
+
 def hurry_callers(cluster: clusters.Cluster) -> Repair:
     """Make callers send short deadlines, or leave before the answer."""
     cluster.hurried_share = HURRIED_SHARE
@@ -264,8 +283,8 @@
 ANSWER_FAULTS: tuple[Fault, ...] = (
     end_app,
     end_engine,
-    _target_fault('slow_share', SLOW_SHARE),
-    _target_fault('copied_share', COPIED_SHARE),
+    _pool_fault('slow_share', SLOW_SHARE),
+    copy_answers,
     hurry_callers,
     signal_host,
 )
--- a/bench/soak/standins.py
+++ b/bench/soak/standins.py
@@ -18,6 +18,7 @@
 EVENT_COUNT = 6
 EVENT_PAUSE_S = 0.02
 RUN_DURATION_S = 0.02
+MAX_SLACK_S = 0.2
 CRASH_DELAY_S = 0.08
 #: Share of crashes after which the kernel closes and resets nothing.
 FIN_SHARE = 0.5
@@ -228,7 +229,9 @@
             ]
             shares, pause_s = answers.STREAM_FRAMINGS, EVENT_PAUSE_S
         else:
-            time.sleep(RUN_DURATION_S)
+            # Longer runs, so that copies meet the answer after theirs.
+            slack_s = rng.uniform(0, MAX_SLACK_S) if self.copied_share else 0.0
+            time.sleep(RUN_DURATION_S + slack_s)
             parts = answers.to_parts(response_body(request.attempt_id))
             shares = answers.PLAIN_FRAMINGS
         framing = answers.draw_framing(rng, shares)
