Let a cut-off host hand requests over while answers are cut, and upgrade hosts in the soak

Users play upgrades, and a host that is cut off from all targets relays what other hosts answer; the soak cut hosts off only while answers came whole.

Change: mostly one host is cut off from all targets while answers are cut, slow and sent twice; a planned restart upgrades a host of another build (--other-path) to this one; lines of violations name the host's build.

--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -49,7 +49,7 @@
     whole response body was received. ``parts`` are those of its prompt and
     its path. An attempt that ``resumes`` the stream of another one has its
     events up to ``last_event_id`` already. ``answers_id`` is the attempt that
-    the response names.
+    the response names. ``is_other_build`` tells that of the host.
     """
 
     attempt_id: str
@@ -67,6 +67,16 @@
     last_event_id: int = 0
     parts: tuple[str, ...] = ()
     answers_id: str | None = None
+    is_other_build: bool = False
+
+    @property
+    def description(self) -> str:
+        """Return what was sent where."""
+        build = ' (other build)' if self.is_other_build else ''
+        return (
+            f'{self.attempt_id} ({self.path}) at {self.edge}{build} '
+            f'incarnation {self.incarnation}'
+        )
 
 
 class Callers:
@@ -198,6 +208,7 @@
             resumes=resumes,
             last_event_id=last_event_id,
             parts=(*(parts if path in PROMPT_PATHS else ()), path),
+            is_other_build=bool(edge.python_path),
         )
         is_reusable = False
         with contextlib.suppress(OSError, http.client.HTTPException):
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -190,7 +190,7 @@
             )
         else:
             expected = standins.response_body(request.attempt_id)
-        at = f'{request.attempt_id} ({request.path}) at {request.edge}'
+        at = request.description
         if not expected.startswith(request.body) or request.signature is None:
             yield f'MIXED: {at} got {request.body[-80:]!r}'
         elif request.is_complete and request.body != expected:
@@ -205,8 +205,8 @@
     for request in record.requests:
         if request.answers_id not in (None, request.attempt_id):
             yield (
-                f'MIXED: {request.attempt_id} ({request.path}) at '
-                f'{request.edge} got the answer to {request.answers_id}'
+                f'MIXED: {request.description} got the answer to '
+                f'{request.answers_id}'
             )
 
 
@@ -298,11 +298,7 @@
             continue
         elapsed_s = request.ended_s - request.sent_s
         if request.attempt_id in runs or elapsed_s > LOSS_SLACK_S:
-            yield (
-                f'LOST: {request.attempt_id} ({request.path}) at '
-                f'{request.edge} incarnation {request.incarnation} '
-                f'after {elapsed_s:.2f} s'
-            )
+            yield (f'LOST: {request.description} after {elapsed_s:.2f} s')
 
 
 def _responses_meet_the_timeout(record: Record) -> Violations:
--- a/bench/soak/core.py
+++ b/bench/soak/core.py
@@ -83,9 +83,7 @@
     limits = _limit_targets(cluster, plan) if plan.limit_s else ()
     streams = _break_streams(cluster, plan) if plan.streams_s else None
     cuts = _cut_hosts(cluster, plan) if plan.cut_s else ()
-    faults.inject(
-        cluster, faults.ANSWER_FAULTS, plan.answers_s, plan.mean_gap_s / 2
-    )
+    _cut_answers(cluster, plan)
     faults.inject(cluster, faults.FAULTS, plan.faults_s, plan.mean_gap_s)
     _restart_exited(cluster.edges)
     time.sleep(CONTACT_WAIT_S)
@@ -236,6 +234,16 @@
     return (checks.Cut(names, from_s, until_s),)
 
 
+def _cut_answers(cluster: clusters.Cluster, plan: Plan) -> None:
+    """Cut and copy answers, mostly also those that a host hands on."""
+    view = cluster.rng.choice(cluster.edges).view
+    view.mode = cluster.rng.choice((proxy.Mode.PASS, *faults.CUT_MODES))
+    faults.inject(
+        cluster, faults.ANSWER_FAULTS, plan.answers_s, plan.mean_gap_s / 2
+    )
+    view.mode = proxy.Mode.PASS
+
+
 def _restart_exited(edges: typing.Iterable[clusters.Edge]) -> None:
     for edge in edges:
         if not edge.process.is_running:
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -112,8 +112,11 @@
 
 
 def restart_host(cluster: clusters.Cluster) -> Repair:
-    """Terminate a process and start a new one, beside other faults."""
-    return _signal_host(cluster, ())
+    """Terminate a process and start a new one, beside other faults.
+
+    A host of another build is upgraded to this one.
+    """
+    return _signal_host(cluster, (), is_upgrade=True)
 
 
 def signal_host(cluster: clusters.Cluster) -> Repair:
@@ -124,7 +127,9 @@
 
 
 def _signal_host(
-    cluster: clusters.Cluster, names: typing.Sequence[str]
+    cluster: clusters.Cluster,
+    names: typing.Sequence[str],
+    is_upgrade: bool = False,
 ) -> Repair:
     edge = _take_host(cluster)
     if edge is None:
@@ -142,6 +147,8 @@
             edge.process.kill()
         else:
             edge.stop()
+        if is_upgrade:
+            edge.python_path = ''
         edge.start()
         _await(edge.is_ready)
 
