Count a body as cut unless its target responds after it

A target that closed its connections long before its listener (0.6 s in the test) still had callers get a part of its body as a whole one: the check took silence for a busy target. Nothing shows then that the process runs, so the body is cut now; a target that resets connections at its limit still counts as running. The response may take 500 ms, 250 before. body_ended says 'confirmed' in place of 'target_gone', which call_failed uses for evidence of a crash.

--- a/packages/routing/src/godwitglade/routing/messages.py
+++ b/packages/routing/src/godwitglade/routing/messages.py
@@ -155,7 +155,7 @@
 
     ``framing`` is what tells the end of the body, ``end`` what ended it.
     ``is_cancelled`` means that this host ended the connection,
-    ``is_target_gone`` that the target's process ended meanwhile.
+    ``is_confirmed`` that the target responded after the end.
     """
 
     attempt_id: str
@@ -165,7 +165,7 @@
     received_bytes: int
     end: str
     is_cancelled: bool = False
-    is_target_gone: bool = False
+    is_confirmed: bool = False
 
 
 @attrs.frozen
--- a/packages/routing/src/godwitglade/routing/request_logs.py
+++ b/packages/routing/src/godwitglade/routing/request_logs.py
@@ -45,7 +45,7 @@
         'received_bytes': message.received_bytes,
         'end': message.end,
         'cancelled': message.is_cancelled,
-        'target_gone': message.is_target_gone,
+        'confirmed': message.is_confirmed,
     }
     return shared_effects.LogEvent(events.Event.BODY_ENDED, fields)
 
--- a/packages/targets/src/godwitglade/targets/forwarding.py
+++ b/packages/targets/src/godwitglade/targets/forwarding.py
@@ -30,8 +30,8 @@
 GONE_CHECK_TIMEOUT_MS = 100
 #: Connections that are tried, should one be reset.
 GONE_CHECKS = 2
-#: Time limit of the exchange that shows the same, once connected.
-END_CHECK_TIMEOUT_MS = 250
+#: Time in which a target has to respond after a body, once connected.
+END_CHECK_TIMEOUT_MS = 500
 
 
 class Caller(typing.Protocol):
@@ -273,22 +273,22 @@
             return False
         return False
 
-    def _has_ended(self, call: _Call) -> bool:
-        """Return whether a target's process has ended or is just ending.
+    def _confirms_end(self, call: _Call) -> bool:
+        """Return whether a target responds after the end of a body.
 
         The kernel accepts connections until it closes the listener, so only
         a response shows that the process still runs. One that started later
-        than the target's entry says has taken the place of another. A target
-        that accepts the connection and is silent counts as running.
+        than the target's entry says has taken the place of another.
         """
         target = call.effect.target
         pool = self.pool(target.address)
         try:
             connection = pool.open(call.budget.wait_ms())
-        except http_exchange.TRANSPORT_ERRORS as error:
-            # A machine that ended with its process does not even refuse.
-            is_reset = http_exchange.is_reset(error)
-            return not is_reset or self._is_gone(target.address)
+        except (
+            *http_exchange.TRANSPORT_ERRORS,
+            faults.CallFaultError,
+        ) as error:
+            return self._is_at_its_limit(target.address, error)
         try:
             timeout_ms = min(END_CHECK_TIMEOUT_MS, call.budget.wait_ms())
             budget = http_exchange.Budget(self._clock, timeout_ms, timeout_ms)
@@ -297,13 +297,20 @@
             response = http_exchange.receive(connection, budget)
             report = http_exchange.read_reply(connection, response, budget)
         except faults.CallFaultError as error:
-            return error.is_peer_closed and self._is_gone(target.address)
+            return self._is_at_its_limit(target.address, error.__cause__)
         finally:
             # A second response to this request would have no id to tell it
             # from the next one.
             connection.close()
         started_ms = _start_of(report.content, self._wire.start_field)
-        return 0 < target.started_ms < started_ms
+        return not 0 < target.started_ms < started_ms
+
+    def _is_at_its_limit(
+        self, address: str, error: BaseException | None
+    ) -> bool:
+        """Return whether a target resets connections, but listens."""
+        is_reset = error is not None and http_exchange.is_reset(error)
+        return is_reset and not self._is_gone(address)
 
     def _exchange(self, call: _Call) -> tuple[typing.Any, bool]:
         request = call.context.request
@@ -432,7 +439,10 @@
                 received_bytes += len(chunk)
                 yield chunk
         except faults.CallFaultError as error:
-            self._report_end(call, framing, received_bytes, str(error))
+            is_cancelled = call.attempt.is_cancelled
+            self._report_end(
+                call, framing, received_bytes, str(error), is_cancelled
+            )
             raise
         if not is_framed:
             self._check_end(call, received_bytes)
@@ -446,21 +456,22 @@
         """
         is_cancelled = call.attempt.is_cancelled
         is_host = call.effect.target.is_host
-        is_checked = not is_cancelled and not is_host
-        is_target_gone = is_checked and self._has_ended(call)
+        may_be_whole = not is_cancelled and not is_host
+        is_confirmed = may_be_whole and self._confirms_end(call)
         self._report_end(
             call,
             response_bodies.Framing.CONNECTION,
             received_bytes,
             'closed',
-            is_target_gone,
+            is_cancelled,
+            is_confirmed,
         )
         if is_cancelled:
             raise _lost_fault('the call was cancelled during the body')
-        if is_target_gone:
-            raise _lost_fault("the target's process ended during the body")
         if is_host:
             raise _lost_fault('the body from a host has no length or chunks')
+        if not is_confirmed:
+            raise _lost_fault('the target does not respond after the body')
 
     def _report_end(
         self,
@@ -468,7 +479,8 @@
         framing: response_bodies.Framing,
         received_bytes: int,
         end: str,
-        is_target_gone: bool = False,
+        is_cancelled: bool,
+        is_confirmed: bool = False,
     ) -> None:
         self._post(
             messages.BodyEnded(
@@ -478,8 +490,8 @@
                 framing.value,
                 received_bytes,
                 end,
-                call.attempt.is_cancelled,
-                is_target_gone,
+                is_cancelled,
+                is_confirmed,
             )
         )
 
