Close the daemon's listeners before its loop ends

What callers saw: a request that `godwitgladed` read at the very end of a planned stop got 500 `no_outcome` 5 s after its deadline, though it had not run and could have been refused at once.

Cause: the loop ended first, and the listeners were closed afterwards; nothing answered what they read in between.

Change: at the end of a planned stop the listeners close while the loop still runs and refuses requests; then the loop ends.

--- a/packages/daemon/src/godwitglade/daemon/core.py
+++ b/packages/daemon/src/godwitglade/daemon/core.py
@@ -3,6 +3,7 @@
 import contextlib
 import pathlib
 import signal
+import threading
 import typing
 
 import typer
@@ -75,8 +76,18 @@
         daemon.effect_runner.stop()
         return status.ExitStatus.CANNOT_BIND
     logs.log_event(daemon.logger, events.Event.STARTED, {})
+    daemon.effect_runner.stop_loop = lambda: threading.Thread(
+        target=_close, args=(daemon,), daemon=True
+    ).start()
     daemon.loop.run()
-    daemon.servers.stop()
     daemon.effect_runner.stop()
     logs.log_event(daemon.logger, events.Event.STOPPED, {})
     return status.ExitStatus.SUCCESS
+
+
+def _close(daemon: assembly.Daemon) -> None:
+    """Close the listeners, then end the loop that answers their requests."""
+    try:
+        daemon.servers.stop()
+    finally:
+        daemon.loop.stop()
