Wait for each half of the odd responses of the store

Eleven odd responses, with 250 ms after each and a pause of 2 s before the first for the hosts, came close to the 5 s for which a test waits: the row of the hosts failed in one run of tests/edge at a load of over 100.

--- a/tests/edge/test_odd_entries.py
+++ b/tests/edge/test_odd_entries.py
@@ -252,6 +252,8 @@
         edge.store.answer = answer_oddly
         # Ends the feed that waits.
         edge.store.put(table, 'other', {})
+        # A follower pauses for 250 ms after each, and hosts for 2 s before.
+        edge.wait_for(lambda: len(odd) < len(ODD_RESPONSES) - 3)
         edge.wait_for(lambda: not odd)
         edge.wait_for(lambda: 'store_regained' in edge.log.text)
         assert not ended_threads
