Read odd numbers in headers and event ids as malformed

A target that reported its load with a digit such as a superscript two, or with more than 4,300 digits, or whose stream went on with such an event id, made int() raise in the thread of the request: the caller got 500 or a cut stream, and the loop did not learn of the end until the deadline.

--- a/packages/routing/src/godwitglade/routing/targets.py
+++ b/packages/routing/src/godwitglade/routing/targets.py
@@ -24,6 +24,8 @@
 MAX_GONE = 1_024
 #: A decimal number of requests per second, and the highest that is used.
 DECIMAL = re.compile(r'[0-9]{1,12}(\.[0-9]{0,12})?')
+#: A number of requests at a target.
+COUNT = re.compile('[0-9]{1,9}')
 MAX_LIMIT_MILLI_PER_S = 1_000_000_000
 BUSY_STATUS = 503
 #: Longest pause that a target can ask for.
@@ -373,6 +375,8 @@
 def parse_load(value: str | None) -> Load | None:
     """Return the load that a target reports, None if malformed."""
     parts = (value or '').split(',')
-    if len(parts) != 3 or not all(p.strip().isdigit() for p in parts):
+    if len(parts) != 3 or not all(
+        COUNT.fullmatch(part.strip()) for part in parts
+    ):
         return None
     return Load(*map(int, parts))
--- a/packages/routing/src/godwitglade/routing/value_checks.py
+++ b/packages/routing/src/godwitglade/routing/value_checks.py
@@ -4,6 +4,7 @@
 socket's timeout, in a header or in a message to another host.
 """
 
+import contextlib
 import graphlib
 import re
 import reprlib
@@ -12,6 +13,7 @@
 import attrs
 
 from godwitglade.common import clock as clocks
+from godwitglade.common import errors
 
 #: Raised for a value with another structure, too large or nested too deeply.
 ERRORS = (
@@ -37,6 +39,15 @@
 MAX_PORT = 65_535
 
 
+@contextlib.contextmanager
+def reporting(path: str) -> typing.Iterator[None]:
+    """Report a value that cannot be used as a MalformedError."""
+    try:
+        yield
+    except ERRORS as error:
+        raise errors.MalformedError(path, repr(error)) from error
+
+
 def integer(
     value: typing.Any, low: int = -MAX_INTEGER, high: int = MAX_INTEGER
 ) -> int:
--- a/packages/targets/src/godwitglade/targets/event_reader.py
+++ b/packages/targets/src/godwitglade/targets/event_reader.py
@@ -5,6 +5,8 @@
 import attrs
 
 _EVENT_END = re.compile(rb'\r?\n\r?\n')
+#: int() refuses texts with more digits.
+_NUMBER = re.compile('[0-9]{1,4300}')
 _EVENT_ID = re.compile(rb'^id: ?([^\r\n]*)', re.MULTILINE)
 
 
@@ -68,7 +70,8 @@
 
     def _check_first(self, event_id: str) -> None:
         is_first, self._is_first = self._is_first, False
-        are_numbers = event_id.isdecimal() and self.last_id.isdecimal()
+        ids = (event_id, self.last_id)
+        are_numbers = all(map(_NUMBER.fullmatch, ids))
         if is_first and are_numbers and int(event_id) <= int(self.last_id):
             raise EventRepeatedError(event_id)
 
