Refuse versions of the store that cannot be told to other hosts

A version beyond 2**53 in one response of the store would be kept as that of the list of targets, and refused by the hosts that are told of it.

Evidence: a row of test_odd_responses_of_the_store_do_not_end_a_follower; a version that is too large but below that is still believed.

--- a/packages/platform/src/godwitglade/platform/follower.py
+++ b/packages/platform/src/godwitglade/platform/follower.py
@@ -17,6 +17,8 @@
 #: Pause after a failed read, and after a HistoryGoneError that comes within
 #: this time of the start of the last full read.
 RETRY_MS = 250
+#: A larger number could not be told to other hosts.
+MAX_VERSION = 2**53 - 1
 #: Pause of a follower that leaves the reading to others; a request ends it.
 IDLE_MS = 60 * clocks.SECOND_MS
 
@@ -45,7 +47,13 @@
     rows: list[dict[str, typing.Any]] = attrs.field(
         validator=attrs.validators.instance_of(list)
     )
-    version: int = attrs.field(validator=attrs.validators.instance_of(int))
+    version: int = attrs.field(
+        validator=[
+            attrs.validators.instance_of(int),
+            attrs.validators.ge(0),
+            attrs.validators.le(MAX_VERSION),
+        ]
+    )
     outage_ms: int = 0
     era: int = 0
 
--- a/tests/edge/test_odd_entries.py
+++ b/tests/edge/test_odd_entries.py
@@ -225,6 +225,7 @@
             {'rows': [], 'schemaVersion': None},
             {'rows': [], 'schemaVersion': 'x'},
             {'rows': [], 'schemaVersion': 1.5},
+            {'rows': [], 'schemaVersion': 2**53},
         )
     ),
 ]
