Ask a target for its start where the end of a body is read late

Cause: the end of a body without a length or chunks counts if the target still accepts a connection right after it. A host that stood still, or whose thread waits for a slow caller, reads that end late; by then the target's next process may accept connections.

Change: the kernel tells how long ago the last segment arrived when the end is read (TCP_INFO). From 20 ms on, the target is asked for its report, and a start in it other than the listed one means that the body was cut. Where entry or report tell no start, nothing changes. The report is read only in this case.

--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -207,8 +207,7 @@
     def repair() -> None:
         target.come_back()
         if target in cluster.targets:
-            born = {'born': int(time.time() * 1_000)}
-            cluster.store.put('servers', target.name, target.entry(**born))
+            cluster.store.put('servers', target.name, target.entry())
 
     return repair
 
--- a/bench/standins/edge_platform.py
+++ b/bench/standins/edge_platform.py
@@ -324,6 +324,7 @@
         self.freed_handles: list[str] = []
         self.named_limit: str | None = None
         self.extra_headers: dict[str, str] = {}
+        self.born = 1_700_000_000_000
         self._numbers = itertools.count()
         super().__init__()
 
@@ -344,7 +345,7 @@
             'state': 'ready',
             'coldRemainingMs': 0,
             'sequence': 1,
-            'born': 1_700_000_000_000,
+            'born': self.born,
             **fields,
         }
 
@@ -356,7 +357,7 @@
         if request.path == '/api/stage-run' and not is_endless:
             return self._run_stage(request)
         if request.path == '/api/report' and self.behaviours[0] != 'silent':
-            return response(200, {}, b'{}')
+            return response(200, {}, codec.to_json({'born': self.born}))
         if request.path == '/api/stage-free':
             self.freed_handles += codec.parse_json(request.body)['handles']
             return response(200, {}, b'{}')
@@ -376,6 +377,11 @@
             **self.extra_headers,
         }
 
+    def restart(self) -> None:
+        """Start again at the same address, under the same name."""
+        self.born += 1_000
+        super().restart()
+
     def _run_stage(self, request: Request) -> bytes:
         entries = codec.parse_json(request.body)['entries']
         results = [
--- a/packages/targets/src/godwitglade/targets/connections.py
+++ b/packages/targets/src/godwitglade/targets/connections.py
@@ -28,6 +28,8 @@
 TIMEOUT_TOLERANCE_MS = 20
 
 _DISCARD_ON_CLOSE = struct.pack('ii', 1, 0)
+#: Linux's tcp_info up to the time since the last segment arrived, in ms.
+_TCP_INFO = struct.Struct('=56xI')
 
 
 class _DeadlineSocket(socket.socket):
@@ -38,12 +40,19 @@
     """
 
     before_read: typing.Callable[[], None] | None = None
+    end_age_ms = 0
 
     def recv_into(self, *args: typing.Any) -> int:
         """Receive bytes; raises TimeoutError after the deadline."""
         if self.before_read is not None:
             self.before_read()
-        return super().recv_into(*args)
+        size_bytes = super().recv_into(*args)
+        if not size_bytes:
+            info = self.getsockopt(
+                socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO.size
+            )
+            (self.end_age_ms,) = _TCP_INFO.unpack(info)
+        return size_bytes
 
 
 class Connection:
@@ -150,6 +159,11 @@
         last, self._last_content = self._last_content, content
         return last == content
 
+    @property
+    def end_age_ms(self) -> int:
+        """Return how long the connection had ended when that was read."""
+        return 0 if self._socket is None else self._socket.end_age_ms
+
     def is_usable(self) -> bool:
         """Return whether the peer has left the idle connection open."""
         return self._http.is_connected
--- a/packages/targets/src/godwitglade/targets/forwarding.py
+++ b/packages/targets/src/godwitglade/targets/forwarding.py
@@ -9,6 +9,8 @@
 from urllib3 import response as urllib3_response
 
 from godwitglade.common import clock as clocks
+from godwitglade.common import codec
+from godwitglade.common import errors
 from godwitglade.routing import effects
 from godwitglade.routing import messages
 from godwitglade.routing import targets
@@ -23,8 +25,11 @@
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 #: Time in which a connection for a caller's request has to be established.
 CONNECT_TIMEOUT_MS = 500
-#: Time limit of the connection that shows whether a target still runs.
+#: Time limit of the connection that shows whether a target still runs, and
+#: of the report that shows whether it has started again.
 GONE_CHECK_TIMEOUT_MS = 100
+#: No process accepts connections again within this time of its end.
+MIN_RESTART_MS = 20
 
 
 class Caller(typing.Protocol):
@@ -103,10 +108,12 @@
 class HeaderCodec(typing.Protocol):
     """Reads and writes the headers that callers and targets use.
 
-    ``probe_path`` is a path at which every target responds.
+    ``probe_path`` is a path at which every target responds with a report,
+    whose ``started_field`` is the Unix time in ms of its process's start.
     """
 
     probe_path: str
+    started_field: str
 
     def target_headers(
         self, context: ForwardingContext, effect: effects.Forward, left_ms: int
@@ -257,6 +264,33 @@
         pool.release(connection)
         return False
 
+    def _has_restarted(self, call: _Call) -> bool:
+        """Tell whether a target reports another start than the listed one.
+
+        It is asked where this host reads the end of a connection so late that
+        a process may have ended and started again.
+        """
+        target = call.effect.target
+        is_late = call.connection.end_age_ms >= MIN_RESTART_MS
+        if not is_late or not target.started_ms:
+            return False
+        budget = http_exchange.Budget(
+            self._clock, GONE_CHECK_TIMEOUT_MS, GONE_CHECK_TIMEOUT_MS
+        )
+        connection = connections.Connection(target.address, self._clock)
+        try:
+            connection.open(GONE_CHECK_TIMEOUT_MS)
+            path = self._wire.probe_path
+            http_exchange.send(connection, 'GET', path, None, budget)
+            response = http_exchange.receive(connection, budget)
+            report = http_exchange.read_reply(connection, response, budget)
+        except (faults.CallFaultError, *http_exchange.TRANSPORT_ERRORS):
+            return False
+        finally:
+            connection.close()
+        started_ms = _parse_start(report.content, self._wire.started_field)
+        return started_ms not in (None, target.started_ms)
+
     def _exchange(self, call: _Call) -> tuple[typing.Any, bool]:
         request = call.context.request
         http_exchange.send(
@@ -402,8 +436,9 @@
         only if bytes were left unread.
         """
         is_cancelled = call.attempt.is_cancelled
-        is_target_gone = not is_cancelled and self._is_gone(
-            call.effect.target.address
+        is_target_gone = not is_cancelled and (
+            self._is_gone(call.effect.target.address)
+            or self._has_restarted(call)
         )
         self._report_end(
             call,
@@ -558,6 +593,15 @@
     return messages.CallLost(*ids, str(error), is_target_gone)
 
 
+def _parse_start(report: bytes, field: str) -> int | None:
+    """Return when the process that reports started, None if unknown."""
+    try:
+        started_ms = codec.parse_json(report).get(field)
+    except (errors.MalformedError, AttributeError):
+        return None
+    return started_ms if type(started_ms) is int else None
+
+
 def _not_sent_fault(detail: str) -> faults.CallFaultError:
     return faults.CallFaultError(
         http_exchange.FaultKind.CONNECT, detail, was_sent=False
