--- a/bench/soak/standins.py
+++ b/bench/soak/standins.py
@@ -135,6 +135,8 @@
 class Target(edge_platform.Target):
     """A target behind a link; responses contain the request's attempt id."""
 
+    ip = proxy.IP
+
     def __init__(
         self, name: str, pool: str, zone: str, version: str = 'v1'
     ) -> None:
--- a/tests/soak/test_answers.py
+++ b/tests/soak/test_answers.py
@@ -104,3 +104,15 @@
     with connect(target) as sock:
         sock.sendall(REQUEST % b'read')
         assert receive_all(sock, 0.5).startswith(b'HTTP/1.1 200 OK')
+
+
+def test_second_copy_does_not_come_after_a_body_without_length(target):
+    answer_with(target, is_copied=True)
+    with connect(target) as sock:
+        sock.sendall(REQUEST % b'read')
+        sock.recv(4_096)
+        answer_with(target, framing='connection', pause_s=0.1)
+        sock.sendall(REQUEST % b'read')
+        received = receive_all(sock, 1.5)
+    assert received.endswith(WHOLE)
+    assert received.count(b'HTTP/1.1') <= 2
