--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -217,7 +217,8 @@
         if run_count > 1 and paths.get(attempt_id) in NON_IDEMPOTENT_PATHS:
             yield f'TWICE: {attempt_id} ran {run_count} times'
         if attempt_id not in paths:
-            yield f'UNASKED: no caller sent {attempt_id}'
+            places = sorted({f'{run.target} {run.parts}' for run in runs})
+            yield f'UNASKED: no caller sent {attempt_id!r} to {places}'
 
 
 def _refused_requests_do_not_run(record: Record) -> Violations:
