--- a/bench/standins/edge_platform.py
+++ b/bench/standins/edge_platform.py
@@ -49,10 +49,12 @@
     the connection stays open; ``handler.sending`` is held meanwhile.
     """
 
+    ip = '127.0.0.1'
+
     def __init__(self) -> None:
         self.requests: list[Request] = []
         self.connections = 0
-        self._listen(('127.0.0.1', 0))
+        self._listen((self.ip, 0))
         host, port = self._server.server_address
         self.address = f'{host}:{port}'
 
@@ -327,6 +329,7 @@
         self.freed_handles: list[str] = []
         self.named_limit: str | None = None
         self.extra_headers: dict[str, str] = {}
+        self.born = 1_700_000_000_000
         self._numbers = itertools.count()
         super().__init__()
 
@@ -347,7 +350,7 @@
             'state': 'ready',
             'coldRemainingMs': 0,
             'sequence': 1,
-            'born': 1_700_000_000_000,
+            'born': self.born,
             **fields,
         }
 
@@ -359,7 +362,7 @@
         if request.path == '/api/stage-run' and not is_endless:
             return self._run_stage(request)
         if request.path == '/api/report' and self.behaviours[0] != 'silent':
-            return response(200, {}, b'{}')
+            return response(200, {}, codec.to_json({'born': self.born}))
         if request.path == '/api/stage-free':
             self.freed_handles += codec.parse_json(request.body)['handles']
             return response(200, {}, b'{}')
@@ -379,6 +382,11 @@
             **self.extra_headers,
         }
 
+    def restart(self) -> None:
+        """Start again at the same address, under the same name."""
+        self.born += 1_000
+        super().restart()
+
     def _run_stage(self, request: Request) -> bytes:
         entries = codec.parse_json(request.body)['entries']
         results = [
