--- a/packages/routing/src/godwitglade/routing/effects.py
+++ b/packages/routing/src/godwitglade/routing/effects.py
@@ -19,6 +19,8 @@
     needs. With ``may_retry`` a failure of the target is reported instead of
     forwarded. ``needs_new_connection`` forbids reuse of a connection. The
     first event of a stream waits ``hold_ms`` at most for ReleaseStream.
+    ``last_event_id`` is that of the last event that the caller had before,
+    empty for none.
     """
 
     request_id: str
@@ -30,6 +32,7 @@
     may_retry: bool = False
     is_stream: bool = False
     needs_new_connection: bool = False
+    last_event_id: str = ''
     hold_ms: int = 0
 
 
@@ -148,6 +151,11 @@
     """Read the list of targets now, since the current one is outdated."""
 
 
+@attrs.frozen
+class ConfirmTargets:
+    """Ask the store now for what has changed in the list of targets."""
+
+
 @attrs.frozen
 class FollowTables:
     """Follow the tables of the store, or leave that to other hosts."""
--- a/packages/routing/src/godwitglade/routing/host.py
+++ b/packages/routing/src/godwitglade/routing/host.py
@@ -49,6 +49,8 @@
 MAINTENANCE_TOKEN = 'host:upkeep'
 #: Interval at which expired entries and a stop in progress are checked.
 MAINTENANCE_INTERVAL_MS = 200
+#: A host that handled nothing for this time, not even a timer, did not run.
+STANDSTILL_MS = 1_000
 
 PERMIT_BODIES = (bodies.PermitRequest, bodies.PermitGranted)
 TABLE_BODIES = (bodies.TablesQuery, bodies.TablesKnown)
@@ -180,6 +182,7 @@
 
     def __init__(self, components: Components) -> None:
         self.components = components
+        self._handled_ms: int | None = None
 
     @property
     def is_ready(self) -> bool:
@@ -201,6 +204,10 @@
 
     def handle(self, message: typing.Any, now_ms: int) -> Effects:
         """Handle one message at monotonic time ``now_ms``."""
+        if self._handled_ms is not None:
+            if now_ms - self._handled_ms >= STANDSTILL_MS:
+                self.components.versions.awake_since_ms = now_ms
+        self._handled_ms = now_ms
         return self._resolve(self._dispatch(message, now_ms), now_ms)
 
     def _resolve(self, effects_: Effects, now_ms: int) -> Effects:
@@ -363,8 +370,7 @@
             message.outage_ms,
             message.era,
         )
-        self.components.versions.confirmed_ms = now_ms
-        return self._report_changes(changes, message.version, now_ms)
+        return self._apply_changes(changes, message, now_ms)
 
     @_dispatch.register
     def _(self, message: messages.TargetsChanged, now_ms: int) -> Effects:
@@ -376,8 +382,7 @@
             now_ms,
             message.era,
         )
-        self.components.versions.confirmed_ms = now_ms
-        return self._report_changes(changes, message.version, now_ms)
+        return self._apply_changes(changes, message, now_ms)
 
     @_dispatch.register
     def _(self, message: messages.HostsRead, now_ms: int) -> Effects:
@@ -479,6 +484,17 @@
         may_end = self.components.stopping.may_end(is_idle, now_ms)
         return [effects.Stop()] if may_end else []
 
+    def _apply_changes(
+        self,
+        changes: list[targets.Change],
+        message: messages.TargetsRead | messages.TargetsChanged,
+        now_ms: int,
+    ) -> Effects:
+        reports = self._report_changes(changes, message.version, now_ms)
+        if message.version >= self.components.directory.version:
+            self.components.versions.confirm(message.read_from_ms)
+        return reports + self.components.requests.resume_confirmed(now_ms)
+
     def _report_changes(
         self, changes: list[targets.Change], version: int, now_ms: int
     ) -> Effects:
--- a/packages/routing/src/godwitglade/routing/messages.py
+++ b/packages/routing/src/godwitglade/routing/messages.py
@@ -139,7 +139,8 @@
     """A stream broke off.
 
     ``has_response_started`` means that the caller received a part of it,
-    ``is_target_gone`` that the target's process ended meanwhile.
+    ``is_target_gone`` that the target's process ended meanwhile. It
+    ``can_go_on`` if the last event that the caller received had an id.
     """
 
     request_id: str
@@ -147,6 +148,7 @@
     has_response_started: bool
     detail: str
     is_target_gone: bool = False
+    can_go_on: bool = True
 
 
 @attrs.frozen
@@ -205,7 +207,8 @@
 
     ``outage_ms`` is how long the store did not answer before this read. In
     each new ``era`` the store has gone back to an older state. With
-    ``is_told`` another host has read the list.
+    ``is_told`` another host has read the list. The read started at
+    ``read_from_ms``, None if that is not known.
     """
 
     listed: tuple[targets.TargetEntry, ...]
@@ -213,13 +216,15 @@
     outage_ms: int = 0
     era: int = 0
     is_told: bool = False
+    read_from_ms: int | None = None
 
 
 @attrs.frozen
 class TargetsChanged:
     """Entries of the list of targets that changed.
 
-    With ``is_told`` another host has read them.
+    With ``is_told`` another host has read them. The read started at
+    ``read_from_ms``, None if that is not known.
     """
 
     present: tuple[targets.TargetEntry, ...]
@@ -227,6 +232,7 @@
     version: int
     era: int = 0
     is_told: bool = False
+    read_from_ms: int | None = None
 
 
 @attrs.frozen
--- a/tests/routing/test_request_lifecycle.py
+++ b/tests/routing/test_request_lifecycle.py
@@ -3,6 +3,7 @@
 import random
 
 import pytest
+import xxhash
 
 from godwitglade.coordination import effects as shared_effects
 from godwitglade.coordination import hosts
@@ -56,6 +57,7 @@
         streams = stream_versions.StreamVersions(SELF, members, versions)
         self.stopping = stopping.Stopping(7_000)
         self.limits = rate_limits.RateLimits('h1', members, cut_off)
+        self.versions, self.streams = versions, streams
         self.requests = request_lifecycle.Requests(
             SELF,
             self.document_state,
@@ -74,6 +76,11 @@
     def handle(self, message, now_ms=10):
         return self.requests.handle(message, now_ms)
 
+    def confirm_list(self, now_ms=10):
+        """Let the store answer a read of the targets that starts now."""
+        self.versions.confirm(now_ms)
+        return self.requests.resume_confirmed(now_ms)
+
     def arrive(self, now_ms=0, **fields):
         message = builders.arrived(read_ms=now_ms, **fields)
         return self.handle(message, now_ms)
@@ -381,7 +388,7 @@
     jobs = [
         effect.job
         for arrived in (resumed, builders.arrived('r2', item_counts=(1,)))
-        for effect in host.handle(arrived)
+        for effect in (*host.handle(arrived), *host.confirm_list())
         if isinstance(effect, effects.SubmitJob)
     ]
     assert jobs[0].rank < jobs[1].rank
@@ -539,3 +546,18 @@
         effects_ = harness.requests.job_ended(ended(job, handles=('a',)), 300)
         zones.add(find_effect(effects_, effects.Forward).target.zone)
     assert (zones == {'z1'}) is is_near
+
+
+def test_stream_in_doubt_goes_on_once_the_list_names_one_version():
+    host = Harness(ROUTES['resumable'])
+    for name in ('t0', 't1', 't2'):
+        host.directory.find(name).listed = builders.listed(
+            name, 'app', version='v1'
+        )
+    host.versions.set_listed('app', frozenset({'v1'}), -60_000)
+    doubtful = stream_versions.Begun('app', '')
+    resumed = builders.arrived(last_event_id='3', resumes='a0')
+    key = xxhash.xxh3_64_hexdigest(b'\ndesk.example\n/a/x\na0')
+    host.streams.record_begun(key, doubtful, 't0', 'r0', 0)
+    effects_ = (*host.handle(resumed), *host.confirm_list())
+    assert find_effect(effects_, effects.Forward) is not None
