Keep streams at their version on hosts that are out of step

Callers saw streams with events of two software versions: a host that was cut off from the store and the others, or that woke with an old list while nobody answered, took up streams that had begun elsewhere at targets of a new version, and went on with them at the old one.

Cause: a stream of which nobody knew went on if the list named one version and either had been confirmed within 3 s or one of three hosts replied. The list was dated by when an answer was handled, so an answer from before a standstill counted as new, a list may be 3 s old while a version joins, and a host on the same side of a cut knows no more than this one.

Now such a stream goes on at once only if all asked hosts reply, and none knows of another version; hosts lost since the last read of the list are still asked, and one beyond the data centre. Replies of the build before name no versions and count as replies.

Beside one version, resumes still go on (same file).

Changed tests: three rows of test_resumption.py took a list read before the request, or one reply of three, as enough; they now demand a refusal or all replies, and rows for versions that hosts name are new. The hosts of tests/routing/fleet.py and of test_request_lifecycle.py get the store's answer to the new effect.

--- a/packages/daemon/src/godwitglade/daemon/routing_effect_runner.py
+++ b/packages/daemon/src/godwitglade/daemon/routing_effect_runner.py
@@ -27,6 +27,7 @@
 STAGE_THREADS = 32
 FREE_THREADS = 4
 ROW_THREADS = 2
+CONFIRM_THREADS = 2
 PROBE_THREADS = 6
 
 
@@ -102,6 +103,9 @@
         self._free_threads = thread_pools.ThreadPool(
             'free', FREE_THREADS, report
         )
+        self._confirm_threads = thread_pools.ThreadPool(
+            'confirm', CONFIRM_THREADS, report
+        )
         self._row_threads = thread_pools.ThreadPool('row', ROW_THREADS, report)
         self._probe_threads = thread_pools.ThreadPool(
             'probe', PROBE_THREADS, report
@@ -207,6 +211,13 @@
         followers = self._clients.followers
         followers[table_sharing.Table.TARGETS.value].request_full_read()
 
+    @carry_out.register
+    def _(self, effect: effects.ConfirmTargets) -> None:
+        targets_follower = self._clients.followers[
+            table_sharing.Table.TARGETS.value
+        ]
+        self._confirm_threads.submit(targets_follower.confirm)
+
     @carry_out.register
     def _(self, effect: effects.ReadTable) -> None:
         self._clients.followers[effect.table].request_full_read()
--- a/packages/platform/src/godwitglade/platform/follower.py
+++ b/packages/platform/src/godwitglade/platform/follower.py
@@ -124,6 +124,7 @@
         self._full_read_started_ms: int | None = None
         self._last_response_ms = clock.monotonic_ms()
         self._wake_event = threading.Event()
+        self._apply_lock = threading.Lock()
         self._is_following = True
         self._is_read_requested = True
 
@@ -143,6 +144,34 @@
         self._is_read_requested = True
         self._wake_event.set()
 
+    def confirm(self) -> None:
+        """Read at once what has changed, beside the feed that waits.
+
+        May run on any thread. Nothing is applied if the store does not
+        answer or has gone back.
+        """
+        started_ms = self._clock.monotonic_ms()
+        with self._apply_lock:
+            version, era = self._version, self._era
+        if version is None:
+            self.request_full_read()
+            return
+        try:
+            result = self._client.feed(self._table, version, 0)
+        except HistoryGoneError:
+            self.request_full_read()
+            return
+        except (errors.CodedError, KeyError, TypeError):
+            return
+        if result.era != era:
+            self.request_full_read()
+            return
+        try:
+            with self._apply_lock:
+                self._apply(result, False, started_ms)
+        except Exception as error:
+            self._availability.record_failure(repr(error))
+
     def run(self) -> None:
         """Poll forever; meant to run on a dedicated thread."""
         while True:
@@ -188,9 +217,11 @@
             result = attrs.evolve(result, outage_ms=outage_ms)
         self._last_response_ms = response_ms
         self._availability.record_success()
-        self._version = result.version
         try:
-            self._apply(result, is_full_read, started_ms)
+            # A read beside this one starts from a version that is applied.
+            with self._apply_lock:
+                self._version = result.version
+                self._apply(result, is_full_read, started_ms)
         except Exception as error:
             # Otherwise one odd row would end the thread, and all news.
             self._availability.record_failure(repr(error))
--- a/packages/routing/src/godwitglade/routing/bodies.py
+++ b/packages/routing/src/godwitglade/routing/bodies.py
@@ -180,18 +180,27 @@
 
 @attrs.frozen
 class StreamQuery:
-    """A host asks where a stream began."""
+    """A host asks where a stream began.
+
+    ``pools`` are those of its route.
+    """
 
     key: str
+    pools: tuple[str, ...] = ()
 
 
 @attrs.frozen
 class StreamAnswer:
-    """The reply to a `StreamQuery`; ``version`` is empty if it is unknown."""
+    """The reply to a `StreamQuery`; ``version`` is empty if it is unknown.
+
+    ``versions`` are those that the targets of the pools have or lately had,
+    as far as the host knows.
+    """
 
     is_known: bool = False
     pool: str = ''
     version: str = ''
+    versions: tuple[str, ...] = ()
 
 
 @attrs.frozen
--- a/packages/routing/src/godwitglade/routing/effects.py
+++ b/packages/routing/src/godwitglade/routing/effects.py
@@ -139,6 +139,11 @@
     """Read the list of targets now, since the current one is outdated."""
 
 
+@attrs.frozen
+class ConfirmTargets:
+    """Ask the store now for what has changed in the list of targets."""
+
+
 @attrs.frozen
 class FollowTables:
     """Follow the tables of the store, or leave that to other hosts."""
--- a/packages/routing/src/godwitglade/routing/host.py
+++ b/packages/routing/src/godwitglade/routing/host.py
@@ -357,8 +357,7 @@
             message.outage_ms,
             message.era,
         )
-        self.components.versions.confirmed_ms = now_ms
-        return self._report_changes(changes, message.version, now_ms)
+        return self._apply_changes(changes, message, now_ms)
 
     @_dispatch.register
     def _(self, message: messages.TargetsChanged, now_ms: int) -> Effects:
@@ -370,8 +369,7 @@
             now_ms,
             message.era,
         )
-        self.components.versions.confirmed_ms = now_ms
-        return self._report_changes(changes, message.version, now_ms)
+        return self._apply_changes(changes, message, now_ms)
 
     @_dispatch.register
     def _(self, message: messages.HostsRead, now_ms: int) -> Effects:
@@ -471,6 +469,17 @@
         may_end = self.components.stopping.may_end(is_idle, now_ms)
         return [effects.Stop()] if may_end else []
 
+    def _apply_changes(
+        self,
+        changes: list[targets.Change],
+        message: messages.TargetsRead | messages.TargetsChanged,
+        now_ms: int,
+    ) -> Effects:
+        reports = self._report_changes(changes, message.version, now_ms)
+        if message.version >= self.components.directory.version:
+            self.components.versions.confirm(message.read_from_ms)
+        return reports + self.components.requests.resume_confirmed(now_ms)
+
     def _report_changes(
         self, changes: list[targets.Change], version: int, now_ms: int
     ) -> Effects:
--- a/packages/routing/src/godwitglade/routing/pool_versions.py
+++ b/packages/routing/src/godwitglade/routing/pool_versions.py
@@ -18,8 +18,8 @@
     """The versions known to this host, by pool.
 
     ``is_complete`` means that this host has also read what the hosts knew
-    before it started. ``confirmed_ms`` is when the list of targets was last
-    confirmed.
+    before it started. ``confirmed_ms`` is the start of the last read of the
+    list of targets from the store.
     """
 
     def __init__(self) -> None:
@@ -28,6 +28,15 @@
         self.is_complete = False
         self.confirmed_ms: int | None = None
 
+    def confirm(self, read_from_ms: int | None) -> None:
+        """Record that a read that started then returned the list."""
+        if read_from_ms is not None:
+            self.confirmed_ms = max(self.confirmed_ms or 0, read_from_ms)
+
+    def is_confirmed_since(self, ms: int) -> bool:
+        """Return whether the list was read after a time."""
+        return self.confirmed_ms is not None and self.confirmed_ms >= ms
+
     def set_listed(
         self, pool: str, versions: frozenset[str], now_ms: int
     ) -> None:
--- a/packages/routing/src/godwitglade/routing/request.py
+++ b/packages/routing/src/godwitglade/routing/request.py
@@ -16,11 +16,16 @@
 
 @attrs.define(eq=False)
 class Inquiry:
-    """Replies of other hosts for which a request waits."""
+    """Replies of other hosts for which a request waits.
+
+    ``versions`` are those of which they know.
+    """
 
     asked: int
+    asked_ms: int
     pending: int = attrs.field(init=False)
     replies: int = 0
+    versions: set[str] = attrs.Factory(set)
 
     def __attrs_post_init__(self) -> None:
         self.pending = self.asked
--- a/packages/routing/src/godwitglade/routing/request_lifecycle.py
+++ b/packages/routing/src/godwitglade/routing/request_lifecycle.py
@@ -151,6 +151,11 @@
             request = self._requests.get(name)
             if request is not None and request.calls == int(call):
                 return self._cancel_slow_call(request, now_ms)
+        if message.token.startswith(resumption.CONFIRM_TOKEN):
+            name = message.token.removeprefix(resumption.CONFIRM_TOKEN)
+            decision = self._resumptions.expire(name, now_ms)
+            if decision is not None:
+                return self._resume(self._requests[name], decision, now_ms)
         if message.token.startswith(PERMIT_TOKEN):
             rest = message.token.removeprefix(PERMIT_TOKEN)
             return self._use_permit(rest, now_ms)
@@ -535,10 +540,9 @@
 
     def _look_up(self, request: request_.Request, now_ms: int) -> Effects:
         """Find out at which version a stream goes on."""
-        decision = self._resumptions.start(request, now_ms)
-        if isinstance(decision, list):
-            return decision
-        return self._resume(request, decision, now_ms)
+        return self._resume(
+            request, self._resumptions.start(request, now_ms), now_ms
+        )
 
     def _apply_stream_reply(
         self, message: shared_messages.PeerReply, now_ms: int
@@ -548,19 +552,28 @@
         if request is None:
             return []
         decision = self._resumptions.apply_reply(request, message.body, now_ms)
-        if decision is None:
-            return []
         return self._resume(request, decision, now_ms)
 
+    def resume_confirmed(self, now_ms: int) -> Effects:
+        """Go on with streams that waited for a newer list of targets."""
+        decided = self._resumptions.apply_confirmation(now_ms)
+        return [
+            effect
+            for request, decision in decided
+            for effect in self._resume(request, decision, now_ms)
+        ]
+
     def _resume(
         self,
         request: request_.Request,
-        decision: resumption.Decision,
+        decision: resumption.Decision | Effects,
         now_ms: int,
     ) -> Effects:
+        if isinstance(decision, list):
+            return decision
         if isinstance(decision, resumption.Refusal):
             reason = decision.value
-            if decision is resumption.Refusal.UNCONFIRMED:
+            if decision.is_temporary:
                 return self._refuse(request, reason, 0, now_ms)
             ending = error_replies.cannot_resume(request, reason)
             return self._finish(request, reason, ending, now_ms)
--- a/packages/routing/src/godwitglade/routing/stream_versions.py
+++ b/packages/routing/src/godwitglade/routing/stream_versions.py
@@ -102,6 +102,9 @@
         self._mixed_pools: frozenset[str] = frozenset()
         self._row: effects.WriteStreams | None = None
         self._row_ms = -REPEAT_WRITE_MS
+        self._seen: tuple[typing.Any, ...] = ()
+        self._serving: dict[str, str] = {}
+        self._lost: dict[str, tuple[str, int]] = {}
 
     def __len__(self) -> int:
         return len(self._streams)
@@ -160,16 +163,53 @@
         keys = [k for k in self._own if self._streams[k].begun.pool in new]
         return self._tell(keys, now_ms)
 
-    def ask(self, key: str, request_id: str) -> Effects:
+    def ask(
+        self, key: str, request_id: str, pools: tuple[str, ...]
+    ) -> Effects:
         """Ask the hosts that would know of a stream."""
-        body = bodies.StreamQuery(key)
+        body = bodies.StreamQuery(key, pools)
         return [
             shared_effects.SendPeer(
                 f'{ASKED_TOKEN}{request_id}', address, body, ASK_TIMEOUT_MS
             )
-            for address in self._keepers(key, ASKED_HOSTS)
+            for address in self._asked(key)
         ]
 
+    def _asked(self, key: str) -> list[str]:
+        """Return the addresses of hosts that may know of a stream.
+
+        Hosts lost since the list of targets was read may be on the other
+        side of a cut. If all are of this data centre, another one is asked,
+        which does not answer if the data centre is cut off.
+        """
+        lost = {name: address for name, (address, _) in self._lost.items()}
+        addresses = lost | self._addresses()
+        ranked = rendezvous.rank(key, addresses)
+        asked, rest = ranked[:ASKED_HOSTS], ranked[ASKED_HOSTS:]
+        near = {
+            record.host.name
+            for record in self._members.serving()
+            if record.host.zone == self._self_id.zone
+        }
+        if near.issuperset(asked):
+            asked += [name for name in rest if name not in near][:1]
+        return [addresses[name] for name in asked]
+
+    def _record_lost(self, now_ms: int) -> None:
+        members = self._members.serving()
+        if members is self._seen and not self._lost:
+            return
+        self._seen, serving = members, self._addresses()
+        gone = self._serving.keys() - serving.keys()
+        self._lost |= {n: (self._serving[n], now_ms) for n in gone}
+        self._lost = {
+            name: (address, lost_ms)
+            for name, (address, lost_ms) in self._lost.items()
+            if name not in serving
+            and not self._versions.is_confirmed_since(lost_ms)
+        }
+        self._serving = serving
+
     @functools.singledispatchmethod
     def handle(self, message: typing.Any, now_ms: int) -> Effects:
         """Handle a message; messages of other components are ignored."""
@@ -178,10 +218,17 @@
     @handle.register
     def _(self, message: shared_messages.PeerMessage, now_ms: int) -> Effects:
         if isinstance(message.body, bodies.StreamQuery):
+            pools = message.body.pools[: pool_versions.MAX_VERSIONS]
+            known = self._versions.known_of(pools, now_ms)
+            answer = bodies.StreamAnswer(versions=tuple(sorted(known)))
             found = self.find(message.body.key)
-            answer = bodies.StreamAnswer()
             if found is not None:
-                answer = bodies.StreamAnswer(True, found.pool, found.version)
+                answer = attrs.evolve(
+                    answer,
+                    is_known=True,
+                    pool=found.pool,
+                    version=found.version,
+                )
             return [shared_effects.ReplyPeer(message.reply_token, answer)]
         received = bodies.Received(self._self_id.incarnation)
         reply = shared_effects.ReplyPeer(message.reply_token, received)
@@ -232,6 +279,7 @@
                 break
             self._drop(key)
         self._versions.maintain(now_ms)
+        self._record_lost(now_ms)
         told = self.update_pools(now_ms)
         return told + self._update_row(now_ms)
 
@@ -307,12 +355,16 @@
 
     def _keepers(self, key: str, count: int) -> list[str]:
         """Return the addresses of other hosts that keep a stream."""
-        addresses = {
+        addresses = self._addresses()
+        return [addresses[n] for n in rendezvous.rank(key, addresses)[:count]]
+
+    def _addresses(self) -> dict[str, str]:
+        """Return the addresses of the other hosts that serve."""
+        return {
             record.host.name: record.address
             for record in self._members.serving()
             if record.host.name != self._self_id.name
         }
-        return [addresses[n] for n in rendezvous.rank(key, addresses)[:count]]
 
     def _put(self, key: str, stream: _Stream) -> None:
         self._streams[key] = stream
@@ -345,6 +397,13 @@
     return Begun(body.pool, body.version)
 
 
+def decode_versions(body: typing.Any) -> frozenset[str]:
+    """Return the versions of which another host knows."""
+    if not isinstance(body, bodies.StreamAnswer):
+        return frozenset()
+    return frozenset(body.versions[: pool_versions.MAX_VERSIONS])
+
+
 def _batches(keys: list[str]) -> typing.Iterator[list[str]]:
     rest = iter(keys)
     return iter(lambda: list(itertools.islice(rest, MAX_BATCH)), [])
--- a/tests/platform/test_follower.py
+++ b/tests/platform/test_follower.py
@@ -33,6 +33,7 @@
         self.change_after_ms = None
         self.is_history_gone = False
         self.is_unreachable = False
+        self.era = 0
 
     def read(self, table):
         self._record_call('read')
@@ -46,7 +47,7 @@
             raise follower.HistoryGoneError(table)
         if self.change_after_ms is None:
             self.clock.now_ms += wait_ms + ROUND_TRIP_MS
-            return follower.Rows([], self.version)
+            return follower.Rows([], self.version, era=self.era)
         self.clock.now_ms += self.change_after_ms + ROUND_TRIP_MS
         self.version += 1
         return follower.Rows([{'key': 'a'}], self.version)
@@ -302,3 +303,49 @@
 
 def raise_unavailable(table):
     raise edge_store.StoreError(table, 'is not available')
+
+
+@pytest.mark.parametrize(
+    ('fault', 'reads'),
+    [
+        ({}, [(False, 0)]),
+        ({'is_unreachable': True}, []),
+        ({'is_history_gone': True}, []),
+        ({'era': 1}, []),
+    ],
+)
+def test_read_beside_the_feed_tells_when_it_started(fault, reads):
+    clock = Clock()
+    store = Store(clock)
+    applied = []
+
+    def apply(rows, is_full_read, read_ms):
+        applied.append((is_full_read, read_ms - clock.now_ms + ROUND_TRIP_MS))
+
+    pace = follower.Pace(wait_ms=2_000, full_read_ms=10_000)
+    made = follower.Follower(store, 't', apply, clock, lambda *_: None, pace)
+    made.run_once()
+    applied.clear()
+    for name, value in fault.items():
+        setattr(store, name, value)
+    made.confirm()
+    assert applied == reads
+
+
+def test_read_beside_the_feed_starts_from_a_version_that_is_applied():
+    clock = Clock()
+    store = Store(clock)
+    applied = []
+
+    def apply(rows, is_full_read, read_ms):
+        if is_full_read:
+            thread.start()
+            thread.join(0.1)
+        applied.append(is_full_read)
+
+    pace = follower.Pace(wait_ms=2_000, full_read_ms=10_000)
+    made = follower.Follower(store, 't', apply, clock, lambda *_: None, pace)
+    thread = threading.Thread(target=made.confirm)
+    made.run_once()
+    thread.join()
+    assert applied == [True, False]
--- a/tests/routing/fleet.py
+++ b/tests/routing/fleet.py
@@ -276,6 +276,13 @@
         reply = shared_messages.PeerReply(token, effect.body)
         self._later(self._post_to, node, incarnation, reply)
 
+    def _confirm_targets(self, node, _effect):
+        """Let the store answer that nothing has changed."""
+        unchanged = messages.TargetsChanged(
+            (), (), 1, read_from_ms=self.now_ms
+        )
+        self._later(self._post_to, node, node.incarnation, unchanged)
+
     def _write_row(self, _node, effect):
         if self.store_is_down:
             return
@@ -583,6 +590,9 @@
 
     # Callers
 
+    def _choose_node(self, running, fields):
+        return self.rng.choice(running)
+
     def send(self, parts, path='/a/x', return_of=None, stream=None, **fields):
         """Send a request to a running host, chosen at random.
 
@@ -591,7 +601,7 @@
         running = [n for n in self.nodes.values() if n.host is not None]
         if not running:
             return None
-        node = self.rng.choice(running)
+        node = self._choose_node(running, fields)
         name = f'r{next(self._numbers)}'
         attempt = Attempt(
             parts, self.now_ms, name, node.name, return_of=return_of
@@ -660,6 +670,7 @@
         effects.ProbeTarget: _probe_target,
         effects.AbortResponse: _abort,
         effects.Answer: _answer,
+        effects.ConfirmTargets: _confirm_targets,
         effects.WriteStreams: _write_streams,
         effects.RemoveStreams: _remove_streams,
         effects.WriteQuarantine: _write_row,
--- /dev/null
+++ b/tests/routing/test_hosts_out_of_step.py
@@ -0,0 +1,119 @@
+"""Resumed streams at hosts that are out of step during a release."""
+
+import itertools
+
+import pytest
+
+from tests.routing import out_of_step
+from tests.routing import test_stream_versions
+
+RELEASE_MS = 5_000
+#: When a host falls out of step, relative to the first new target.
+STARTS_MS = (-1_500, -300, 200)
+SPANS_MS = (2_500, 6_000)
+MOMENTS = tuple(itertools.product(STARTS_MS[:2], SPANS_MS))
+
+
+def cut_peers(fleet, names):
+    """Cut hosts off from the others."""
+    fleet.cut_names = frozenset(names)
+    return lambda: setattr(fleet, 'cut_names', frozenset())
+
+
+def cut_store(fleet, names):
+    """Cut hosts off from the store."""
+    fleet.cut_store(names)
+    return lambda: fleet.end_cut_store(names)
+
+
+def cut_both(fleet, names):
+    """Cut hosts off from the store and from the others."""
+    ends = [cut_store(fleet, names), cut_peers(fleet, names)]
+    return lambda: [end() for end in ends]
+
+
+def stand_still(fleet, names):
+    """Stop hosts for a while."""
+    fleet.stand_still(names)
+    return lambda: fleet.wake(names)
+
+
+def stand_still_then_cut(fleet, names):
+    """Stop hosts; they are cut off when they wake."""
+    fleet.stand_still(names)
+
+    def wake():
+        end = cut_both(fleet, names)
+        fleet.at(fleet.now_ms + 2_500, end)
+        fleet.wake(names)
+
+    return wake
+
+
+def restart(fleet, names):
+    """Restart hosts."""
+    fleet.restart(names)
+    return lambda: None
+
+
+KINDS = [
+    cut_peers,
+    cut_store,
+    cut_both,
+    stand_still,
+    stand_still_then_cut,
+    restart,
+]
+
+
+def zone(host_count):
+    """Return the names of the hosts of a data centre."""
+    return tuple(f'h{n}' for n in range(0, host_count, 3))
+
+
+def play(
+    seed, kind, start_ms, span_ms, host_count=9, odd=('h0',), is_release=True
+):
+    """Play a release during which some hosts are out of step."""
+    fleet = out_of_step.Fleet(seed, host_count)
+    fleet.odd = odd
+    fleet.run(2_000)
+    fleet.break_channels(100)
+    load = test_stream_versions.Load(fleet, 50)
+    load.send()
+    if is_release:
+        test_stream_versions.release(fleet)
+
+    def begin():
+        fleet.at(fleet.now_ms + span_ms, kind(fleet, odd))
+
+    fleet.at(RELEASE_MS + start_ms, begin)
+    fleet.run(18_000)
+    return load
+
+
+@pytest.mark.parametrize('kind', KINDS)
+def test_hosts_out_of_step_do_not_join_two_versions(kind):
+    plays = [
+        play(1, kind, start_ms, span_ms, odd=zone(9))
+        for start_ms, span_ms in MOMENTS
+    ]
+    assert not sum(load.joined() for load in plays)
+
+
+@pytest.mark.parametrize(
+    ('host_count', 'odd'), [(9, ('h0',)), (24, zone(24)), (66, zone(66))]
+)
+def test_hosts_without_store_and_peers_do_not_join_two_versions(
+    host_count, odd
+):
+    load = play(1, cut_both, -300, 6_000, host_count, odd)
+    assert not load.joined()
+
+
+@pytest.mark.parametrize('kind', [cut_peers, cut_store, restart])
+def test_streams_go_on_beside_one_version_with_hosts_out_of_step(kind):
+    load = play(1, kind, -300, 6_000, odd=zone(9), is_release=False)
+    new, resumed = load.shares(RELEASE_MS - 300)
+    assert len(load.resumed) >= test_stream_versions.MIN_RESUMED
+    assert resumed >= test_stream_versions.MIN_SHARE * new
--- a/tests/routing/test_request_lifecycle.py
+++ b/tests/routing/test_request_lifecycle.py
@@ -52,6 +52,7 @@
         versions = pool_versions.PoolVersions()
         versions.set_listed('app', self.directory.versions('app'), 0)
         versions.is_complete, versions.confirmed_ms = True, 0
+        self.versions = versions
         streams = stream_versions.StreamVersions(SELF, members, versions)
         self.requests = request_lifecycle.Requests(
             SELF,
@@ -70,6 +71,11 @@
     def handle(self, message, now_ms=10):
         return self.requests.handle(message, now_ms)
 
+    def confirm_list(self, now_ms=10):
+        """Let the store answer a read of the targets that starts now."""
+        self.versions.confirm(now_ms)
+        return self.requests.resume_confirmed(now_ms)
+
     def arrive(self, now_ms=0, **fields):
         message = builders.arrived(read_ms=now_ms, **fields)
         return self.handle(message, now_ms)
@@ -322,7 +328,7 @@
     jobs = [
         effect.job
         for arrived in (resumed, builders.arrived('r2', item_counts=(1,)))
-        for effect in host.handle(arrived)
+        for effect in (*host.handle(arrived), *host.confirm_list())
         if isinstance(effect, effects.SubmitJob)
     ]
     assert jobs[0].rank < jobs[1].rank
--- a/tests/routing/test_resumption.py
+++ b/tests/routing/test_resumption.py
@@ -1,5 +1,6 @@
 """Decisions on streams that callers take up."""
 
+import attrs
 import pytest
 
 from godwitglade.routing import pool_versions
@@ -9,6 +10,7 @@
 from tests.routing import builders
 
 NOW_MS = 100_000
+V2 = frozenset({'v2'})
 Begun = stream_versions.Begun
 Evidence = resumption.Evidence
 Refusal = resumption.Refusal
@@ -35,6 +37,7 @@
         versions.record('a', version, at_ms)
     versions.is_complete = is_complete
     versions.confirmed_ms = confirmed_ms
+    evidence = attrs.evolve(evidence, asked_ms=NOW_MS)
     return resumption.decide(evidence, ['a', 'b'], versions, directory, NOW_MS)
 
 
@@ -72,9 +75,14 @@
         ({'past': [('v2', NOW_MS - 50_000)]}, Evidence(None), Refusal.UNKNOWN),
         ({'past': [('v2', 1_000)]}, Evidence(None), Begun('a', 'v1')),
         ({'is_complete': False}, Evidence(None, 3, 3), Refusal.UNCONFIRMED),
-        ({'confirmed_ms': None}, Evidence(None), Refusal.UNCONFIRMED),
-        ({'confirmed_ms': 1_000}, Evidence(None, 3, 0), Refusal.UNCONFIRMED),
-        ({'confirmed_ms': 1_000}, Evidence(None, 3, 1), Begun('a', 'v1')),
+        ({'confirmed_ms': None}, Evidence(None), Refusal.OUTDATED),
+        ({'confirmed_ms': 99_000}, Evidence(None), Refusal.OUTDATED),
+        ({'confirmed_ms': 99_000}, Evidence(None, 3, 0), Refusal.OUTDATED),
+        ({'confirmed_ms': 99_000}, Evidence(None, 3, 2), Refusal.OUTDATED),
+        ({'confirmed_ms': 99_000}, Evidence(None, 3, 3), Begun('a', 'v1')),
+        ({}, Evidence(None, 3, 0), Begun('a', 'v1')),
+        ({}, Evidence(None, 3, 3, V2), Refusal.UNKNOWN),
+        ({}, Evidence(None, 3, 2, V2), Refusal.UNCONFIRMED),
     ],
 )
 def test_unknown_stream_goes_on_only_beside_a_single_version(
