Do not go on with a stream whose target turns out to be replaced

Callers saw a stream of two software versions within one response: a target had started again under its id with another version, a host with the old list sent there and noted the old version, and when the stream broke off it went on at a target of that version, although the list had named the new process by then and the stream was marked as being of no known version.

Cause: a request keeps the version of its stream from its first event on, and the later doubt reached only the table of streams. The version is now looked up there again before each send. A decision that a doubtful stream goes on, since there is one version only, ends the doubt.

test_stream_of_a_target_that_was_replaced_does_not_go_on_elsewhere failed before (the stream was sent on instead of aborted).

The plays at 66 hosts now also cut one host off from its peers alone, which learns the list from other hosts; no stream is joined there before or now.

--- a/packages/routing/src/godwitglade/routing/request_lifecycle.py
+++ b/packages/routing/src/godwitglade/routing/request_lifecycle.py
@@ -609,6 +609,7 @@
             return self._send_to_host(request, now_ms)
         if request.is_unbound_stream:
             return self._look_up(request, now_ms)
+        self._resumptions.update_version(request)
         if not request.progress.is_complete:
             return self._stage_jobs.start(request, now_ms)
         target = self._tracker.choose(request, now_ms)
--- a/packages/routing/src/godwitglade/routing/resumption.py
+++ b/packages/routing/src/godwitglade/routing/resumption.py
@@ -132,7 +132,12 @@
         self, request: request_.Request, evidence: Evidence, now_ms: int
     ) -> Decision:
         pools = _pools(request)
-        return decide(evidence, pools, self._versions, self._directory, now_ms)
+        decision = decide(
+            evidence, pools, self._versions, self._directory, now_ms
+        )
+        if isinstance(decision, stream_versions.Begun):
+            self._streams.settle(stream_versions.key_of(request), decision)
+        return decision
 
     def _is_confirmed(self, evidence: Evidence) -> bool:
         return self._versions.is_confirmed_since(evidence.asked_ms)
@@ -167,6 +172,14 @@
         key = stream_versions.key_of(request)
         return self._streams.record_begun(key, begun, target.name, now_ms)
 
+    def update_version(self, request: request_.Request) -> None:
+        """Apply a doubt about where a stream began that came up since."""
+        if not request.route.is_resumable or request.version is None:
+            return
+        begun = self._streams.find(stream_versions.key_of(request))
+        if begun is not None:
+            request.version = begun.version
+
     def record_end(
         self, request: request_.Request, is_complete: bool, now_ms: int
     ) -> None:
--- a/packages/routing/src/godwitglade/routing/stream_versions.py
+++ b/packages/routing/src/godwitglade/routing/stream_versions.py
@@ -139,6 +139,12 @@
         if is_complete:
             self._own.pop(key, None)
 
+    def settle(self, key: str, begun: Begun) -> None:
+        """Record the version of a stream for which it was in doubt."""
+        stream = self._streams.get(key)
+        if stream is not None and not stream.begun.version:
+            stream.begun = begun
+
     def record_replaced(self, target: str, now_ms: int) -> Effects:
         """Distrust the streams that began at a target lately.
 
--- a/tests/routing/test_hosts_out_of_step.py
+++ b/tests/routing/test_hosts_out_of_step.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from godwitglade.routing import effects
+from godwitglade.routing import messages
 from tests.routing import out_of_step
 from tests.routing import test_stream_versions
 
@@ -102,13 +104,18 @@
 
 
 @pytest.mark.parametrize(
-    ('host_count', 'odd'), [(9, ('h0',)), (24, zone(24)), (66, zone(66))]
+    ('kind', 'start_ms', 'host_count', 'odd'),
+    [
+        (cut_both, -300, 9, ('h0',)),
+        (cut_both, -300, 24, zone(24)),
+        (cut_both, -300, 66, zone(66)),
+        (cut_peers, 200, 66, ('h0',)),
+    ],
 )
-def test_hosts_without_store_and_peers_do_not_join_two_versions(
-    host_count, odd
+def test_hosts_that_were_cut_off_do_not_join_two_versions(
+    kind, start_ms, host_count, odd
 ):
-    load = play(1, cut_both, -300, 6_000, host_count, odd)
-    assert not load.joined()
+    assert not play(1, kind, start_ms, 6_000, host_count, odd).joined()
 
 
 @pytest.mark.parametrize('kind', [cut_peers, cut_store, restart])
@@ -117,3 +124,20 @@
     new, resumed = load.shares(RELEASE_MS - 300)
     assert len(load.resumed) >= test_stream_versions.MIN_RESUMED
     assert resumed >= test_stream_versions.MIN_SHARE * new
+
+
+def test_stream_of_a_target_that_was_replaced_does_not_go_on_elsewhere():
+    fleet = out_of_step.Fleet(1, 1)
+    fleet.run(2_000)
+    fleet.send(('own',), '/b/x')
+    fleet.run(350)
+    (began,) = (engine for engine in fleet.engines if engine.calls)
+    ((key, (node, *_)),) = began.calls.items()
+    # The host learns late that another process had begun the stream.
+    began.version, began.started_ms = 'v2', 1
+    listed = messages.TargetsChanged((began.listed,), (), 20, out_of_step.ERA)
+    node.host.handle(listed, fleet.now_ms)
+    broken = messages.StreamBroken(*key, True, 'lost')
+    ending = node.host.handle(broken, fleet.now_ms)
+    assert effects.AbortResponse(key[0]) in ending
+    assert not [e for e in ending if isinstance(e, effects.Forward)]
--- a/tests/routing/test_request_lifecycle.py
+++ b/tests/routing/test_request_lifecycle.py
@@ -3,6 +3,7 @@
 import random
 
 import pytest
+import xxhash
 
 from godwitglade.coordination import effects as shared_effects
 from godwitglade.coordination import hosts
@@ -52,8 +53,8 @@
         versions = pool_versions.PoolVersions()
         versions.set_listed('app', self.directory.versions('app'), 0)
         versions.is_complete, versions.confirmed_ms = True, 0
-        self.versions = versions
         streams = stream_versions.StreamVersions(SELF, members, versions)
+        self.versions, self.streams = versions, streams
         self.requests = request_lifecycle.Requests(
             SELF,
             self.document_state,
@@ -486,3 +487,18 @@
         effects_ = harness.requests.job_ended(ended(job, handles=('a',)), 300)
         zones.add(find_effect(effects_, effects.Forward).target.zone)
     assert (zones == {'z1'}) is is_near
+
+
+def test_stream_in_doubt_goes_on_once_the_list_names_one_version():
+    host = Harness(ROUTES['resumable'])
+    for name in ('t0', 't1', 't2'):
+        host.directory.find(name).listed = builders.listed(
+            name, 'app', version='v1'
+        )
+    host.versions.set_listed('app', frozenset({'v1'}), -60_000)
+    doubtful = stream_versions.Begun('app', '')
+    resumed = builders.arrived(last_event_id='3', resumes='a0')
+    key = xxhash.xxh3_64_hexdigest(b'\ndesk.example\n/a/x\na0')
+    host.streams.record_begun(key, doubtful, 't0', 0)
+    effects_ = (*host.handle(resumed), *host.confirm_list())
+    assert find_effect(effects_, effects.Forward) is not None
