Relay only later events of a stream that a caller takes up

Callers that took up a stream could get events twice:

- A target answered with a comment only and broke off.
The host then sent an empty Last-Event-Id to the next one (and to a host that takes over), since it had passed on no id itself, and events 1 and 2 came again.
- A target started from an earlier event than the one asked for.
That was checked only within one response, not for the caller's Last-Event-Id.
- The last event had no id.
The stream went on after the last one with an id.
- Ids that are no numbers were not compared, and a number of over 4,300 digits raised ValueError on the thread that relays the stream.

The reader now starts from the caller's Last-Event-Id, compares other ids for equality and numbers of any length as text, and tells whether the last event had an id; if not, a broken stream ends.

--- a/bench/standins/edge_platform.py
+++ b/bench/standins/edge_platform.py
@@ -478,6 +478,16 @@
     yield chunk(event(3)[:9])
 
 
+def _stream_cut_after(
+    events: bytes,
+) -> typing.Callable[[Target, Request], typing.Iterator[bytes]]:
+    def stream(target: Target, request: Request) -> typing.Iterator[bytes]:
+        yield head_of_stream(target, request)
+        yield chunk(events)
+
+    return stream
+
+
 def _stream_crash(target: Target, request: Request) -> typing.Iterator[bytes]:
     yield head_of_stream(target, request)
     target.crash()
@@ -596,6 +606,8 @@
     'stream': _stream,
     'stream_again': _stream_again,
     'stream_cut': _stream_cut,
+    'stream_comment_cut': _stream_cut_after(b': comment\n\n'),
+    'stream_without_ids_cut': _stream_cut_after(b'data: x\n\n'),
     'stream_slow': _stream_slow,
     'stream_crash': _stream_crash,
     'crash': _crash,
--- a/packages/routing/src/godwitglade/routing/effects.py
+++ b/packages/routing/src/godwitglade/routing/effects.py
@@ -18,6 +18,8 @@
     target has to respond. ``inputs`` are the stage results that the request
     needs. With ``may_retry`` a failure of the target is reported instead of
     forwarded. ``needs_new_connection`` forbids reuse of a connection.
+    ``last_event_id`` is that of the last event that the caller had before,
+    empty for none.
     """
 
     request_id: str
@@ -29,6 +31,7 @@
     may_retry: bool = False
     is_stream: bool = False
     needs_new_connection: bool = False
+    last_event_id: str = ''
 
 
 @attrs.frozen
--- a/packages/routing/src/godwitglade/routing/messages.py
+++ b/packages/routing/src/godwitglade/routing/messages.py
@@ -139,7 +139,8 @@
     """A stream broke off.
 
     ``has_response_started`` means that the caller received a part of it,
-    ``is_target_gone`` that the target's process ended meanwhile.
+    ``is_target_gone`` that the target's process ended meanwhile. It
+    ``can_go_on`` if the last event that the caller received had an id.
     """
 
     request_id: str
@@ -147,6 +148,7 @@
     has_response_started: bool
     detail: str
     is_target_gone: bool = False
+    can_go_on: bool = True
 
 
 @attrs.frozen
--- a/packages/routing/src/godwitglade/routing/request.py
+++ b/packages/routing/src/godwitglade/routing/request.py
@@ -38,8 +38,9 @@
     ``crashes`` counts the targets whose process ended under it.
     ``permit_candidates`` are the limited targets for one of which it waits.
     ``version`` is that of the targets at which its stream may go on, None
-    for any. ``has_run`` means that a target may have started to process it,
-    and ``traits`` are what it may have in common with other requests.
+    for any; it ``can_go_on`` unless its last event has no id. ``has_run``
+    means that a target may have started to process it, and ``traits`` are
+    what it may have in common with other requests.
     """
 
     arrived: messages.RequestArrived
@@ -63,6 +64,7 @@
     permit_candidates: tuple[targets.Target, ...] = ()
     may_wait_for_permit: bool = False
     has_held_response: bool = False
+    can_go_on: bool = True
     version: str | None = None
     inquiry: Inquiry | None = None
     jobs: dict[str, int] = attrs.Factory(dict)
@@ -89,11 +91,16 @@
     @property
     def is_resume(self) -> bool:
         """Return whether its caller has a part of the stream already."""
-        has_events = self.arrived.last_event_id not in ('', '0')
         return self.route.is_resumable and bool(
-            has_events or self.arrived.resumes
+            self.last_event_id or self.arrived.resumes
         )
 
+    @property
+    def last_event_id(self) -> str:
+        """Return the id of the last event that its caller has."""
+        named = self.arrived.last_event_id
+        return named if self.route.is_resumable and named != '0' else ''
+
     @property
     def fingerprint(self) -> str:
         """Return the trait that copies of the request have, if known."""
@@ -124,6 +131,7 @@
         """
         return (
             self.route.is_repeatable
+            and self.can_go_on
             and self.sends < self.route.max_targets
             and self.crashes < MAX_CRASHES
         )
--- a/packages/routing/src/godwitglade/routing/request_lifecycle.py
+++ b/packages/routing/src/godwitglade/routing/request_lifecycle.py
@@ -363,6 +363,7 @@
         request: request_.Request,
         now_ms: int,
     ) -> Effects:
+        request.can_go_on = message.can_go_on
         ending: typing.Any = effects.AbortResponse(request.request_id)
         if not message.has_response_started:
             ending = effects.Answer(request.request_id, 502, 'broken')
@@ -653,6 +654,7 @@
             ),
             may_retry=request.may_retry,
             is_stream=request.route.kind is documents.RequestKind.STREAM,
+            last_event_id=request.last_event_id,
             needs_new_connection=not request.route.is_repeatable,
         )
         sent = request_logs.request_event(
--- a/packages/targets/src/godwitglade/targets/event_reader.py
+++ b/packages/targets/src/godwitglade/targets/event_reader.py
@@ -6,6 +6,7 @@
 
 _EVENT_END = re.compile(rb'\r?\n\r?\n')
 _EVENT_ID = re.compile(rb'^id: ?([^\r\n]*)', re.MULTILINE)
+_DATA = re.compile(rb'^data', re.MULTILINE)
 
 
 #: Limit for the length of one event.
@@ -34,10 +35,12 @@
 class EventReader:
     """Returns only complete events of a byte stream.
 
-    ``last_id`` is the last id in the complete events.
+    ``last_id`` is the last id in the complete events. The stream
+    ``can_go_on`` elsewhere unless events without an id followed it.
     """
 
     last_id: str = ''
+    can_go_on: bool = True
     _rest: bytes = b''
     _is_first: bool = False
 
@@ -55,10 +58,16 @@
                 raise EventTooLongError()
             return b''
         complete, self._rest = buffered[: ends[-1]], buffered[ends[-1] :]
-        ids = _EVENT_ID.findall(complete)
+        ids = list(_EVENT_ID.finditer(complete))
+        without_id = complete
         if ids:
-            self._check_first(ids[0].decode('latin-1').strip())
-            self.last_id = ids[-1].decode('latin-1').strip()
+            self._check_first(_decode_id(ids[0]))
+            self.last_id = _decode_id(ids[-1])
+            self.can_go_on = True
+            last_end = _EVENT_END.search(complete, ids[-1].end())
+            without_id = complete[last_end.end() :]
+        if _DATA.search(without_id):
+            self.can_go_on = False
         return complete
 
     def restart(self) -> None:
@@ -68,11 +77,25 @@
 
     def _check_first(self, event_id: str) -> None:
         is_first, self._is_first = self._is_first, False
-        are_numbers = event_id.isdecimal() and self.last_id.isdecimal()
-        if is_first and are_numbers and int(event_id) <= int(self.last_id):
+        if is_first and not _is_later(event_id, self.last_id):
             raise EventRepeatedError(event_id)
 
     @property
     def is_at_event_boundary(self) -> bool:
         """Return whether the stream has no partial event at its end."""
         return not self._rest
+
+
+def _decode_id(match: re.Match[bytes]) -> str:
+    return match[1].decode('latin-1').strip()
+
+
+def _is_later(event_id: str, last_id: str) -> bool:
+    """Return whether an id may follow another one.
+
+    Numbers of any length are compared as text, which has no limit.
+    """
+    if not (event_id.isdecimal() and last_id.isdecimal()):
+        return event_id != last_id
+    digits, last_digits = event_id.lstrip('0'), last_id.lstrip('0')
+    return (len(digits), digits) > (len(last_digits), last_digits)
--- a/packages/targets/src/godwitglade/targets/forwarding.py
+++ b/packages/targets/src/godwitglade/targets/forwarding.py
@@ -491,6 +491,8 @@
             classification.notice,
         )
         self._check_content_type(call.context, response)
+        if not caller.has_started:
+            reader.last_id = call.effect.last_event_id
         reader.restart()
         has_reported = False
         for chunk in self._read_chunks(
@@ -553,7 +555,11 @@
         return messages.CallNotSent(*ids, str(error))
     if effect.is_stream:
         return messages.StreamBroken(
-            *ids, context.caller.has_started, str(error), is_target_gone
+            *ids,
+            context.caller.has_started,
+            str(error),
+            is_target_gone,
+            context.reader.can_go_on,
         )
     return messages.CallLost(*ids, str(error), is_target_gone)
 
--- a/tests/edge/test_resumed_streams.py
+++ b/tests/edge/test_resumed_streams.py
@@ -1,5 +1,7 @@
 """Streams that callers take up beside engines of two software versions."""
 
+import http.client
+
 import pytest
 
 from tests.edge import deployment
@@ -11,6 +13,8 @@
 def uniform_edge():
     edge = deployment.Deployment()
     edge.set_behaviours('engine', 'stream')
+    versions = edge.process.loop.host.components.versions
+    edge.wait_for(lambda: versions.is_complete)
     yield edge
     edge.stop()
 
@@ -56,3 +60,25 @@
     assert response.status == 503
     assert response.headers.get('Retry-After') is not None
     assert not uniform_edge.runs('engine')
+
+
+@pytest.mark.parametrize('first', ['stream_comment_cut', 'stream_again'])
+def test_caller_that_takes_a_stream_up_gets_later_events_only(
+    uniform_edge, first
+):
+    uniform_edge.set_behaviours('engine', first, 'stream')
+    fields = RESUMED | {'Last_Event_Id': '2'}
+    response = uniform_edge.send_request('/resume/x', **fields)
+    ids = [
+        line.removeprefix(b'id: ')
+        for line in response.content.splitlines()
+        if line.startswith(b'id: ')
+    ]
+    assert ids == [b'3', b'4', b'5', b'6']
+
+
+def test_stream_does_not_go_on_after_an_event_without_an_id(uniform_edge):
+    uniform_edge.set_behaviours('engine', 'stream_without_ids_cut', 'stream')
+    with pytest.raises(http.client.IncompleteRead):
+        uniform_edge.send_request('/resume/x')
+    assert len(uniform_edge.runs('engine')) == 1
