Read the list of targets again after a standstill, before any resume

Callers saw streams of two versions after a host had stood still: while it did, targets had started again under their ids with another version. Requests that had waited were handled first when it woke, and known streams went on at targets whose entries still named the old version.

Cause: an entry of the list counts until it is replaced, whatever the time in which this host could not have heard of it.

--- a/packages/routing/src/godwitglade/routing/host.py
+++ b/packages/routing/src/godwitglade/routing/host.py
@@ -48,6 +48,8 @@
 MAINTENANCE_TOKEN = 'host:upkeep'
 #: Interval at which expired entries and a stop in progress are checked.
 MAINTENANCE_INTERVAL_MS = 200
+#: A host that handled nothing for this time, not even a timer, did not run.
+STANDSTILL_MS = 1_000
 
 PERMIT_BODIES = (bodies.PermitRequest, bodies.PermitGranted)
 TABLE_BODIES = (bodies.TablesQuery, bodies.TablesKnown)
@@ -178,6 +180,7 @@
 
     def __init__(self, components: Components) -> None:
         self.components = components
+        self._handled_ms: int | None = None
 
     @property
     def is_ready(self) -> bool:
@@ -199,6 +202,10 @@
 
     def handle(self, message: typing.Any, now_ms: int) -> Effects:
         """Handle one message at monotonic time ``now_ms``."""
+        if self._handled_ms is not None:
+            if now_ms - self._handled_ms >= STANDSTILL_MS:
+                self.components.versions.awake_since_ms = now_ms
+        self._handled_ms = now_ms
         return self._resolve(self._dispatch(message, now_ms), now_ms)
 
     def _resolve(self, effects_: Effects, now_ms: int) -> Effects:
--- a/packages/routing/src/godwitglade/routing/pool_versions.py
+++ b/packages/routing/src/godwitglade/routing/pool_versions.py
@@ -19,7 +19,8 @@
 
     ``is_complete`` means that this host has also read what the hosts knew
     before it started. ``confirmed_ms`` is the start of the last read of the
-    list of targets from the store.
+    list of targets from the store. What this host knew before
+    ``awake_since_ms`` may be outdated, since it did not run until then.
     """
 
     def __init__(self) -> None:
@@ -27,12 +28,19 @@
         self._past_ms: dict[str, dict[str, int]] = {}
         self.is_complete = False
         self.confirmed_ms: int | None = None
+        self.awake_since_ms: int | None = None
 
     def confirm(self, read_from_ms: int | None) -> None:
         """Record that a read that started then returned the list."""
         if read_from_ms is not None:
             self.confirmed_ms = max(self.confirmed_ms or 0, read_from_ms)
 
+    @property
+    def is_list_current(self) -> bool:
+        """Return whether the list was read since this host stood still."""
+        awake_ms = self.awake_since_ms
+        return awake_ms is None or self.is_confirmed_since(awake_ms)
+
     def is_confirmed_since(self, ms: int) -> bool:
         """Return whether the list was read after a time."""
         return self.confirmed_ms is not None and self.confirmed_ms >= ms
--- a/packages/routing/src/godwitglade/routing/request_lifecycle.py
+++ b/packages/routing/src/godwitglade/routing/request_lifecycle.py
@@ -608,7 +608,7 @@
         request.has_held_response = has_held_response
         if self._reachability.is_cut_off:
             return self._send_to_host(request, now_ms)
-        if request.is_unbound_stream:
+        if self._resumptions.must_look_up(request):
             return self._look_up(request, now_ms)
         self._resumptions.update_version(request)
         if not request.progress.is_complete:
--- a/packages/routing/src/godwitglade/routing/resumption.py
+++ b/packages/routing/src/godwitglade/routing/resumption.py
@@ -172,6 +172,12 @@
         key = stream_versions.key_of(request)
         return self._streams.record_begun(key, begun, target.name, now_ms)
 
+    def must_look_up(self, request: request_.Request) -> bool:
+        """Return whether the version has to be looked up before a send."""
+        is_bound = request.route.is_resumable and request.version is not None
+        is_outdated = is_bound and not self._versions.is_list_current
+        return request.is_unbound_stream or is_outdated
+
     def update_version(self, request: request_.Request) -> None:
         """Apply a doubt about where a stream began that came up since."""
         if not request.route.is_resumable or request.version is None:
@@ -218,6 +224,8 @@
         (version,) = known
         pool = begun.pool if begun is not None else pools[0]
         begun = stream_versions.Begun(pool, version)
+    if not versions.is_list_current:
+        return Refusal.OUTDATED
     if begun.pool not in pools:
         return Refusal.GONE
     if not directory.has_version(begun.pool, begun.version):
--- a/tests/routing/test_hosts_out_of_step.py
+++ b/tests/routing/test_hosts_out_of_step.py
@@ -73,6 +73,17 @@
     return tuple(f'h{n}' for n in range(0, host_count, 3))
 
 
+def return_targets(fleet):
+    """Let targets start again under their names with the other version."""
+    for number in range(6):
+        fleet.at(
+            10_000 + 600 * number,
+            test_stream_versions.swap_version,
+            fleet,
+            number,
+        )
+
+
 def play(
     seed, kind, start_ms, span_ms, host_count=9, odd=('h0',), is_release=True
 ):
@@ -141,3 +152,31 @@
     ending = node.host.handle(broken, fleet.now_ms)
     assert effects.AbortResponse(key[0]) in ending
     assert not [e for e in ending if isinstance(e, effects.Forward)]
+
+
+def play_returns(seed, kind, host_count=9, odd=('h0',)):
+    """Let targets return with another version beside hosts out of step."""
+    fleet = out_of_step.Fleet(seed, host_count)
+    fleet.odd = odd
+    fleet.run(2_000)
+    fleet.break_channels(100)
+    load = test_stream_versions.Load(fleet, 50)
+    load.send()
+    test_stream_versions.release(fleet)
+    return_targets(fleet)
+    fleet.at(9_800, lambda: fleet.at(15_800, kind(fleet, odd)))
+    fleet.run(20_000)
+    return load
+
+
+@pytest.mark.parametrize('host_count', [9, 24])
+def test_host_that_stood_still_reads_the_list_before_it_resumes(host_count):
+    load = play_returns(1, stand_still, host_count)
+    assert load.joined() <= test_stream_versions.MAX_JOINED
+    new, resumed = load.shares(9_800)
+    assert resumed >= test_stream_versions.MIN_SHARE * new
+
+
+def test_host_without_the_store_does_not_join_versions_of_returned_targets():
+    load = play_returns(3, cut_store)
+    assert load.joined() <= test_stream_versions.MAX_JOINED
--- a/tests/routing/test_stream_versions.py
+++ b/tests/routing/test_stream_versions.py
@@ -128,10 +128,10 @@
 def engines_return(fleet_):
     """Let engines start again under their names with the other version."""
     for number in range(8):
-        fleet_.at(10_000 + 3_000 * number, _swap_version, fleet_, number)
+        fleet_.at(10_000 + 3_000 * number, swap_version, fleet_, number)
 
 
-def _swap_version(fleet_, number):
+def swap_version(fleet_, number):
     alive = [e for e in fleet_.engines if e.is_alive]
     engine = alive[number % len(alive)]
     version = 'v1' if engine.version == 'v2' else 'v2'
