--- a/tests/platform/test_paging.py
+++ b/tests/platform/test_paging.py
@@ -55,7 +55,8 @@
 
 
 @pytest.mark.parametrize(
-    ('seed', 'changes_per_page'), itertools.product(range(10), (0, 1, 4))
+    ('seed', 'changes_per_page'),
+    list(itertools.product(range(10), (0, 1, 4))),
 )
 def test_table_that_changes_between_pages_is_read_as_of_one_version(
     seed, changes_per_page
