--- a/bench/soak/standins.py
+++ b/bench/soak/standins.py
@@ -215,6 +215,9 @@
             for link in self._links:
                 link.close()
             self.crash()
+        else:
+            # The process ends, which closes this connection, too.
+            time.sleep(1)
 
     def _answer(self, request: edge_platform.Request) -> answers.Answer:
         rng = self.rng
