Ignore ages of the document that cannot be true

Operators could not see it: a host whose exchange gives a negative age, or answers a time that has not come yet, confirmed the document for a time to come, so withdrawn keys could be accepted beyond their bound.

Ages that are negative, huge or of another type, and answers to times to come, confirm nothing (routing.ages).

--- a/packages/routing/src/godwitglade/routing/freshness.py
+++ b/packages/routing/src/godwitglade/routing/freshness.py
@@ -11,6 +11,7 @@
 
 from godwitglade.coordination import bodies
 from godwitglade.coordination import membership as memberships
+from godwitglade.routing import ages
 from godwitglade.routing import document_state
 
 Effects = list[typing.Any]
@@ -51,10 +52,11 @@
     def receive(self, exchange: bodies.Exchange, now_ms: int) -> Effects:
         """Apply the age of the same document version in a reply."""
         document = self._document_state.document
-        age_ms = exchange.document_age_ms
-        request_sent_ms = exchange.answers_ms
-        if document is None or age_ms is None or request_sent_ms is None:
+        if document is None or exchange.sequence != document.version:
             return []
-        if exchange.sequence == document.version:
-            self._document_state.confirm(request_sent_ms - age_ms)
+        known_ms = ages.holds_up_to_ms(
+            exchange.document_age_ms, exchange.answers_ms, now_ms
+        )
+        if known_ms is not None:
+            self._document_state.confirm(known_ms)
         return []
--- a/tests/routing/test_freshness.py
+++ b/tests/routing/test_freshness.py
@@ -8,11 +8,14 @@
 
 import pytest
 
+from godwitglade.coordination import bodies
 from godwitglade.coordination import effects as shared_effects
 from godwitglade.coordination import hosts
 from godwitglade.coordination import members
 from godwitglade.coordination import messages as shared_messages
+from godwitglade.routing import document_state
 from godwitglade.routing import documents
+from godwitglade.routing import freshness
 from godwitglade.routing import host
 from godwitglade.routing import messages
 
@@ -141,3 +144,29 @@
     fleet.read = lambda name: None
     fleet.run(REVOKE_MS)
     assert not fleet.may_accept_keys()
+
+
+@pytest.mark.parametrize(
+    ('age_ms', 'answers_ms', 'confirmed_ms'),
+    [
+        (400, 9_000, 8_600),
+        (-400, 9_000, 1_000),
+        (2**62, 9_000, 1_000),
+        (0, 10_001, 1_000),
+        (None, 9_000, 1_000),
+        (400, None, 1_000),
+    ],
+)
+def test_peer_cannot_confirm_the_document_for_a_time_to_come(
+    age_ms, answers_ms, confirmed_ms
+):
+    state = document_state.DocumentState(5_000)
+    state.apply(document(1), 1_000)
+    exchange = bodies.Exchange(
+        'h2',
+        sequence=state.document.version,
+        document_age_ms=age_ms,
+        answers_ms=answers_ms,
+    )
+    freshness.Freshness(state).receive(exchange, 10_000)
+    assert state.confirmed_ms == confirmed_ms
