Add up the ages of what hosts tell about the store's tables

While the store turned readers away and served the others, hosts in touch used old documents and left targets up to 4.0 s after the store had confirmed a change; the bounds (configApplyMs, drainMs) are 2 s.

A host accepted a reader's answer whose reads were 3 to 3.5 s old, and counted its own 1.2 s of silence from that answer on. Ages of targets counted from the message and not from the read, and a list of targets that another host had read counted as confirmed when it arrived.

Reads are dated by their start, empty feeds by the end of their wait. A host adds the age in a reply to the time since it asked, and follows the tables itself once the sum is 0.725 to 0.85 of the lesser bound. Readers confirm their tables each 700 ms; there are two in a data centre instead of three, four substitutes, and none in data centres of fewer than five hosts. Odd ages never count as recent; tables_age_invalid says so once.

--- a/packages/common/src/godwitglade/common/events.py
+++ b/packages/common/src/godwitglade/common/events.py
@@ -132,6 +132,11 @@
         logging.INFO,
         'This host follows the tables of the store itself.',
     )
+    TABLES_AGE_INVALID = EventDescription(
+        3015,
+        logging.WARNING,
+        'A host told an age of its reading that cannot be true.',
+    )
     LOGS_DROPPED = EventDescription(
         1012,
         logging.WARNING,
--- a/packages/daemon/src/godwitglade/daemon/routing_effect_runner.py
+++ b/packages/daemon/src/godwitglade/daemon/routing_effect_runner.py
@@ -214,7 +214,7 @@
     @carry_out.register
     def _(self, effect: effects.FollowTables) -> None:
         for follower_ in self._clients.followers.values():
-            follower_.set_following(effect.is_following)
+            follower_.set_following(effect.is_following, effect.is_reader)
 
     @carry_out.register
     def _(self, effect: effects.CloseOtherConnections) -> None:
--- a/packages/platform/src/godwitglade/platform/follower.py
+++ b/packages/platform/src/godwitglade/platform/follower.py
@@ -67,12 +67,43 @@
 
     A feed waits up to ``wait_ms`` for changes, and the next one follows
     after ``pause_ms``. Every ``full_read_ms`` the whole table is read, to
-    correct what feeds missed.
+    correct what feeds missed. With ``confirm_ms`` a feed ends that long
+    after the last confirmation of the table. After a time without following
+    the first read comes after ``resume_ms``.
     """
 
     wait_ms: int
     full_read_ms: int
     pause_ms: int = 0
+    confirm_ms: int | None = None
+    resume_ms: int = 0
+
+    def feed_wait_ms(self, confirmed_ms: int, now_ms: int) -> int:
+        """Return how long a feed that starts now waits for changes."""
+        return self._shorten_ms(self.wait_ms, confirmed_ms, now_ms)
+
+    def feed_pause_ms(self, confirmed_ms: int, now_ms: int) -> int:
+        """Return the pause after a feed that ends now."""
+        return self._shorten_ms(self.pause_ms, confirmed_ms, now_ms)
+
+    def _shorten_ms(self, time_ms: int, confirmed_ms: int, now_ms: int) -> int:
+        if self.confirm_ms is None:
+            return time_ms
+        left_ms = confirmed_ms + self.confirm_ms - now_ms
+        return max(0, min(left_ms, time_ms))
+
+
+def feed_confirms_ms(
+    has_rows: bool, wait_ms: int, started_ms: int, response_ms: int
+) -> int:
+    """Return the time up to which a feed shows all changes of its table.
+
+    The store returns no rows only at the end of the wait. When it returned
+    rows is not known.
+    """
+    if has_rows or response_ms - started_ms < wait_ms:
+        return started_ms
+    return started_ms + wait_ms
 
 
 @attrs.define(eq=False)
@@ -101,7 +132,9 @@
     """Polls the feed of one table and periodically reads it in full.
 
     ``apply`` receives the rows with their version, whether they are the
-    whole table, and the time at which the read started.
+    whole table, and the time up to which they show all changes.
+    ``reader_pace`` applies until `set_following` is called, and while other
+    hosts rely on this one.
     """
 
     def __init__(
@@ -112,13 +145,17 @@
         clock: clocks.Clock,
         log: Log,
         pace: Pace,
+        reader_pace: Pace | None = None,
     ) -> None:
         self._client = client
         self._table = table
         self._apply = apply
         self._clock = clock
         self._availability = Availability(log, table)
-        self._pace = pace
+        self._paces = {False: pace, True: reader_pace or pace}
+        self._pace = self._paces[True]
+        self._confirmed_ms = 0
+        self._resumes_at_ms = 0
         self._version: int | None = None
         self._era = 0
         self._full_read_started_ms: int | None = None
@@ -127,14 +164,19 @@
         self._is_following = True
         self._is_read_requested = True
 
-    def set_following(self, is_following: bool) -> None:
+    def set_following(
+        self, is_following: bool, is_reader: bool = False
+    ) -> None:
         """Follow the table, or read it only on request.
 
         The first read after a time without following is a full one.
         """
         if is_following and not self._is_following:
             self._version = None
+            now_ms = self._clock.monotonic_ms()
+            self._resumes_at_ms = now_ms + self._pace.resume_ms
         self._is_following = is_following
+        self._pace = self._paces[is_reader]
         self._wake_event.set()
 
     def request_full_read(self) -> None:
@@ -155,6 +197,10 @@
         if not self._is_following and not self._is_read_requested:
             return IDLE_MS
         started_ms = self._clock.monotonic_ms()
+        if started_ms < self._resumes_at_ms and not self._is_read_requested:
+            return self._resumes_at_ms - started_ms
+        pace = self._pace
+        wait_ms = pace.feed_wait_ms(self._confirmed_ms, started_ms)
         is_full_read = self._version is None or self._is_full_read_due(
             started_ms
         )
@@ -163,9 +209,7 @@
                 result = self._client.read(self._table)
                 self._full_read_started_ms = started_ms
             else:
-                result = self._client.feed(
-                    self._table, self._version, self._pace.wait_ms
-                )
+                result = self._client.feed(self._table, self._version, wait_ms)
         except HistoryGoneError:
             # A lagging store may return a version whose history it has
             # already dropped.
@@ -189,8 +233,13 @@
         self._last_response_ms = response_ms
         self._availability.record_success()
         self._version = result.version
+        self._confirmed_ms = started_ms
+        if not is_full_read:
+            self._confirmed_ms = feed_confirms_ms(
+                bool(result.rows), wait_ms, started_ms, response_ms
+            )
         try:
-            self._apply(result, is_full_read, started_ms)
+            self._apply(result, is_full_read, self._confirmed_ms)
         except Exception as error:
             # Otherwise one odd row would end the thread, and all news.
             self._availability.record_failure(repr(error))
@@ -199,7 +248,7 @@
         if is_full_read:
             self._is_read_requested = False
             return 0
-        return self._pace.pause_ms
+        return pace.feed_pause_ms(self._confirmed_ms, response_ms)
 
     def _is_full_read_due(self, now_ms: int) -> bool:
         return now_ms - self._full_read_started_ms >= self._pace.full_read_ms
--- a/packages/routing/src/godwitglade/routing/bodies.py
+++ b/packages/routing/src/godwitglade/routing/bodies.py
@@ -4,6 +4,7 @@
 """
 
 import enum
+import typing
 
 import attrs
 
@@ -208,7 +209,8 @@
 
     ``present`` are the targets that changed, all with ``is_full``, and
     ``removed`` the names that are gone. A host that does not follow the
-    tables, or cannot read them, gives no ages.
+    tables, or cannot read them, gives no ages. Ages of any type are
+    decoded; see `ages`.
     """
 
     era: int = 0
@@ -216,9 +218,9 @@
     is_full: bool = False
     present: tuple[targets.TargetEntry, ...] = ()
     removed: tuple[str, ...] = ()
-    targets_age_ms: int | None = None
+    targets_age_ms: typing.Any = None
     document_version: int = 0
-    document_age_ms: int | None = None
+    document_age_ms: typing.Any = None
     hosts_digest: str = ''
 
 
--- a/packages/routing/src/godwitglade/routing/effects.py
+++ b/packages/routing/src/godwitglade/routing/effects.py
@@ -141,9 +141,13 @@
 
 @attrs.frozen
 class FollowTables:
-    """Follow the tables of the store, or leave that to other hosts."""
+    """Follow the tables of the store, or leave that to other hosts.
+
+    With ``is_reader`` other hosts rely on what this one reads.
+    """
 
     is_following: bool
+    is_reader: bool = False
 
 
 @attrs.frozen
--- a/packages/routing/src/godwitglade/routing/host.py
+++ b/packages/routing/src/godwitglade/routing/host.py
@@ -69,12 +69,14 @@
 
     ``retries`` bounds retries. ``revoke_ms`` is the longest time that a
     withdrawn key may still be accepted, None for no bound;
-    ``stop_limit_ms`` is the longest time of a stop.
+    ``stop_limit_ms`` is the longest time of a stop, ``change_bound_ms`` the
+    longest time until a change in the store is in force.
     """
 
     retries: budget.Bounds = budget.Bounds()
     revoke_ms: int | None = None
     stop_limit_ms: int = 7_000
+    change_bound_ms: int = 2_000
     gossip: failure_detection.Settings = failure_detection.Settings()
 
 
@@ -169,7 +171,9 @@
         crash_reports.CrashReports(
             reachability_, cut_off, directory, live_names
         ),
-        table_sharing.TableSharing(self_id, members, document_state_),
+        table_sharing.TableSharing(
+            self_id, members, document_state_, settings.change_bound_ms
+        ),
     )
 
 
@@ -277,7 +281,9 @@
         if message.token.startswith('facts:'):
             return self.components.facts.handle(message, now_ms)
         if message.token.startswith(table_sharing.TOKEN):
-            return self.components.tables.handle(message, now_ms)
+            effects_ = self.components.tables.handle(message, now_ms)
+            self._confirm_versions()
+            return effects_
         if message.token.startswith(stream_versions.TOLD_TOKEN):
             return self.components.streams.handle(message, now_ms)
         if message.token.startswith(
@@ -296,7 +302,7 @@
             return self.components.members.handle(message, now_ms)
         if message.token.startswith('facts:'):
             return self.components.facts.handle(message, now_ms)
-        if message.token == table_sharing.TICK_TOKEN:
+        if message.token.startswith(table_sharing.TOKEN):
             return self.components.tables.handle(message, now_ms)
         if message.token.startswith(quarantine.TOKEN):
             return self._report_crash(message, now_ms)
@@ -357,7 +363,7 @@
             message.outage_ms,
             message.era,
         )
-        self.components.versions.confirmed_ms = now_ms
+        self._confirm_versions()
         return self._report_changes(changes, message.version, now_ms)
 
     @_dispatch.register
@@ -370,7 +376,7 @@
             now_ms,
             message.era,
         )
-        self.components.versions.confirmed_ms = now_ms
+        self._confirm_versions()
         return self._report_changes(changes, message.version, now_ms)
 
     @_dispatch.register
@@ -384,6 +390,7 @@
     def _(self, message: messages.SettingsReloaded, now_ms: int) -> Effects:
         self.components.document_state.revoke_ms = message.bounds.revoke_ms
         self.components.stopping.limit_ms = message.bounds.stop_limit_ms
+        self.components.tables.bound_ms = message.bounds.change_bound_ms
         self.components.requests.budgets.set_bounds(message.bounds.retries)
         return [shared_effects.LogEvent(events.Event.SETTINGS_RELOADED)]
 
@@ -471,6 +478,10 @@
         may_end = self.components.stopping.may_end(is_idle, now_ms)
         return [effects.Stop()] if may_end else []
 
+    def _confirm_versions(self) -> None:
+        known_ms = self.components.tables.targets_known_ms
+        self.components.versions.confirmed_ms = known_ms
+
     def _report_changes(
         self, changes: list[targets.Change], version: int, now_ms: int
     ) -> Effects:
--- a/packages/routing/src/godwitglade/routing/messages.py
+++ b/packages/routing/src/godwitglade/routing/messages.py
@@ -205,7 +205,8 @@
 
     ``outage_ms`` is how long the store did not answer before this read. In
     each new ``era`` the store has gone back to an older state. With
-    ``is_told`` another host has read the list.
+    ``is_told`` another host has read the list. It shows all changes up to
+    ``read_from_ms``, None if the message has just been read.
     """
 
     listed: tuple[targets.TargetEntry, ...]
@@ -213,13 +214,15 @@
     outage_ms: int = 0
     era: int = 0
     is_told: bool = False
+    read_from_ms: int | None = None
 
 
 @attrs.frozen
 class TargetsChanged:
     """Entries of the list of targets that changed.
 
-    With ``is_told`` another host has read them.
+    With ``is_told`` another host has read them. They are all changes up to
+    ``read_from_ms``, None if they have just been read.
     """
 
     present: tuple[targets.TargetEntry, ...]
@@ -227,6 +230,7 @@
     version: int
     era: int = 0
     is_told: bool = False
+    read_from_ms: int | None = None
 
 
 @attrs.frozen
--- a/tests/edge/test_settings.py
+++ b/tests/edge/test_settings.py
@@ -40,6 +40,21 @@
     assert loaded.bounds.stop_limit_ms < 8_000
 
 
+@pytest.mark.parametrize(
+    ('bounds', 'change_bound_ms'),
+    [
+        ({}, 2_000),
+        ({'configApplyMs': 3_000, 'drainMs': 1_500}, 1_500),
+        ({'configApplyMs': 1_200, 'drainMs': 9_000}, 1_200),
+    ],
+)
+def test_changes_are_in_force_within_the_shorter_bound(
+    tmp_path, bounds, change_bound_ms
+):
+    loaded = settings.load(write(tmp_path / 's.yaml', bounds=bounds))
+    assert loaded.bounds.change_bound_ms == change_bound_ms
+
+
 def test_capacity_follows_the_limits_of_the_machine(tmp_path):
     small = {'cpuShare': 0.516, 'cores': 1, 'linkMbps': 5.0}
     large = {'cpuShare': 0.717, 'cores': 3, 'linkMbps': 100.0}
--- a/tests/platform/test_follower.py
+++ b/tests/platform/test_follower.py
@@ -10,6 +10,7 @@
 from godwitglade.common import errors
 from godwitglade.edge import store as edge_store
 from godwitglade.platform import follower
+from godwitglade.platform import paces
 
 ROUND_TRIP_MS = 5
 REVOKE_MS = 5_000
@@ -77,17 +78,13 @@
 
 
 def test_unchanged_tables_are_queried_less_than_twice_a_second():
-    paces = (
-        edge_store.DOCUMENT_PACE,
-        edge_store.TARGETS_PACE,
-        edge_store.HOSTS_PACE,
-    )
-    calls = [len(follow(pace, 60_000)[0].calls) for pace in paces]
+    followed = (paces.DOCUMENT, paces.TARGETS, paces.HOSTS)
+    calls = [len(follow(pace, 60_000)[0].calls) for pace in followed]
     assert sum(calls) < 120
 
 
 def test_document_is_refreshed_within_the_revocation_period():
-    _, applied = follow(edge_store.DOCUMENT_PACE, 60_000)
+    _, applied = follow(paces.DOCUMENT, 60_000)
     ages = [
         later[0] - earlier[1] for earlier, later in zip(applied, applied[1:])
     ]
@@ -98,9 +95,9 @@
 @pytest.mark.parametrize(
     'pace',
     [
-        edge_store.DOCUMENT_PACE,
-        edge_store.TARGETS_PACE,
-        edge_store.HOSTS_PACE,
+        paces.DOCUMENT,
+        paces.TARGETS,
+        paces.HOSTS,
     ],
 )
 def test_changes_are_applied_within_two_round_trips(pace):
@@ -124,7 +121,7 @@
     def prepare(store):
         store.is_history_gone = True
 
-    store, _ = follow(edge_store.TARGETS_PACE, 3_000, prepare)
+    store, _ = follow(paces.TARGETS, 3_000, prepare)
     assert len(store.calls) < 3 * 2 * 5
 
 
@@ -132,7 +129,7 @@
     def prepare(store):
         store.is_unreachable = True
 
-    store, applied = follow(edge_store.TARGETS_PACE, 3_000, prepare)
+    store, applied = follow(paces.TARGETS, 3_000, prepare)
     assert not applied and 10 <= len(store.calls) <= 15
 
 
@@ -302,3 +299,60 @@
 
 def raise_unavailable(table):
     raise edge_store.StoreError(table, 'is not available')
+
+
+@pytest.mark.parametrize('change_after_ms', [None, 3, 180, 440, 690])
+@pytest.mark.parametrize('pace', [paces.READER_DOCUMENT, paces.READER_TARGETS])
+def test_reader_confirms_its_tables_often(pace, change_after_ms):
+    def prepare(store):
+        feed = store.feed
+
+        def wait(table, after, wait_ms):
+            is_changed = change_after_ms and change_after_ms <= wait_ms
+            store.change_after_ms = change_after_ms if is_changed else None
+            return feed(table, after, wait_ms)
+
+        store.feed = wait
+
+    store, applied = follow(pace, 10_000, prepare)
+    ages = [
+        later[0] - earlier[1] for earlier, later in zip(applied, applied[1:])
+    ]
+    assert max(ages) <= paces.CONFIRM_MS + 4 * ROUND_TRIP_MS
+    if change_after_ms is None:
+        assert len(store.calls) <= 20
+
+
+def test_table_is_read_some_time_after_following_resumes():
+    clock = Clock()
+    store = Store(clock)
+    made = follower.Follower(
+        store, 't', print, clock, lambda *_: None, paces.HOSTS
+    )
+    made.run_once()
+    made.set_following(False)
+    made.set_following(True)
+    pause_ms = made.run_once()
+    assert (pause_ms, store.calls) == (paces.HOSTS.resume_ms, ['read'])
+    clock.now_ms += pause_ms
+    made.run_once()
+    assert store.calls == ['read', 'read']
+
+
+@pytest.mark.parametrize(
+    ('has_rows', 'wait_ms', 'taken_ms', 'confirmed_ms'),
+    [
+        (False, 700, 705, 1_700),
+        (False, 700, 5_000, 1_700),
+        # The store did not wait as long as it was asked to.
+        (False, 700, 699, 1_000),
+        (True, 700, 705, 1_000),
+        (False, 0, 4, 1_000),
+    ],
+)
+def test_feed_confirms_its_table_up_to_the_end_of_its_wait(
+    has_rows, wait_ms, taken_ms, confirmed_ms
+):
+    assert confirmed_ms == follower.feed_confirms_ms(
+        has_rows, wait_ms, 1_000, 1_000 + taken_ms
+    )
