--- a/packages/platform/src/godwitglade/platform/follower.py
+++ b/packages/platform/src/godwitglade/platform/follower.py
@@ -88,12 +88,43 @@
 
     A feed waits up to ``wait_ms`` for changes, and the next one follows
     after ``pause_ms``. Every ``full_read_ms`` the whole table is read, to
-    correct what feeds missed.
+    correct what feeds missed. With ``confirm_ms`` a feed ends that long
+    after the last confirmation of the table. After a time without following
+    the first read comes after ``resume_ms``.
     """
 
     wait_ms: int
     full_read_ms: int
     pause_ms: int = 0
+    confirm_ms: int | None = None
+    resume_ms: int = 0
+
+    def feed_wait_ms(self, confirmed_ms: int, now_ms: int) -> int:
+        """Return how long a feed that starts now waits for changes."""
+        return self._shorten_ms(self.wait_ms, confirmed_ms, now_ms)
+
+    def feed_pause_ms(self, confirmed_ms: int, now_ms: int) -> int:
+        """Return the pause after a feed that ends now."""
+        return self._shorten_ms(self.pause_ms, confirmed_ms, now_ms)
+
+    def _shorten_ms(self, time_ms: int, confirmed_ms: int, now_ms: int) -> int:
+        if self.confirm_ms is None:
+            return time_ms
+        left_ms = confirmed_ms + self.confirm_ms - now_ms
+        return max(0, min(left_ms, time_ms))
+
+
+def feed_confirms_ms(
+    has_rows: bool, wait_ms: int, started_ms: int, response_ms: int
+) -> int:
+    """Return the time up to which a feed shows all changes of its table.
+
+    The store returns no rows only at the end of the wait. When it returned
+    rows is not known.
+    """
+    if has_rows or response_ms - started_ms < wait_ms:
+        return started_ms
+    return started_ms + wait_ms
 
 
 def describe(error: Exception) -> str:
@@ -128,7 +159,9 @@
     """Polls the feed of one table and periodically reads it in full.
 
     ``apply`` receives the rows with their version, whether they are the
-    whole table, and the time at which the read started.
+    whole table, and the time up to which they show all changes.
+    ``reader_pace`` applies until `set_following` is called, and while other
+    hosts rely on this one.
     """
 
     def __init__(
@@ -139,6 +172,7 @@
         clock: clocks.Clock,
         log: Log,
         pace: Pace,
+        reader_pace: Pace | None = None,
     ) -> None:
         self._client = client
         self._table = table
@@ -146,7 +180,10 @@
         self._clock = clock
         self._log = log
         self._availability = Availability(log, table)
-        self._pace = pace
+        self._paces = {False: pace, True: reader_pace or pace}
+        self._pace = self._paces[True]
+        self._confirmed_ms = 0
+        self._resumes_at_ms = 0
         self._version: int | None = None
         self._era = 0
         self._full_read_started_ms: int | None = None
@@ -155,16 +192,22 @@
         self._apply_lock = threading.Lock()
         self._is_following = True
         self._is_read_requested = True
+        self._is_resumed = False
         self.on_new_era: typing.Callable[[int], None] = lambda _era: None
 
-    def set_following(self, is_following: bool) -> None:
+    def set_following(
+        self, is_following: bool, is_reader: bool = False
+    ) -> None:
         """Follow the table, or read it only on request.
 
         The first read after a time without following is a full one.
         """
         if is_following and not self._is_following:
-            self._is_read_requested = True
+            self._is_resumed = True
+            now_ms = self._clock.monotonic_ms()
+            self._resumes_at_ms = now_ms + self._pace.resume_ms
         self._is_following = is_following
+        self._pace = self._paces[is_reader]
         self._wake_event.set()
 
     def request_full_read(self) -> None:
@@ -220,8 +263,12 @@
         """Read once and return the pause before the next read, in ms."""
         if not self._is_following and not self._is_read_requested:
             return IDLE_MS
-        # Other threads may set it again from here on.
-        is_requested, self._is_read_requested = self._is_read_requested, False
+        left_ms = self._resumes_at_ms - self._clock.monotonic_ms()
+        if left_ms > 0 and not self._is_read_requested:
+            return left_ms
+        is_requested = self._is_read_requested or self._is_resumed
+        # Other threads may set them again from here on.
+        self._is_read_requested = self._is_resumed = False
         pause_ms, is_applied = self._read(is_requested)
         if is_requested and not is_applied:
             self._is_read_requested = True
@@ -230,6 +277,8 @@
     def _read(self, is_requested: bool) -> tuple[int, bool]:
         """Read once; return the pause, and whether rows were applied."""
         started_ms = self._clock.monotonic_ms()
+        pace = self._pace
+        wait_ms = pace.feed_wait_ms(self._confirmed_ms, started_ms)
         is_full_read = (
             is_requested
             or self._version is None
@@ -240,9 +289,7 @@
                 result = self._client.read(self._table)
                 self._full_read_started_ms = started_ms
             else:
-                result = self._client.feed(
-                    self._table, self._version, self._pace.wait_ms
-                )
+                result = self._client.feed(self._table, self._version, wait_ms)
         except HistoryGoneError:
             # A lagging store may return a version whose history it has
             # already dropped.
@@ -270,17 +317,25 @@
             result = attrs.evolve(result, outage_ms=outage_ms)
         self._last_response_ms = response_ms
         self._availability.record_success()
+        self._confirmed_ms = started_ms
+        if not is_full_read:
+            self._confirmed_ms = feed_confirms_ms(
+                bool(result.rows), wait_ms, started_ms, response_ms
+            )
         try:
             # A read beside this one starts from a version that is applied.
             with self._apply_lock:
                 self._version = result.version
-                self._apply(result.usable(self._log), is_full_read, started_ms)
+                usable = result.usable(self._log)
+                self._apply(usable, is_full_read, self._confirmed_ms)
         except Exception as error:
             # Otherwise one odd row would end the thread, and all news.
             self._availability.record_failure(repr(error))
             self._version = None
             return RETRY_MS, False
-        return (0 if is_full_read else self._pace.pause_ms), True
+        if is_full_read:
+            return 0, True
+        return pace.feed_pause_ms(self._confirmed_ms, response_ms), True
 
     def _is_full_read_due(self, now_ms: int) -> bool:
         return now_ms - self._full_read_started_ms >= self._pace.full_read_ms
--- a/packages/routing/src/godwitglade/routing/host.py
+++ b/packages/routing/src/godwitglade/routing/host.py
@@ -72,12 +72,14 @@
 
     ``retries`` bounds retries. ``revoke_ms`` is the longest time that a
     withdrawn key may still be accepted, None for no bound;
-    ``stop_limit_ms`` is the longest time of a stop.
+    ``stop_limit_ms`` is the longest time of a stop, ``change_bound_ms`` the
+    longest time until a change in the store is in force.
     """
 
     retries: budget.Bounds = budget.Bounds()
     revoke_ms: int | None = None
     stop_limit_ms: int = 7_000
+    change_bound_ms: int = 2_000
     gossip: failure_detection.Settings = failure_detection.Settings()
 
 
@@ -173,7 +175,9 @@
         crash_reports.CrashReports(
             reachability_, cut_off, directory, live_names
         ),
-        table_sharing.TableSharing(self_id, members, document_state_),
+        table_sharing.TableSharing(
+            self_id, members, document_state_, settings.change_bound_ms
+        ),
     )
 
 
@@ -286,7 +290,8 @@
         if message.token.startswith('facts:'):
             return self.components.facts.handle(message, now_ms)
         if message.token.startswith(table_sharing.TOKEN):
-            return self.components.tables.handle(message, now_ms)
+            effects_ = self.components.tables.handle(message, now_ms)
+            return effects_
         if message.token.startswith(stream_versions.TOLD_TOKEN):
             return self.components.streams.handle(message, now_ms)
         if message.token.startswith(
@@ -305,7 +310,7 @@
             return self.components.members.handle(message, now_ms)
         if message.token.startswith('facts:'):
             return self.components.facts.handle(message, now_ms)
-        if message.token == table_sharing.TICK_TOKEN:
+        if message.token.startswith(table_sharing.TOKEN):
             return self.components.tables.handle(message, now_ms)
         if message.token.startswith(quarantine.TOKEN):
             return self._report_crash(message, now_ms)
@@ -395,6 +400,7 @@
     def _(self, message: messages.SettingsReloaded, now_ms: int) -> Effects:
         self.components.document_state.revoke_ms = message.bounds.revoke_ms
         self.components.stopping.limit_ms = message.bounds.stop_limit_ms
+        self.components.tables.bound_ms = message.bounds.change_bound_ms
         self.components.requests.budgets.set_bounds(message.bounds.retries)
         return [shared_effects.LogEvent(events.Event.SETTINGS_RELOADED)]
 
--- a/packages/routing/src/godwitglade/routing/messages.py
+++ b/packages/routing/src/godwitglade/routing/messages.py
@@ -207,7 +207,7 @@
 
     ``outage_ms`` is how long the store did not answer before this read. In
     each new ``era`` the store has gone back to an older state. With
-    ``is_told`` another host has read the list. The read started at
+    ``is_told`` another host has read the list. It shows all changes up to
     ``read_from_ms``, None if that is not known.
     """
 
@@ -223,7 +223,7 @@
 class TargetsChanged:
     """Entries of the list of targets that changed.
 
-    With ``is_told`` another host has read them. The read started at
+    With ``is_told`` another host has read them. They are all changes up to
     ``read_from_ms``, None if that is not known.
     """
 
