--- a/tests/routing/test_table_sharing.py
+++ b/tests/routing/test_table_sharing.py
@@ -24,7 +24,7 @@
 MAX_KEY_AGE_MS = 4_500
 
 
-def World(count):  # noqa: N802
+def make_world(count):
     return table_world.World([f'z{n % ZONES}' for n in range(count)])
 
 
@@ -48,7 +48,7 @@
 
 @pytest.mark.parametrize('count', [30, 66, 195, 775])
 def test_calls_to_the_store_do_not_grow_with_hosts(count):
-    world = World(count)
+    world = make_world(count)
     change_targets(world, 20_000)
     rate = calls_per_host_s(world, 8_000, 20_000)
     assert len(readers(world)) == table_readers.READERS * ZONES
@@ -84,7 +84,7 @@
 @pytest.mark.parametrize('fault', FAULTS)
 @pytest.mark.parametrize('count', [9, 66])
 def test_changes_reach_all_hosts_that_reach_the_store(count, fault):
-    world = World(count)
+    world = make_world(count)
     change_targets(world, 20_000)
     fault(world)
     world.run(30_000)
@@ -93,7 +93,7 @@
 
 @pytest.mark.parametrize('fault', FAULTS)
 def test_document_is_never_confirmed_for_longer_than_it_was_newest(fault):
-    world = World(66)
+    world = make_world(66)
     change_targets(world, 25_000)
     fault(world)
     wrong, late = [], []
@@ -120,7 +120,7 @@
 
 
 def test_keys_stay_accepted_at_hosts_that_do_not_read_themselves():
-    world = World(66)
+    world = make_world(66)
     world.run(20_000)
     ages = [n.state.age_ms(world.now_ms) for n in world.nodes.values()]
     assert max(ages) < MAX_KEY_AGE_MS
@@ -128,7 +128,7 @@
 
 
 def test_hosts_share_before_membership_knows_the_others():
-    world = World(66)
+    world = make_world(66)
     world.knows_no_members = True
     world.run(3_000)
     assert len(readers(world)) == table_readers.READERS * ZONES
@@ -137,7 +137,7 @@
 
 
 def test_hosts_follow_by_themselves_after_an_outage():
-    world = World(66)
+    world = make_world(66)
     world.run(10_000)
     world.store_is_up = False
     world.run(20_000)
@@ -159,7 +159,7 @@
     ],
 )
 def test_answers_that_vouch_for_nothing_are_not_used(reply):
-    world = World(66)
+    world = make_world(66)
     world.run(400)
     node = next(
         n
