Send a stream that goes on only to the process of its target's entry

Cause: a version is known of an entry, and the process at its address may be another one until the new entry has arrived. A new connection leads to it without an error. The version of a stream that began was taken from the same entry; to be safe, all streams of the last 3 s at a replaced target then lost their version, also those that it broke off itself. With a list older than 3 s not even that covered them.

Change: before a stream goes on, the target is asked over the same connection since when it runs (`targets.processes`); nothing is sent to another process, and the list is read again. Beside several versions a stream that begins is recorded with the start of its process, so that its version is certain, or that of the entry that names this start. Streams of an unknown process are distrusted from 3 s before the last read of the list.

The model of the tests broke a channel twice when its host reported the end as well, so that callers returned twice; it breaks it once now.

--- a/packages/routing/src/godwitglade/routing/effects.py
+++ b/packages/routing/src/godwitglade/routing/effects.py
@@ -3,6 +3,8 @@
 See also coordination.effects.
 """
 
+import enum
+
 import attrs
 
 from godwitglade.routing import bodies
@@ -10,6 +12,20 @@
 from godwitglade.routing import targets
 
 
+class ProcessCheck(enum.Enum):
+    """What is asked on a connection before a request is sent over it.
+
+    A target that started again under its name and address is another
+    process than that of its entry until its new entry is known. With `ASK`
+    the result says since when the process runs that got the request; with
+    `REQUIRE` the request is sent to that of the entry only.
+    """
+
+    NONE = 'none'
+    ASK = 'ask'
+    REQUIRE = 'require'
+
+
 @attrs.frozen
 class Forward:
     """Send a request to a target.
@@ -34,6 +50,7 @@
     needs_new_connection: bool = False
     last_event_id: str = ''
     hold_ms: int = 0
+    process_check: ProcessCheck = ProcessCheck.NONE
 
 
 @attrs.frozen
--- a/packages/routing/src/godwitglade/routing/host.py
+++ b/packages/routing/src/godwitglade/routing/host.py
@@ -515,7 +515,7 @@
             effect
             for change in changes
             if change.transition == targets.RESTARTED
-            for effect in streams.record_replaced(change.listed.name, now_ms)
+            for effect in streams.record_replaced(change.listed, now_ms)
         ]
         told += streams.update_pools(now_ms)
         self.components.rate_limits.maintain(directory.all(), now_ms)
--- a/packages/routing/src/godwitglade/routing/messages.py
+++ b/packages/routing/src/godwitglade/routing/messages.py
@@ -69,13 +69,18 @@
 
 @attrs.frozen
 class StreamStarted:
-    """The first event of a stream arrived, or was forwarded to the caller."""
+    """The first event of a stream arrived, or was forwarded to the caller.
+
+    The process that sent it started at ``started_ms`` (Unix time), 0 if that
+    was not asked or is not known.
+    """
 
     request_id: str
     call: int
     load: targets.Load | None = None
     limit: targets.NamedLimit | None = None
     notice: targets.Notice = targets.Notice()
+    started_ms: int = 0
 
 
 @attrs.frozen
@@ -98,11 +103,16 @@
 
 @attrs.frozen
 class CallNotSent:
-    """No connection to the target was available; no byte was sent."""
+    """The request was not sent, not even a byte of it.
+
+    No connection to the target was available, or with ``is_replaced``
+    another process than that of its entry has its address.
+    """
 
     request_id: str
     call: int
     detail: str
+    is_replaced: bool = False
 
 
 @attrs.frozen
--- a/packages/routing/src/godwitglade/routing/request_lifecycle.py
+++ b/packages/routing/src/godwitglade/routing/request_lifecycle.py
@@ -276,8 +276,13 @@
         limited = self._record_limit(request, message, now_ms)
         target_selection.record_success(request.target, message.load, now_ms)
         self._record_start(request, now_ms)
-        told = self._resumptions.record_event(request, now_ms)
-        return limited + told + self._stage_jobs.release(request)
+        read: Effects = []
+        if request.target.record_process(message.started_ms):
+            read = [effects.RefreshTargets()]
+        told = self._resumptions.record_event(
+            request, message.started_ms, now_ms
+        )
+        return read + limited + told + self._stage_jobs.release(request)
 
     @_apply.register
     def _(
@@ -319,6 +324,8 @@
         request: request_.Request,
         now_ms: int,
     ) -> Effects:
+        if message.is_replaced:
+            return self._leave_replaced(request, message.detail, now_ms)
         doubt: Effects = []
         sent_ms = request.sent_ms
         if not request.is_handed_over:
@@ -335,6 +342,27 @@
             return effects_ + self._send(request, now_ms)
         return effects_ + self._resend(request, now_ms)
 
+    def _leave_replaced(
+        self, request: request_.Request, detail: str, now_ms: int
+    ) -> Effects:
+        """Send a request elsewhere that a new process did not get."""
+        log = request_logs.request_event(
+            events.Event.CALL_FAILED,
+            request,
+            target=request.target.name,
+            detail=detail,
+            after_ms=now_ms - request.sent_ms,
+            send=request.sends,
+        )
+        request.target.is_replaced = True
+        request.sends -= 1
+        self._tracker.end_call(request)
+        return [
+            log,
+            effects.RefreshTargets(),
+            *self._send(request, now_ms, request.has_held_response),
+        ]
+
     @_apply.register
     def _(
         self,
@@ -681,6 +709,7 @@
             last_event_id=request.last_event_id,
             needs_new_connection=not request.route.is_repeatable,
             hold_ms=self._resumptions.hold_ms(request),
+            process_check=self._resumptions.process_check(request),
         )
         sent = request_logs.request_event(
             events.Event.REQUEST_SENT,
--- a/packages/routing/src/godwitglade/routing/resumption.py
+++ b/packages/routing/src/godwitglade/routing/resumption.py
@@ -162,18 +162,46 @@
             return None
         return self._decide_now(*self._unconfirmed.pop(request_id), now_ms)
 
-    def record_event(self, request: request_.Request, now_ms: int) -> Effects:
-        """Record that the first event of a response arrived."""
+    def record_event(
+        self, request: request_.Request, started_ms: int, now_ms: int
+    ) -> Effects:
+        """Record that the first event of a response arrived.
+
+        Its process started at ``started_ms``, 0 if that is not known.
+        """
         if not request.route.is_resumable:
             return []
         target = request.target
-        request.version = target.version(now_ms)
+        is_of_entry = started_ms == target.listed.started_ms > 0
+        request.version = (
+            target.listed.version if is_of_entry else target.version(now_ms)
+        )
         begun = stream_versions.Begun(request.pool, request.version)
         key = stream_versions.key_of(request)
+        process = stream_versions.Process(target.name, started_ms)
         return self._streams.record_begun(
-            key, begun, target.name, request.request_id, now_ms
+            key, begun, process, request.request_id, now_ms
         )
 
+    def process_check(self, request: request_.Request) -> effects.ProcessCheck:
+        """Return what has to be known of the process that gets a request.
+
+        What a target writes fits only the version that began the stream. A
+        host that takes a request over asks the target itself.
+        """
+        target = request.target
+        if (
+            request.is_handed_over
+            or not request.route.is_resumable
+            or not target.listed.started_ms
+        ):
+            return effects.ProcessCheck.NONE
+        if request.is_resume or request.has_response_started:
+            return effects.ProcessCheck.REQUIRE
+        if self._streams.is_mixed(request.pool):
+            return effects.ProcessCheck.ASK
+        return effects.ProcessCheck.NONE
+
     def hold_ms(self, request: request_.Request) -> int:
         """Return how long the first event of a request has to wait.
 
--- a/packages/routing/src/godwitglade/routing/stream_versions.py
+++ b/packages/routing/src/godwitglade/routing/stream_versions.py
@@ -28,6 +28,7 @@
 from godwitglade.routing import rendezvous
 from godwitglade.routing import request as request_
 from godwitglade.routing import stream_rows
+from godwitglade.routing import targets
 
 Effects = list[typing.Any]
 
@@ -65,11 +66,19 @@
     version: str
 
 
+@attrs.frozen
+class Process:
+    """The process of a target; ``started_ms`` is 0 if it is not known."""
+
+    target: str
+    started_ms: int = 0
+
+
 @attrs.define
 class _Stream:
     begun: Begun
     at_ms: int
-    target: str = ''
+    process: Process | None = None
     is_open: bool = False
 
 
@@ -113,7 +122,7 @@
         self,
         key: str,
         begun: Begun,
-        target: str,
+        process: Process,
         request_id: str,
         now_ms: int,
     ) -> Effects:
@@ -121,8 +130,8 @@
         known = self._streams.get(key)
         if known is not None and known.begun.version:
             # Only what brought the first event counts.
-            begun = known.begun
-        self._put(key, _Stream(begun, now_ms, target, True))
+            begun, process = known.begun, known.process
+        self._put(key, _Stream(begun, now_ms, process, True))
         self._own[key] = None
         self._own.move_to_end(key)
         if begun.pool not in self._mixed_pools:
@@ -130,9 +139,13 @@
         held = self._row.hold(key, request_id)
         return held + self._tell([key], now_ms) + self._update_row(now_ms)
 
+    def is_mixed(self, pool: str) -> bool:
+        """Return whether a pool has or lately had several versions."""
+        return pool in self._mixed_pools
+
     def hold_ms(self, pool: str) -> int:
         """Return how long the first event of a stream waits for the row."""
-        return self._row.hold_ms if pool in self._mixed_pools else 0
+        return self._row.hold_ms if self.is_mixed(pool) else 0
 
     def record_end(self, key: str, is_complete: bool, now_ms: int) -> None:
         """Record that this host no longer brings a stream to its caller."""
@@ -150,20 +163,38 @@
         if stream is not None and not stream.begun.version:
             stream.begun = begun
 
-    def record_replaced(self, target: str, now_ms: int) -> Effects:
-        """Distrust the streams that began at a target lately.
+    def record_replaced(
+        self, entry: targets.TargetEntry, now_ms: int
+    ) -> Effects:
+        """Judge the streams of a target that is listed as started again.
 
-        It has started again, maybe before they began.
+        Those of the new process get its version. Those of an unknown process
+        get none if the target may have started before they began.
         """
-        doubtful = [
-            key
+        own = {
+            key: stream
             for key, stream in self._streams.items()
-            if stream.target == target and now_ms - stream.at_ms < LIST_LAG_MS
-        ]
-        for key in doubtful:
+            if stream.process is not None
+            and stream.process.target == entry.name
+        }
+        settled = {
+            key: entry.version
+            for key, stream in own.items()
+            if stream.process.started_ms == entry.started_ms > 0
+        }
+        known_ms = self._versions.confirmed_ms
+        since_ms = now_ms if known_ms is None else min(now_ms, known_ms)
+        doubtful = {
+            key: ''
+            for key, stream in own.items()
+            if not stream.process.started_ms
+            and stream.at_ms > since_ms - LIST_LAG_MS
+        }
+        changed = settled | doubtful
+        for key, version in changed.items():
             stream = self._streams[key]
-            stream.begun = Begun(stream.begun.pool, '')
-        return self._tell(doubtful, now_ms)
+            stream.begun = Begun(stream.begun.pool, version)
+        return self._tell(changed, now_ms)
 
     def update_pools(self, now_ms: int) -> Effects:
         """Tell of the streams of pools that have several versions now."""
--- a/packages/routing/src/godwitglade/routing/targets.py
+++ b/packages/routing/src/godwitglade/routing/targets.py
@@ -92,7 +92,10 @@
 
 @attrs.define(eq=False)
 class Target:
-    """A listed target and its state as seen by this host."""
+    """A listed target and its state as seen by this host.
+
+    With ``is_replaced`` it has started again since its entry was written.
+    """
 
     listed: TargetEntry
     in_flight: int = 0
@@ -102,6 +105,7 @@
     suspended_until_ms: int = 0
     missing_since_ms: int | None = None
     unverified_until_ms: int = 0
+    is_replaced: bool = False
     paused_until_ms: int = 0
 
     @property
@@ -115,7 +119,19 @@
 
     def version(self, now_ms: int) -> str:
         """Return the version of its software, empty if not known now."""
-        return '' if now_ms < self.unverified_until_ms else self.listed.version
+        is_known = not self.is_replaced and now_ms >= self.unverified_until_ms
+        return self.listed.version if is_known else ''
+
+    def record_process(self, started_ms: int) -> bool:
+        """Record when the process at its address started, 0 if not known.
+
+        Returns whether that is news of another one than that of the entry.
+        """
+        is_news = self.listed.started_ms < started_ms and not self.is_replaced
+        if self.listed.started_ms and is_news:
+            self.is_replaced = True
+            return True
+        return False
 
     def record_unreachable(self, now_ms: int) -> None:
         """Distrust the entry until one of a new process would be listed."""
@@ -172,7 +188,12 @@
             target
             for target in listed
             if not target.listed.is_leaving
-            and version in (None, target.listed.version)
+            and (
+                version is None
+                or (
+                    not target.is_replaced and version == target.listed.version
+                )
+            )
         ]
 
     def pause_left_ms(self, pool: str, now_ms: int) -> int:
--- a/packages/targets/src/godwitglade/targets/connections.py
+++ b/packages/targets/src/godwitglade/targets/connections.py
@@ -51,7 +51,11 @@
 
 
 class Connection:
-    """An HTTP connection to ``address``, used by one call at a time."""
+    """An HTTP connection to ``address``, used by one call at a time.
+
+    The process that it leads to started at ``started_ms`` (Unix time), None
+    if it was not asked, 0 if it did not say so.
+    """
 
     def __init__(self, address: str, clock: clocks.Clock) -> None:
         self._address = address
@@ -63,6 +67,7 @@
         self._last_content: bytes | None = None
         self.opened_ms = 0
         self.last_contact_ms = 0
+        self.started_ms: int | None = None
 
     def open(self, timeout_ms: int) -> None:
         """Open the connection; raises urllib3's HTTPError or OSError."""
--- a/packages/targets/src/godwitglade/targets/faults.py
+++ b/packages/targets/src/godwitglade/targets/faults.py
@@ -14,7 +14,8 @@
 
     ``is_peer_closed`` means that the peer refused, reset or closed the
     connection, as the operating system does for a process that has exited.
-    ``load`` is the target's load, if its refusal told it.
+    ``load`` is the target's load, if its refusal told it. With
+    ``is_replaced`` another process has the target's address.
     """
 
     code = 'target_call_failed'
@@ -26,3 +27,4 @@
     was_sent: bool = True
     is_peer_closed: bool = False
     load: typing.Any = None
+    is_replaced: bool = False
--- a/packages/targets/src/godwitglade/targets/forwarding.py
+++ b/packages/targets/src/godwitglade/targets/forwarding.py
@@ -10,8 +10,6 @@
 from urllib3 import response as urllib3_response
 
 from godwitglade.common import clock as clocks
-from godwitglade.common import codec
-from godwitglade.common import errors
 from godwitglade.routing import effects
 from godwitglade.routing import messages
 from godwitglade.routing import targets
@@ -20,6 +18,7 @@
 from godwitglade.targets import event_reader
 from godwitglade.targets import faults
 from godwitglade.targets import http_exchange
+from godwitglade.targets import processes
 from godwitglade.targets import response_bodies
 
 #: Statuses from which a caller infers that the request was not run.
@@ -149,6 +148,7 @@
     attempt: attempts.Attempt
     connection: connections.Connection
     budget: http_exchange.Budget
+    started_ms: int
 
 
 class Forwarder:
@@ -232,22 +232,44 @@
             self._clock, effect.timeout_ms, effect.timeout_ms
         )
         pool = self.pool(effect.target.address)
-        connection = self._connect(pool, effect, budget)
-        with self._attempts.use_connection(attempt, pool, connection) as use:
-            if use.is_cancelled:
-                raise _not_sent_fault('cancelled')
-            call = _Call(context, effect, attempt, connection, budget)
-            message, use.is_reusable = self._exchange(call)
-            return message
+        wire = (self._wire.probe_path, self._wire.start_field)
+        report: processes.Report | None = None
+        for is_first in (True, False):
+            connection = self._connect(pool, effect, budget, is_first)
+            with self._attempts.use_connection(
+                attempt, pool, connection
+            ) as use:
+                if use.is_cancelled:
+                    raise _not_sent_fault('cancelled')
+                report = processes.ask(
+                    connection, effect, report, wire, self._clock
+                )
+                if processes.may_send(effect, report):
+                    started_ms = report.started_ms or 0
+                    call = _Call(
+                        context,
+                        effect,
+                        attempt,
+                        connection,
+                        budget,
+                        started_ms,
+                    )
+                    message, use.is_reusable = self._exchange(call)
+                    return message
+        raise _not_sent_fault(
+            'the process of the entry did not report',
+            processes.is_replaced(effect, report),
+        )
 
     def _connect(
         self,
         pool: connections.ConnectionPool,
         effect: effects.Forward,
         budget: http_exchange.Budget,
+        may_reuse: bool,
     ) -> connections.Connection:
         timeout_ms = min(CONNECT_TIMEOUT_MS, budget.wait_ms())
-        if not effect.needs_new_connection:
+        if may_reuse and not effect.needs_new_connection:
             return http_exchange.connect(pool, True, timeout_ms)
         try:
             return pool.open(timeout_ms)
@@ -302,7 +324,9 @@
             # A second response to this request would have no id to tell it
             # from the next one.
             connection.close()
-        started_ms = _start_of(report.content, self._wire.start_field)
+        started_ms = processes.parse_start(
+            report.content, self._wire.start_field
+        )
         return not 0 < target.started_ms < started_ms
 
     def _is_at_its_limit(
@@ -326,7 +350,9 @@
         )
         response = http_exchange.receive(call.connection, call.budget)
         message, is_read = self._handle_response(call, response)
-        return message, is_read and _may_be_reused(response, request.method)
+        return message, is_read and response_bodies.may_be_reused(
+            response, request.method
+        )
 
     def _handle_response(
         self, call: _Call, response: urllib3_response.HTTPResponse
@@ -550,6 +576,7 @@
             classification.load,
             classification.limit,
             classification.notice,
+            call.started_ms,
         )
         self._check_content_type(call.context, response)
         if not caller.has_started:
@@ -581,7 +608,9 @@
             raise _lost_fault('the stream ended in the middle of an event')
         if not caller.has_started:
             self._start_stream(caller, response)
-        message = messages.ResponseCompleted(*ids, response.status, *reported)
+        message = messages.ResponseCompleted(
+            *ids, response.status, *reported[:-1]
+        )
         return message, True
 
 
@@ -605,26 +634,6 @@
         raise CallerDisconnectedError() from error
 
 
-def _may_be_reused(
-    response: urllib3_response.HTTPResponse, method: str
-) -> bool:
-    """Return whether another call can follow on the connection."""
-    framing = response_bodies.framing_of_response(response, method)
-    is_closing = response.headers.get('Connection', '').lower() == 'close'
-    is_framed = framing is not response_bodies.Framing.CONNECTION
-    return is_framed and not is_closing
-
-
-def _start_of(report: bytes, field: str) -> int:
-    """Return when a target started by its own report, or 0."""
-    try:
-        plain = codec.parse_json(report)
-    except errors.MalformedError:
-        return 0
-    started_ms = plain.get(field) if isinstance(plain, dict) else None
-    return started_ms if type(started_ms) is int else 0
-
-
 def _status_line(response: urllib3_response.HTTPResponse) -> str:
     return f'{response.status} {response.reason or "Unknown"}'
 
@@ -637,7 +646,7 @@
 ) -> typing.Any:
     ids = (effect.request_id, effect.call)
     if not error.was_sent:
-        return messages.CallNotSent(*ids, str(error))
+        return messages.CallNotSent(*ids, str(error), error.is_replaced)
     if effect.is_stream:
         return messages.StreamBroken(
             *ids,
@@ -649,9 +658,14 @@
     return messages.CallLost(*ids, str(error), is_target_gone)
 
 
-def _not_sent_fault(detail: str) -> faults.CallFaultError:
+def _not_sent_fault(
+    detail: str, is_replaced: bool = False
+) -> faults.CallFaultError:
     return faults.CallFaultError(
-        http_exchange.FaultKind.CONNECT, detail, was_sent=False
+        http_exchange.FaultKind.CONNECT,
+        detail,
+        was_sent=False,
+        is_replaced=is_replaced,
     )
 
 
--- a/packages/targets/src/godwitglade/targets/response_bodies.py
+++ b/packages/targets/src/godwitglade/targets/response_bodies.py
@@ -31,6 +31,15 @@
     return Framing.CONNECTION
 
 
+def may_be_reused(
+    response: urllib3_response.HTTPResponse, method: str
+) -> bool:
+    """Return whether another call can follow on the connection."""
+    framing = framing_of_response(response, method)
+    is_closing = response.headers.get('Connection', '').lower() == 'close'
+    return framing is not Framing.CONNECTION and not is_closing
+
+
 def framing_of_response(
     response: urllib3_response.HTTPResponse, method: str
 ) -> Framing:
--- a/tests/edge/test_resumed_streams.py
+++ b/tests/edge/test_resumed_streams.py
@@ -130,3 +130,45 @@
     with pytest.raises(http.client.IncompleteRead):
         uniform_edge.send_request('/resume/x')
     assert len(uniform_edge.runs('engine')) == 1
+
+
+@pytest.fixture
+def replaced(edge):
+    """Let the target that began a stream return with the other version.
+
+    Its entry in the store still names the former process.
+    """
+    edge.send_request('/resume/x')
+    (began,) = [t for t in edge.targets if t.pool == 'engine' and t.runs]
+    began.crash()
+    began.restart()
+    began.requests.clear()
+    yield began
+
+
+def test_stream_does_not_go_on_at_a_target_that_has_another_version_now(
+    edge, replaced
+):
+    responses = [edge.send_request('/resume/x', **RESUMED) for _ in range(4)]
+    assert {response.status for response in responses} == {503}
+    assert not replaced.runs
+
+
+def test_stream_of_a_new_process_goes_on_at_its_version(edge, replaced):
+    directory = edge.process.loop.host.components.directory
+    (other,) = (
+        t for t in edge.targets if t.pool == 'engine' and t is not replaced
+    )
+    version = directory.find(other.name).listed.version
+    edge.store.delete('servers', other.name)
+    edge.wait_for(lambda: directory.find(other.name) is None)
+    assert edge.send_request('/resume/x', X_Attempt_Id='b1').status == 200
+    edge.store.put('servers', other.name, other.entry(version=version))
+    edge.store.put('servers', replaced.name, replaced.entry(version='v3'))
+    edge.wait_for(lambda: 'v3' in directory.versions('engine'))
+    edge.wait_for(lambda: directory.find(other.name) is not None)
+    fields = RESUMED | {'Resumes': 'b1'}
+    for _ in range(4):
+        assert edge.send_request('/resume/x', **fields).status == 200
+    assert not [r for r in other.runs if r.headers.get('Resumes') == 'b1']
+    assert len(replaced.runs) == 5
--- a/tests/routing/fleet.py
+++ b/tests/routing/fleet.py
@@ -332,6 +332,11 @@
         back_ms = self.now_ms + self.rng.randint(1_000, 2_000)
         self.at(back_ms, self._start_again, engine, version)
 
+    def replace_engine(self, engine, version):
+        """Start an engine again under its name as soon as it has ended."""
+        self._break_calls(engine)
+        self._start_again(engine, version)
+
     def _start_again(self, engine, version):
         engine.is_alive = True
         engine.version, engine.started_ms = version, self.now_ms + 1
@@ -353,6 +358,16 @@
         if not engine.is_alive:
             return
         engine.is_alive = False
+        self._break_calls(engine)
+        removed = messages.TargetsChanged((), (engine.name,), 1)
+        self._tell_later(removed, EXPIRY_MS)
+        if not is_replaced:
+            return
+        back_ms = self.now_ms + self.rng.randint(2_000, 4_000)
+        self.at(back_ms, self.start_engine)
+
+    def _break_calls(self, engine):
+        """Break the connections of the calls at an engine."""
         for node, incarnation, effect, _ in engine.calls.values():
             attempt = self._open[effect.request_id]
             broken = messages.StreamBroken(
@@ -364,12 +379,6 @@
             )
             self._later(self._post_to, node, incarnation, broken)
         engine.calls.clear()
-        removed = messages.TargetsChanged((), (engine.name,), 1)
-        self._tell_later(removed, EXPIRY_MS)
-        if not is_replaced:
-            return
-        back_ms = self.now_ms + self.rng.randint(2_000, 4_000)
-        self.at(back_ms, self.start_engine)
 
     def cut_from_engines(self, names, how):
         """Cut hosts off from all engines.
@@ -497,6 +506,15 @@
             )
             self._later(self._post_to, node, incarnation, message)
             return
+        if (
+            effect.process_check is effects.ProcessCheck.REQUIRE
+            and engine.started_ms != effect.target.started_ms
+        ):
+            message = messages.CallNotSent(
+                effect.request_id, effect.call, 'replaced', is_replaced=True
+            )
+            self._later(self._post_to, node, incarnation, message)
+            return
         attempt = self._open[effect.request_id]
         if self.now_ms >= node.in_touch_ms:
             attempt.arrivals_ms.append(self.now_ms)
@@ -555,8 +573,12 @@
             attempt.begun_ms = self.now_ms
         if engine.limit is not None:
             engine.told_ms.setdefault((node.name, incarnation), self.now_ms)
+        is_asked = effect.process_check is not effects.ProcessCheck.NONE
         message = messages.StreamStarted(
-            effect.request_id, effect.call, limit=engine.named
+            effect.request_id,
+            effect.call,
+            limit=engine.named,
+            started_ms=engine.started_ms if is_asked else 0,
         )
         self._post_to(node, incarnation, message)
         self._report(attempt, messages.StreamStarted)
@@ -629,6 +651,8 @@
         return attempt
 
     def _break(self, attempt):
+        if attempt.is_ended:
+            return
         attempt.is_ended = True
         if attempt.handed_from is not None:
             has_begun = attempt.begun_ms is not None
--- a/tests/routing/test_stream_versions.py
+++ b/tests/routing/test_stream_versions.py
@@ -138,6 +138,20 @@
     fleet_.restart_engine(engine, version)
 
 
+def replace_engines(fleet_):
+    """Let engines return at once, under their names, with another version."""
+    for number in range(16):
+        at_ms = 8_000 + 2_000 * number
+        fleet_.at(at_ms, replace_engine, fleet_, number)
+
+
+def replace_engine(fleet_, number):
+    alive = [e for e in fleet_.engines if e.is_alive]
+    engine = alive[number % len(alive)]
+    version = 'v1' if engine.version == 'v2' else 'v2'
+    fleet_.replace_engine(engine, version)
+
+
 FAULTS = {
     'engines break streams': [engines_break],
     'hosts restart': [engines_break, hosts_restart],
@@ -170,6 +184,22 @@
     assert play(1, fault).joined() <= MAX_JOINED
 
 
+@pytest.mark.parametrize('seed', [1, 2, 3, 4])
+def test_streams_are_not_joined_at_targets_that_return_at_once(seed):
+    fleet_ = fleet.Fleet(seed, 9)
+    fleet_.run(2_000)
+    load = Load(fleet_)
+    load.send()
+    release(fleet_)
+    for function in (engines_break, hosts_restart, replace_engines):
+        function(fleet_)
+    fleet_.run(END_MS + 8_000)
+    assert not load.joined()
+    new, resumed = load.shares(10_000)
+    assert len(load.resumed) >= MIN_RESUMED
+    assert resumed >= MIN_SHARE * new
+
+
 def test_streams_of_60_hosts_are_not_joined_from_two_versions():
     load = play(2, 'hosts restart', host_count=60, gap_ms=20)
     assert load.joined() <= MAX_JOINED
--- a/tests/targets/test_restarted_targets.py
+++ b/tests/targets/test_restarted_targets.py
@@ -13,6 +13,7 @@
 from godwitglade.routing import effects
 from godwitglade.routing import messages
 from godwitglade.targets import forwarding
+from godwitglade.targets import processes
 from tests.routing import builders
 
 
@@ -118,4 +119,4 @@
     ],
 )
 def test_start_in_a_report_that_cannot_be_read_is_unknown(report, expected):
-    assert forwarding._start_of(report, 'born') == expected
+    assert processes.parse_start(report, 'born') == expected
