Confirm the process of targets that do not say since when they run

Change: beside several versions, events of a stream that goes on at such a target wait until the store has confirmed the entry after the first of them (`routing.process_confirmations`), and the call is given up otherwise. Streams of an unknown process are distrusted by the time at which their connection was opened, not by their last event, which was that of the break.

--- a/packages/daemon/src/godwitglade/daemon/routing_effect_runner.py
+++ b/packages/daemon/src/godwitglade/daemon/routing_effect_runner.py
@@ -178,6 +178,10 @@
     def _(self, effect: effects.ReleaseStream) -> None:
         self._clients.exchanges.release(effect.request_id)
 
+    @carry_out.register
+    def _(self, effect: effects.ConfirmProcess) -> None:
+        self._clients.forwarder.confirm(effect)
+
     @carry_out.register
     def _(self, effect: effects.CancelCall) -> None:
         self._clients.forwarder.cancel(effect)
--- a/packages/routing/src/godwitglade/routing/effects.py
+++ b/packages/routing/src/godwitglade/routing/effects.py
@@ -18,12 +18,15 @@
     A target that started again under its name and address is another
     process than that of its entry until its new entry is known. With `ASK`
     the result says since when the process runs that got the request; with
-    `REQUIRE` the request is sent to that of the entry only.
+    `REQUIRE` the request is sent to no process that says to be another than
+    that of the entry. With `CONFIRM` the events of one that does not say
+    since when it runs wait for `ConfirmProcess`, too.
     """
 
     NONE = 'none'
     ASK = 'ask'
     REQUIRE = 'require'
+    CONFIRM = 'confirm'
 
 
 @attrs.frozen
@@ -60,6 +63,14 @@
     request_id: str
 
 
+@attrs.frozen
+class ConfirmProcess:
+    """Let the events of a call go on that wait for their process."""
+
+    request_id: str
+    call: int
+
+
 @attrs.frozen
 class ProbeTarget:
     """Ask a target for any response; the result arrives as a message."""
--- a/packages/routing/src/godwitglade/routing/host.py
+++ b/packages/routing/src/godwitglade/routing/host.py
@@ -31,6 +31,7 @@
 from godwitglade.routing import hand_over
 from godwitglade.routing import messages
 from godwitglade.routing import pool_versions
+from godwitglade.routing import process_confirmations
 from godwitglade.routing import quarantine
 from godwitglade.routing import rate_limits
 from godwitglade.routing import reachability
@@ -150,6 +151,7 @@
         reachability_,
         hand_over_,
         stopping_,
+        process_confirmations.ProcessConfirmations(versions, directory),
     )
     stage_work_ = stage_work.StageWork(
         self_id, address, members, document_state_, directory, cut_off
--- a/packages/routing/src/godwitglade/routing/messages.py
+++ b/packages/routing/src/godwitglade/routing/messages.py
@@ -72,7 +72,7 @@
     """The first event of a stream arrived, or was forwarded to the caller.
 
     The process that sent it started at ``started_ms`` (Unix time), 0 if that
-    was not asked or is not known.
+    was not asked or is not known, and ran at ``connected_ms``.
     """
 
     request_id: str
@@ -81,6 +81,18 @@
     limit: targets.NamedLimit | None = None
     notice: targets.Notice = targets.Notice()
     started_ms: int = 0
+    connected_ms: int | None = None
+
+
+@attrs.frozen
+class ProcessUnknown:
+    """Events of a stream that goes on wait for the process to be known.
+
+    Its target does not say since when it runs.
+    """
+
+    request_id: str
+    call: int
 
 
 @attrs.frozen
--- a/packages/routing/src/godwitglade/routing/request_lifecycle.py
+++ b/packages/routing/src/godwitglade/routing/request_lifecycle.py
@@ -24,6 +24,7 @@
 from godwitglade.routing import hand_over
 from godwitglade.routing import messages
 from godwitglade.routing import permit_schedule
+from godwitglade.routing import process_confirmations
 from godwitglade.routing import quarantine
 from godwitglade.routing import rate_limits
 from godwitglade.routing import reachability
@@ -89,8 +90,10 @@
         reachability_: reachability.Reachability,
         hand_over_: hand_over.HandOver,
         stopping_: stopping.Stopping,
+        confirmations: process_confirmations.ProcessConfirmations,
     ) -> None:
         self._stopping = stopping_
+        self._confirmations = confirmations
         self._resumptions = resumptions
         self._reachability = reachability_
         self._hand_over = hand_over_
@@ -187,6 +190,13 @@
     def _(self, message: messages.BodyEnded, now_ms: int) -> Effects:
         return [request_logs.body_event(message)]
 
+    @handle.register
+    def _(self, message: messages.ProcessUnknown, now_ms: int) -> Effects:
+        request = self._requests.get(message.request_id)
+        if request is None or request.calls != message.call:
+            return []
+        return self._confirmations.ask(request, now_ms)
+
     @handle.register
     def _(self, message: messages.CallerDisconnected, now_ms: int) -> Effects:
         request = self._requests.get(message.request_id)
@@ -279,9 +289,7 @@
         read: Effects = []
         if request.target.record_process(message.started_ms):
             read = [effects.RefreshTargets()]
-        told = self._resumptions.record_event(
-            request, message.started_ms, now_ms
-        )
+        told = self._resumptions.record_event(request, message, now_ms)
         return read + limited + told + self._stage_jobs.release(request)
 
     @_apply.register
@@ -610,11 +618,12 @@
     def resume_confirmed(self, now_ms: int) -> Effects:
         """Go on with streams that waited for a newer list of targets."""
         decided = self._resumptions.apply_confirmation(now_ms)
-        return [
+        resumed = [
             effect
             for request, decision in decided
             for effect in self._resume(request, decision, now_ms)
         ]
+        return resumed + self._confirmations.apply_list(now_ms)
 
     def _resume(
         self,
@@ -924,6 +933,7 @@
         """End a request; cancel its open call and release its jobs."""
         del self._requests[request.request_id]
         self._resumptions.record_end(request, is_done, now_ms)
+        self._confirmations.drop(request)
         self._quarantine.end_request(request)
         cancelled: Effects = []
         if request.target is not None and not is_done:
--- a/packages/routing/src/godwitglade/routing/resumption.py
+++ b/packages/routing/src/godwitglade/routing/resumption.py
@@ -7,6 +7,7 @@
 
 from godwitglade.coordination import effects as shared_effects
 from godwitglade.routing import effects
+from godwitglade.routing import messages
 from godwitglade.routing import pool_versions
 from godwitglade.routing import request as request_
 from godwitglade.routing import stream_versions
@@ -163,22 +164,27 @@
         return self._decide_now(*self._unconfirmed.pop(request_id), now_ms)
 
     def record_event(
-        self, request: request_.Request, started_ms: int, now_ms: int
+        self,
+        request: request_.Request,
+        message: messages.StreamStarted,
+        now_ms: int,
     ) -> Effects:
-        """Record that the first event of a response arrived.
-
-        Its process started at ``started_ms``, 0 if that is not known.
-        """
+        """Record that the first event of a response arrived."""
         if not request.route.is_resumable:
             return []
         target = request.target
-        is_of_entry = started_ms == target.listed.started_ms > 0
+        is_of_entry = message.started_ms == target.listed.started_ms > 0
         request.version = (
             target.listed.version if is_of_entry else target.version(now_ms)
         )
         begun = stream_versions.Begun(request.pool, request.version)
         key = stream_versions.key_of(request)
-        process = stream_versions.Process(target.name, started_ms)
+        connected_ms = message.connected_ms
+        process = stream_versions.Process(
+            target.name,
+            message.started_ms,
+            now_ms if connected_ms is None else connected_ms,
+        )
         return self._streams.record_begun(
             key, begun, process, request.request_id, now_ms
         )
@@ -196,11 +202,14 @@
             or not target.listed.started_ms
         ):
             return effects.ProcessCheck.NONE
+        is_mixed = self._streams.is_mixed(request.pool)
         if request.is_resume or request.has_response_started:
+            if is_mixed:
+                return effects.ProcessCheck.CONFIRM
             return effects.ProcessCheck.REQUIRE
-        if self._streams.is_mixed(request.pool):
-            return effects.ProcessCheck.ASK
-        return effects.ProcessCheck.NONE
+        return (
+            effects.ProcessCheck.ASK if is_mixed else effects.ProcessCheck.NONE
+        )
 
     def hold_ms(self, request: request_.Request) -> int:
         """Return how long the first event of a request has to wait.
--- a/packages/routing/src/godwitglade/routing/stream_versions.py
+++ b/packages/routing/src/godwitglade/routing/stream_versions.py
@@ -53,8 +53,6 @@
 #: broke off.
 MAX_ROW_STREAMS = 256
 BROKEN_MS = 10 * clocks.SECOND_MS
-#: A target's entry may be this old when a stream begins there.
-LIST_LAG_MS = 3 * clocks.SECOND_MS
 MAX_TEXT_LENGTH = 200
 
 
@@ -68,10 +66,15 @@
 
 @attrs.frozen
 class Process:
-    """The process of a target; ``started_ms`` is 0 if it is not known."""
+    """The process of a target.
+
+    It started at ``started_ms`` (Unix time), 0 if that is not known, and ran
+    at ``since_ms``.
+    """
 
     target: str
     started_ms: int = 0
+    since_ms: int = 0
 
 
 @attrs.define
@@ -168,8 +171,9 @@
     ) -> Effects:
         """Judge the streams of a target that is listed as started again.
 
-        Those of the new process get its version. Those of an unknown process
-        get none if the target may have started before they began.
+        Those of the new process get its version. Those of a process whose
+        start is not known get none, unless it ran so early that the last
+        list would have shown a later one.
         """
         own = {
             key: stream
@@ -188,7 +192,7 @@
             key: ''
             for key, stream in own.items()
             if not stream.process.started_ms
-            and stream.at_ms > since_ms - LIST_LAG_MS
+            and stream.process.since_ms > since_ms - targets.ENTRY_LAG_MS
         }
         changed = settled | doubtful
         for key, version in changed.items():
--- a/packages/targets/src/godwitglade/targets/attempts.py
+++ b/packages/targets/src/godwitglade/targets/attempts.py
@@ -16,10 +16,15 @@
 
 @attrs.define
 class Attempt:
-    """A call; ``connection`` is set while another thread may interrupt it."""
+    """A call; ``connection`` is set while another thread may interrupt it.
+
+    ``may_go_on`` is set when the process that responds is confirmed, or the
+    call cancelled.
+    """
 
     connection: connections.Connection | None = None
     is_cancelled: bool = False
+    may_go_on: threading.Event = attrs.Factory(threading.Event)
 
 
 @attrs.define
@@ -109,10 +114,18 @@
                 self._record_early_cancel(attempt_id)
                 return False
             attempt.is_cancelled = True
+            attempt.may_go_on.set()
             if attempt.connection is not None:
                 attempt.connection.interrupt()
             return True
 
+    def confirm(self, attempt_id: str) -> None:
+        """Let a call go on that waits for its process to be confirmed."""
+        with self._lock:
+            attempt = self._running.get(attempt_id)
+        if attempt is not None:
+            attempt.may_go_on.set()
+
     def _record_early_cancel(self, attempt_id: str) -> None:
         self._early_cancels[attempt_id] = None
         if len(self._early_cancels) > MAX_EARLY_CANCELS:
--- a/packages/targets/src/godwitglade/targets/forwarding.py
+++ b/packages/targets/src/godwitglade/targets/forwarding.py
@@ -183,6 +183,10 @@
         """Interrupt a call that runs on another thread."""
         self._attempts.cancel(_attempt_key(effect.request_id, effect.call))
 
+    def confirm(self, effect: effects.ConfirmProcess) -> None:
+        """Let the events of a call that runs on another thread go on."""
+        self._attempts.confirm(_attempt_key(effect.request_id, effect.call))
+
     def forward(
         self, context: ForwardingContext, effect: effects.Forward
     ) -> typing.Any | None:
@@ -549,6 +553,16 @@
         if call.attempt.is_cancelled:
             raise _lost_fault('the call was cancelled before its first event')
 
+    def _await_confirmation(self, call: _Call) -> None:
+        """Wait until the loop knows which process responds."""
+        ids = (call.effect.request_id, call.effect.call)
+        self._post(messages.ProcessUnknown(*ids))
+        is_set = call.attempt.may_go_on.wait(
+            processes.CONFIRM_TIMEOUT_MS / clocks.SECOND_MS
+        )
+        if call.attempt.is_cancelled or not is_set:
+            raise _lost_fault('the process of the target is not confirmed')
+
     def _check_content_type(
         self,
         context: ForwardingContext,
@@ -577,12 +591,14 @@
             classification.limit,
             classification.notice,
             call.started_ms,
+            call.connection.opened_ms,
         )
         self._check_content_type(call.context, response)
         if not caller.has_started:
             reader.last_id = call.effect.last_event_id
         reader.restart()
         has_reported = False
+        is_known = not processes.must_confirm(call.effect, call.started_ms)
         for chunk in self._read_chunks(
             call, response, http_exchange.MAX_STREAM_BYTES
         ):
@@ -594,6 +610,9 @@
                 ) from error
             if not complete_events:
                 continue
+            if not is_known:
+                self._await_confirmation(call)
+                is_known = True
             if not caller.has_started:
                 if call.effect.hold_ms:
                     has_reported = True
@@ -609,7 +628,7 @@
         if not caller.has_started:
             self._start_stream(caller, response)
         message = messages.ResponseCompleted(
-            *ids, response.status, *reported[:-1]
+            *ids, response.status, *reported[:3]
         )
         return message, True
 
--- a/packages/targets/src/godwitglade/targets/processes.py
+++ b/packages/targets/src/godwitglade/targets/processes.py
@@ -19,6 +19,10 @@
 
 #: Time in which a target has to report, once connected.
 TIMEOUT_MS = 250
+#: Time for which events wait for the list of targets.
+CONFIRM_TIMEOUT_MS = 400
+
+BOUND_CHECKS = (effects.ProcessCheck.REQUIRE, effects.ProcessCheck.CONFIRM)
 
 
 @attrs.frozen
@@ -97,11 +101,17 @@
     """Return whether a request may go to the process that reported."""
     if not report.is_open:
         return False
-    if effect.process_check is not effects.ProcessCheck.REQUIRE:
+    if effect.process_check not in BOUND_CHECKS:
         return True
     return report.started_ms in (0, effect.target.started_ms)
 
 
+def must_confirm(effect: effects.Forward, started_ms: int) -> bool:
+    """Return whether events wait until the list confirms their process."""
+    is_bound = effect.process_check is effects.ProcessCheck.CONFIRM
+    return is_bound and not started_ms
+
+
 def is_replaced(effect: effects.Forward, report: Report) -> bool:
     """Return whether a process has taken the place of that of the entry."""
     return (report.started_ms or 0) > effect.target.started_ms
--- a/tests/routing/fleet.py
+++ b/tests/routing/fleet.py
@@ -16,6 +16,7 @@
 from godwitglade.routing import host as routing_host
 from godwitglade.routing import messages
 from godwitglade.routing import targets
+from godwitglade.targets import processes
 from tests.routing import builders
 
 CONTACT_MS = 3_000
@@ -62,6 +63,7 @@
     room: int = 1_000
     turned_away_ms: list = attrs.field(factory=list)
     falls_ms: list = attrs.field(factory=list)
+    says_start: bool = True
     arrivals: list = attrs.field(factory=list)
 
     @property
@@ -143,6 +145,8 @@
         self.unreaching = {}
         self.handed_over = []
         self._hung = {}
+        self._held = {}
+        self._confirmed = set()
         self._taken = {}
         self._arrived = {}
         self.store_is_down = False
@@ -507,7 +511,8 @@
             self._later(self._post_to, node, incarnation, message)
             return
         if (
-            effect.process_check is effects.ProcessCheck.REQUIRE
+            engine.says_start
+            and effect.process_check in processes.BOUND_CHECKS
             and engine.started_ms != effect.target.started_ms
         ):
             message = messages.CallNotSent(
@@ -568,17 +573,21 @@
         if node.incarnation != incarnation or node.host is None:
             del engine.calls[key]
             return
+        started_ms = self._told_start_ms(engine, effect)
+        is_waiting = processes.must_confirm(effect, started_ms)
+        if is_waiting and key not in self._confirmed:
+            self._await_confirmation(engine, key)
+            return
         attempt.versions.add(engine.version)
         if attempt.begun_ms is None:
             attempt.begun_ms = self.now_ms
         if engine.limit is not None:
             engine.told_ms.setdefault((node.name, incarnation), self.now_ms)
-        is_asked = effect.process_check is not effects.ProcessCheck.NONE
         message = messages.StreamStarted(
             effect.request_id,
             effect.call,
             limit=engine.named,
-            started_ms=engine.started_ms if is_asked else 0,
+            started_ms=started_ms,
         )
         self._post_to(node, incarnation, message)
         self._report(attempt, messages.StreamStarted)
@@ -588,6 +597,30 @@
         else:
             self.at(due_ms, self._complete, engine, key)
 
+    def _told_start_ms(self, engine, effect):
+        is_asked = effect.process_check is not effects.ProcessCheck.NONE
+        return engine.started_ms if engine.says_start and is_asked else 0
+
+    def _await_confirmation(self, engine, key):
+        """Hold the first event of a call whose process is not known."""
+        node, incarnation, effect, _ = engine.calls[key]
+        self._held[key] = (engine, node, incarnation, effect)
+        self._post_to(node, incarnation, messages.ProcessUnknown(*key))
+        due_ms = self.now_ms + processes.CONFIRM_TIMEOUT_MS
+        self.at(due_ms, self._break_held, key)
+
+    def _break_held(self, key):
+        if key in self._held:
+            engine, node, incarnation, effect = self._held.pop(key)
+            engine.calls.pop(key, None)
+            self._break_call(node, incarnation, effect, 'not confirmed')
+
+    def _confirm_process(self, _node, effect):
+        key = (effect.request_id, effect.call)
+        if key in self._held:
+            self._confirmed.add(key)
+            self._begin(self._held.pop(key)[0], key)
+
     def _break_off(self, engine, key):
         if key in engine.calls:
             node, incarnation, effect, _ = engine.calls.pop(key)
@@ -608,6 +641,7 @@
 
     def _cancel_call(self, _node, effect):
         key = (effect.request_id, effect.call)
+        self._break_held(key)
         for engine in self.engines:
             engine.calls.pop(key, None)
         if key in self._hung:
@@ -697,6 +731,7 @@
         shared_effects.ReplyPeer: _reply_peer,
         effects.Forward: _forward,
         effects.CancelCall: _cancel_call,
+        effects.ConfirmProcess: _confirm_process,
         effects.ProbeTarget: _probe_target,
         effects.AbortResponse: _abort,
         effects.Answer: _answer,
--- a/tests/routing/out_of_step.py
+++ b/tests/routing/out_of_step.py
@@ -32,6 +32,7 @@
 
     def __init__(self, seed, host_count):
         self.version = FIRST_VERSION
+        self.store_delay_ms = STORE_DELAY_MS
         self.entries = {}
         self.without_store = set()
         self.still = {}
@@ -130,7 +131,7 @@
     # The store
 
     def _tell_later(self, message, extra_ms=0):
-        due_ms = self.now_ms + extra_ms + STORE_DELAY_MS
+        due_ms = self.now_ms + extra_ms + self.store_delay_ms
         self.at(due_ms if self.now_ms else 0, self._change, message)
 
     def _change(self, message):
--- a/tests/routing/test_request_lifecycle.py
+++ b/tests/routing/test_request_lifecycle.py
@@ -17,6 +17,7 @@
 from godwitglade.routing import hand_over
 from godwitglade.routing import messages
 from godwitglade.routing import pool_versions
+from godwitglade.routing import process_confirmations
 from godwitglade.routing import quarantine
 from godwitglade.routing import rate_limits
 from godwitglade.routing import reachability
@@ -71,6 +72,9 @@
             reachability.Reachability(self.directory, random.Random(1)),
             hand_over.HandOver('h1', members, cut_off, random.Random(1)),
             self.stopping,
+            process_confirmations.ProcessConfirmations(
+                versions, self.directory
+            ),
         )
 
     def handle(self, message, now_ms=10):
--- a/tests/routing/test_stream_versions.py
+++ b/tests/routing/test_stream_versions.py
@@ -5,6 +5,7 @@
 import pytest
 
 from tests.routing import fleet
+from tests.routing import out_of_step
 
 END_MS = 40_000
 #: Streams that may hold events of two versions.
@@ -184,15 +185,29 @@
     assert play(1, fault).joined() <= MAX_JOINED
 
 
-@pytest.mark.parametrize('seed', [1, 2, 3, 4])
-def test_streams_are_not_joined_at_targets_that_return_at_once(seed):
-    fleet_ = fleet.Fleet(seed, 9)
+def keep_silent(fleet_):
+    """Let no engine say since when it runs."""
+    for engine in fleet_.engines:
+        engine.says_start = False
+    fleet_.at(fleet_.now_ms + 50, keep_silent, fleet_)
+
+
+@pytest.mark.parametrize('says_start', [True, False])
+@pytest.mark.parametrize('seed', [1, 2, 5])
+def test_streams_are_not_joined_at_targets_that_return_at_once(
+    seed, says_start
+):
+    fleet_ = out_of_step.Fleet(seed, 9)
+    fleet_.store_delay_ms = 0
     fleet_.run(2_000)
+    fleet_.break_channels(100)
     load = Load(fleet_)
     load.send()
     release(fleet_)
     for function in (engines_break, hosts_restart, replace_engines):
         function(fleet_)
+    if not says_start:
+        keep_silent(fleet_)
     fleet_.run(END_MS + 8_000)
     assert not load.joined()
     new, resumed = load.shares(10_000)
--- a/tests/targets/test_processes.py
+++ b/tests/targets/test_processes.py
@@ -1,6 +1,7 @@
 """Requests that must reach the process of their target's entry."""
 
 import contextlib
+import typing
 
 import attrs
 import pytest
@@ -31,6 +32,7 @@
 REFUSED = edge_platform.response(503, {}, b'')
 ASK = effects.ProcessCheck.ASK
 REQUIRE = effects.ProcessCheck.REQUIRE
+CONFIRM = effects.ProcessCheck.CONFIRM
 NONE = effects.ProcessCheck.NONE
 
 
@@ -39,14 +41,21 @@
     """Forwards streams to one target."""
 
     target: scripted.Target
+    decide: typing.Callable | None = None
     posted: list = attrs.Factory(list)
     forwarder: forwarding.Forwarder = None
 
     def __attrs_post_init__(self):
         self.forwarder = forwarding.Forwarder(
-            clocks.Clock(), headers.HeaderCodec(), self.posted.append
+            clocks.Clock(), headers.HeaderCodec(), self.post
         )
 
+    def post(self, message):
+        """Keep a message; decide on a process that is not known."""
+        self.posted.append(message)
+        if isinstance(message, messages.ProcessUnknown) and self.decide:
+            self.decide(self.forwarder, message)
+
     def forward(self, check, call=1):
         """Forward a stream; return the message that reports it."""
         request = forwarding.CallerRequest('POST', '/x', {}, b'', 'a1')
@@ -68,9 +77,21 @@
 
 
 @contextlib.contextmanager
-def host(scripts):
+def host(scripts, decide=None):
     with scripted.Target(scripts).running() as target:
-        yield Host(target)
+        yield Host(target, decide)
+
+
+def confirm(forwarder, message):
+    """Say that the process is that of the entry."""
+    ids = (message.request_id, message.call)
+    forwarder.confirm(effects.ConfirmProcess(*ids))
+
+
+def cancel(forwarder, message):
+    """Say that it is another process."""
+    ids = (message.request_id, message.call)
+    forwarder.cancel(effects.CancelCall(*ids))
 
 
 @pytest.mark.parametrize(
@@ -87,6 +108,7 @@
         (REQUIRE, [[SILENT_OF_START, STREAM]], 0),
         (REQUIRE, [[EARLIER], [REPORT, STREAM]], 1_000),
         (REQUIRE, [[CLOSING], [STREAM]], 1_000),
+        (CONFIRM, [[REPORT, STREAM]], 1_000),
         (REQUIRE, [[], [REPORT, STREAM]], 1_000),
     ],
 )
@@ -117,6 +139,24 @@
         assert '/x' not in sender.target.paths
 
 
+@pytest.mark.parametrize(
+    ('decide', 'expected', 'content'),
+    [
+        (confirm, messages.ResponseCompleted, True),
+        (cancel, messages.StreamBroken, False),
+        (None, messages.StreamBroken, False),
+    ],
+)
+def test_events_of_a_process_that_is_not_known_wait_for_the_list(
+    decide, expected, content
+):
+    with host([[SILENT_OF_START, STREAM]], decide) as sender:
+        message = sender.forward(CONFIRM)
+        assert isinstance(message, expected)
+        assert message.call == 1
+        assert bool(sender.told_ms()) is content
+
+
 def test_process_is_asked_once_for_each_connection():
     with host([[REPORT, STREAM, STREAM, STREAM]]) as sender:
         results = [sender.forward(c, n) for n, c in enumerate((ASK, REQUIRE))]
