Add up the ages of versions in the rows of hosts

A host that starts remembered each version in the rows for a minute from then, and wrote it into its own row as long.

Change: the row says how long ago each version was listed; ages add up. An age that is missing (the build before) or cannot be true counts as 0 here, since to forget a version too early would join streams. Rows that differ in ages only are not written again.

Evidence: `test_version_that_has_gone_is_forgotten_although_hosts_restart` fails if the ages are not added (still two versions after 80 s, bound 60 s) and passes with them.

--- a/packages/routing/src/godwitglade/routing/effects.py
+++ b/packages/routing/src/godwitglade/routing/effects.py
@@ -219,10 +219,14 @@
 
 @attrs.frozen
 class WriteStreams:
-    """Write this host's row about versions; see `messages.StreamsRow`."""
+    """Write this host's row about versions; see `messages.StreamsRow`.
+
+    Rows that differ in ages only are equal.
+    """
 
     versions: dict[str, tuple[str, ...]]
     streams: dict[str, tuple[str, ...]]
+    ages_ms: dict[str, tuple[int, ...]] = attrs.field(factory=dict, eq=False)
 
 
 @attrs.frozen
--- a/packages/routing/src/godwitglade/routing/messages.py
+++ b/packages/routing/src/godwitglade/routing/messages.py
@@ -289,15 +289,17 @@
 class StreamsRow:
     """What a host keeps in the store about versions.
 
-    ``versions`` has those of each pool that has several; ``streams`` the
-    pool and the version at which streams began, by key. ``host`` wrote the
-    row at Unix time ``at_ms``.
+    ``versions`` has those of each pool that has several, ``ages_ms`` the
+    time since each of them was listed; ``streams`` the pool and the version
+    at which streams began, by key. ``host`` wrote the row at Unix time
+    ``at_ms``.
     """
 
     versions: dict[str, tuple[str, ...]] = attrs.Factory(dict)
     streams: dict[str, tuple[str, ...]] = attrs.Factory(dict)
     at_ms: int = 0
     host: str = ''
+    ages_ms: dict[str, tuple[int, ...]] = attrs.Factory(dict)
 
 
 @attrs.frozen
--- a/packages/routing/src/godwitglade/routing/pool_versions.py
+++ b/packages/routing/src/godwitglade/routing/pool_versions.py
@@ -53,10 +53,29 @@
             self._remember(pool, version, now_ms)
         self._listed[pool] = versions
 
-    def record(self, pool: str, version: str, now_ms: int) -> None:
-        """Record a version of which another host has told."""
+    def record(
+        self, pool: str, version: str, now_ms: int, age_ms: int = 0
+    ) -> None:
+        """Record a version of which another host has told.
+
+        It was listed or seen there ``age_ms`` ago.
+        """
         if version not in self._listed.get(pool, ()):
-            self._remember(pool, version, now_ms)
+            known_ms = self._past_ms.get(pool, {}).get(version)
+            seen_ms = now_ms - age_ms
+            if known_ms is None or known_ms < seen_ms:
+                self._remember(pool, version, seen_ms)
+
+    def ages_ms(
+        self, pool: str, versions: typing.Iterable[str], now_ms: int
+    ) -> tuple[int, ...]:
+        """Return how long ago each version of a pool was listed or seen."""
+        listed = self._listed.get(pool, frozenset())
+        past = self._past_ms.get(pool, {})
+        return tuple(
+            0 if version in listed else max(0, now_ms - past[version])
+            for version in versions
+        )
 
     def known(self, pool: str, now_ms: int) -> frozenset[str]:
         """Return the versions that the targets of a pool have or had."""
--- a/packages/routing/src/godwitglade/routing/stream_versions.py
+++ b/packages/routing/src/godwitglade/routing/stream_versions.py
@@ -21,6 +21,7 @@
 from godwitglade.coordination import hosts
 from godwitglade.coordination import membership as memberships
 from godwitglade.coordination import messages as shared_messages
+from godwitglade.routing import ages
 from godwitglade.routing import bodies
 from godwitglade.routing import effects
 from godwitglade.routing import messages
@@ -316,8 +317,14 @@
     def _(self, message: messages.StreamsRead, now_ms: int) -> Effects:
         for row in message.rows:
             for pool, versions in row.versions.items():
-                for version in versions[: pool_versions.MAX_VERSIONS]:
-                    self._versions.record(pool, version, now_ms)
+                told = row.ages_ms.get(pool, ())
+                for version, age_ms in itertools.islice(
+                    itertools.zip_longest(versions, told[: len(versions)]),
+                    pool_versions.MAX_VERSIONS,
+                ):
+                    # To forget a version too early would join streams.
+                    age_ms = age_ms if ages.is_age(age_ms) else 0
+                    self._versions.record(pool, version, now_ms, age_ms)
             self._receive(row.streams, now_ms)
             if row.host == self._self_id.name:
                 # Hosts that start later read them from the new row.
@@ -345,7 +352,14 @@
         versions = self._versions.mixed(now_ms)
         if not versions:
             return self._row.update(None, now_ms)
-        row = effects.WriteStreams(versions, self._row_streams(now_ms))
+        row = effects.WriteStreams(
+            versions,
+            self._row_streams(now_ms),
+            {
+                pool: self._versions.ages_ms(pool, names, now_ms)
+                for pool, names in versions.items()
+            },
+        )
         return self._row.update(row, now_ms)
 
     def _row_streams(self, now_ms: int) -> dict[str, tuple[str, str]]:
--- a/tests/routing/fleet.py
+++ b/tests/routing/fleet.py
@@ -304,7 +304,10 @@
         self.stream_writes += 1
         if not self.store_is_down:
             row = messages.StreamsRow(
-                effect.versions, effect.streams, host=node.name
+                effect.versions,
+                effect.streams,
+                host=node.name,
+                ages_ms=effect.ages_ms,
             )
             self.stream_rows[node.name] = row
         self._report_row(node)
