Count the time of a permit from when its host asked for it

Requests that wait for a limited target are all sent to it at once by a host that stood still meanwhile, above the limit.

Cause: knowledge at second hand whose age starts anew at the hop: a permit was valid for 250 ms from when its reply was read, and one that waited was used whenever its timer fired.

Change: a permit ends 250 ms after its start as counted from when it was asked for, which is before it was given. After that the request asks again.

Evidence: `test_permits_of_a_host_that_stood_still_are_not_used_at_once` sent 5 of 5 requests at the same moment before (limit 10 a second), one now. The table for replies that are read late uses a parameter that is new.

--- a/packages/routing/src/godwitglade/routing/rate_limits.py
+++ b/packages/routing/src/godwitglade/routing/rate_limits.py
@@ -332,13 +332,17 @@
         self,
         candidates: typing.Sequence[targets.Target],
         grant: permit_schedule.Grant,
+        asked_ms: int,
         now_ms: int,
     ) -> permit_schedule.Grant:
         """Keep the permits beyond the first, or close the candidates.
 
-        Returns the grant, without permits if it names no candidate.
+        Returns the grant, without permits if it names no candidate or its
+        reply to what was asked at ``asked_ms`` came too late to use them.
         """
-        if grant.count and grant.target not in map(key_of, candidates):
+        until_ms = permit_until_ms(grant, asked_ms)
+        is_named = grant.target in map(key_of, candidates)
+        if grant.count and not (is_named and now_ms < until_ms):
             grant = permit_schedule.Grant(0, SILENCE_MS)
         for key in map(key_of, candidates):
             limit = self._limits.get(key)
@@ -347,11 +351,18 @@
             if not grant.count:
                 limit.closed_until_ms = now_ms + max(1, grant.wait_ms)
             elif key == grant.target:
-                until_ms = now_ms + grant.wait_ms + PERMIT_TTL_MS
                 limit.permits_until_ms += [until_ms] * (grant.count - 1)
         return grant
 
 
+def permit_until_ms(grant: permit_schedule.Grant, asked_ms: int) -> int:
+    """Return when the permits end for which a host asked at ``asked_ms``.
+
+    They were given after that, at a time that the other host does not tell.
+    """
+    return asked_ms + grant.wait_ms + PERMIT_TTL_MS
+
+
 def decode_grant(body: typing.Any) -> permit_schedule.Grant:
     """Return the checked answer of another host, None for no answer."""
     if not isinstance(body, bodies.PermitGranted):
--- a/packages/routing/src/godwitglade/routing/request.py
+++ b/packages/routing/src/godwitglade/routing/request.py
@@ -36,7 +36,9 @@
     """A request in flight on this host.
 
     ``crashes`` counts the targets whose process ended under it.
-    ``permit_candidates`` are the limited targets for one of which it waits.
+    ``permit_candidates`` are the limited targets for one of which it waits,
+    since it asked at ``permit_asked_ms``; its permit ends at
+    ``permit_until_ms``.
     ``version`` is that of the targets at which its stream may go on, None
     for any; it ``can_go_on`` unless its last event has no id. ``has_run``
     means that a target may have started to process it, and ``traits`` are
@@ -61,6 +63,8 @@
     response_started_ms: int | None = None
     crashes: int = 0
     permits_asked: int = 0
+    permit_asked_ms: int = 0
+    permit_until_ms: int = 0
     permit_candidates: tuple[targets.Target, ...] = ()
     may_wait_for_permit: bool = False
     has_held_response: bool = False
--- a/packages/routing/src/godwitglade/routing/request_lifecycle.py
+++ b/packages/routing/src/godwitglade/routing/request_lifecycle.py
@@ -782,6 +782,7 @@
         now_ms: int,
     ) -> Effects:
         request.permits_asked += 1
+        request.permit_asked_ms = now_ms
         request.permit_candidates = candidates
         token = f'{request.request_id}:{request.permits_asked}'
         answer = self._limits.ask(token, candidates, asked, now_ms)
@@ -796,7 +797,8 @@
         now_ms: int,
     ) -> Effects:
         candidates = request.permit_candidates
-        grant = self._limits.apply_grant(candidates, grant, now_ms)
+        asked_ms = request.permit_asked_ms
+        grant = self._limits.apply_grant(candidates, grant, asked_ms, now_ms)
         if grant.count:
             return self._await_permit(request, grant, now_ms)
         request.permit_candidates = ()
@@ -818,6 +820,9 @@
             for target in request.permit_candidates
             if rate_limits.key_of(target) == grant.target
         )
+        request.permit_until_ms = rate_limits.permit_until_ms(
+            grant, request.permit_asked_ms
+        )
         token = f'{request.request_id}:{request.permits_asked}'
         if not grant.wait_ms:
             return self._use_permit(token, now_ms)
@@ -845,6 +850,7 @@
             or self._quarantine.refuses(request, now_ms)
             or not (is_listed and target.is_usable(now_ms))
             or now_ms < target.paused_until_ms
+            or now_ms >= request.permit_until_ms
         ):
             return self._send(request, now_ms, request.has_held_response)
         return self._send_to(request, target, now_ms)
--- a/tests/routing/test_permits.py
+++ b/tests/routing/test_permits.py
@@ -165,5 +165,20 @@
     limits = make_limits()
     limits.record_response(TARGET, NAMED, 0, 10)
     foreign = permit_schedule.Grant(1, 0, 'other@0')
-    assert limits.apply_grant([TARGET], foreign, 20).count == 0
+    assert limits.apply_grant([TARGET], foreign, 20, 20).count == 0
     assert limits.wait_ms(TARGET, 20) > 0
+
+
+@pytest.mark.parametrize(
+    ('wait_ms', 'late_ms', 'count'),
+    [(0, 100, 3), (0, 250, 0), (400, 500, 3), (400, 5_000, 0)],
+)
+def test_permits_in_a_reply_that_is_read_after_a_standstill_are_lost(
+    wait_ms, late_ms, count
+):
+    limits = make_limits()
+    limits.record_response(TARGET, NAMED, 0, 10)
+    granted = permit_schedule.Grant(3, wait_ms, KEY)
+    used = limits.apply_grant([TARGET], granted, 1_000, 1_000 + late_ms)
+    assert used.count == count
+    assert limits.use_permit(TARGET, 1_000 + late_ms) is (count > 0)
--- a/tests/routing/test_request_lifecycle.py
+++ b/tests/routing/test_request_lifecycle.py
@@ -324,6 +324,32 @@
     assert caller_status(sent) == expected
 
 
+def test_permits_of_a_host_that_stood_still_are_not_used_at_once():
+    harness = Harness(builders.route(timeout_ms=9_000), target_count=1)
+    (target,) = harness.directory.all()
+    harness.limits.record_limit(target, targets.NamedLimit(10_000), 0)
+    timers = [
+        effect
+        for number in range(5)
+        for effect in harness.arrive(
+            request_id=f'r{number}', attempt_id=f'a{number}'
+        )
+        if isinstance(effect, shared_effects.StartTimer)
+        and effect.token.startswith(request_lifecycle.PERMIT_TOKEN)
+    ]
+    assert len(timers) == 5
+    late_ms = timers[-1].due_ms + rate_limits.PERMIT_TTL_MS + 500
+    sent = [
+        effect
+        for timer in timers
+        for effect in harness.handle(
+            shared_messages.TimerFired(timer.token), late_ms
+        )
+        if isinstance(effect, effects.Forward)
+    ]
+    assert len(sent) == 1
+
+
 def test_retries_stay_within_the_budget():
     harness = Harness(ROUTES['idempotent'], allowance=4.0)
     retried = 0
