Deny at once that a host is cut off that a late message says to be

After a host that stood still has read an old message, no host gives permits, stage work or handed-over requests to one that is well, for 6 s, and each asks targets whether it is cut off itself.

Cause: the time to live of a fact starts anew where its message is read, and others have forgotten by then that the fact had ended.

Change: a host that hears that it is cut off, and is not, says so.

Evidence: `test_host_that_a_late_message_says_to_be_cut_off_is_used_again_at_once` fails before (all nine hosts believe it 2 s later) and passes now.

--- a/packages/routing/src/godwitglade/routing/hand_over.py
+++ b/packages/routing/src/godwitglade/routing/hand_over.py
@@ -63,6 +63,20 @@
             self._forget(now_ms)
         return is_new and name != self._self_name
 
+    def correct(self, message: shared_messages.FactChanged) -> Effects:
+        """Deny that this host is cut off, as a late message says.
+
+        A message may be read long after it was sent, by a host that stood
+        still, and its time to live starts anew there.
+        """
+        name = self._self_name
+        is_said = message.key == message.origin == name
+        if not is_said or message.value is None or self._told_ms is not None:
+            return []
+        return [
+            shared_effects.PublishFact(FACT_KIND, name, None, TTL_MS, True)
+        ]
+
     def _forget(self, now_ms: int) -> None:
         """Drop when hosts that reach targets again were last cut off."""
         self._last_ms = {
--- a/tests/routing/test_unreachable_targets.py
+++ b/tests/routing/test_unreachable_targets.py
@@ -4,6 +4,9 @@
 
 import pytest
 
+from godwitglade.coordination import bodies
+from godwitglade.coordination import effects as shared_effects
+from godwitglade.routing import hand_over
 from tests.routing import fleet
 
 CUT_MS = 8_000
@@ -129,3 +132,25 @@
         for a in fleet_.attempts
         if a.retry_after_ms is not None
     )
+
+
+def test_host_that_a_late_message_says_to_be_cut_off_is_used_again_at_once():
+    fleet_ = fleet.Fleet(1, 9)
+    fleet_.run(5_000)
+    sender, receiver = fleet_.nodes['h2'], fleet_.nodes['h0']
+    said = bodies.FactRecord(
+        hand_over.FACT_KIND, 'h1', 'h1', 1, 1, hand_over.TTL_MS, True
+    )
+    own = sender.host.components.members.table.own
+    late = bodies.Exchange(own, facts=(said,))
+    fleet_._send_peer(
+        sender,
+        shared_effects.SendPeer('late', receiver.address, late, 500),
+    )
+    fleet_.run(2_000)
+    believing = [
+        node.name
+        for node in fleet_.nodes.values()
+        if 'h1' in node.host.components.cut_off
+    ]
+    assert not believing
