Report what a target says of itself before its caller can leave

What callers saw: requests sent to a target that had said that it leaves, and limits that no host knew of.

Cause: notice and limit came with the result of the call, which a thread posts after it has written the response. The caller may close its connection first; the loop then ends the request as caller_left and drops the result.

Change: a notice or a limit in the head of a valid response is posted at once (`TargetSpoke`), and applied to the process of that entry whether or not the request is still open. Responses to other requests and of other targets (421) say nothing.

--- a/packages/routing/src/godwitglade/routing/messages.py
+++ b/packages/routing/src/godwitglade/routing/messages.py
@@ -84,6 +84,18 @@
     connected_ms: int | None = None
 
 
+@attrs.frozen
+class TargetSpoke:
+    """A target said something of itself in the head of a response.
+
+    It arrives before the caller can have the response.
+    """
+
+    target: targets.TargetEntry
+    notice: targets.Notice = targets.Notice()
+    limit: targets.NamedLimit | None = None
+
+
 @attrs.frozen
 class ProcessUnknown:
     """Events of a stream that goes on wait for the process to be known.
--- a/packages/routing/src/godwitglade/routing/request_lifecycle.py
+++ b/packages/routing/src/godwitglade/routing/request_lifecycle.py
@@ -190,6 +190,17 @@
     def _(self, message: messages.BodyEnded, now_ms: int) -> Effects:
         return [request_logs.body_event(message)]
 
+    @handle.register
+    def _(self, message: messages.TargetSpoke, now_ms: int) -> Effects:
+        target = self._directory.find(message.target.name)
+        if target is None:
+            return []
+        if target.listed.started_ms != message.target.started_ms:
+            return []
+        changes = self._directory.apply_notice(target, message.notice, now_ms)
+        noted = target_changes.logs(changes, self._directory.version)
+        return noted + self._limits.record_limit(target, message.limit, now_ms)
+
     @handle.register
     def _(self, message: messages.ProcessUnknown, now_ms: int) -> Effects:
         request = self._requests.get(message.request_id)
--- a/packages/targets/src/godwitglade/targets/forwarding.py
+++ b/packages/targets/src/godwitglade/targets/forwarding.py
@@ -374,6 +374,10 @@
             )
         if call.effect.target.is_host:
             return self._handle_host_response(call, response, classification)
+        is_success = 200 <= status < 300
+        is_valid = not is_success or classification.is_valid_reply
+        if is_valid and not classification.is_misdirected:
+            self._report_speech(call, classification)
         if classification.is_not_run:
             self._read_body(call, response)
             message = messages.CallNotRun(
@@ -388,7 +392,6 @@
             # The target may send a refusal once more where the next
             # response is due.
             return message, False
-        is_success = 200 <= status < 300
         if is_success and not classification.is_valid_reply:
             return (
                 messages.CallLost(*ids, 'incomplete or invalid response'),
@@ -419,6 +422,15 @@
         )
         return message, True
 
+    def _report_speech(
+        self, call: _Call, classification: ResponseClassification
+    ) -> None:
+        """Report what a target says of itself before the caller leaves."""
+        notice, limit = classification.notice, classification.limit
+        if notice != targets.Notice() or limit is not None:
+            target = call.effect.target
+            self._post(messages.TargetSpoke(target, notice, limit))
+
     def _handle_host_response(
         self,
         call: _Call,
--- a/tests/routing/test_request_lifecycle.py
+++ b/tests/routing/test_request_lifecycle.py
@@ -2,6 +2,7 @@
 
 import random
 
+import attrs
 import pytest
 import xxhash
 
@@ -324,6 +325,22 @@
     assert caller_status(sent) == expected
 
 
+@pytest.mark.parametrize('born_ms', [0, 5])
+def test_target_that_says_it_leaves_is_not_used_after_its_caller_left(born_ms):
+    harness = Harness(builders.route(), target_count=1)
+    sent = find_effect(harness.arrive(), effects.Forward)
+    harness.handle(messages.CallerDisconnected('r1'))
+    said = messages.TargetSpoke(
+        attrs.evolve(sent.target, started_ms=born_ms),
+        targets.Notice(is_leaving=True),
+    )
+    harness.handle(said)
+    # What a former process said is no news of this one.
+    expected = 503 if born_ms == 0 else None
+    answer = harness.arrive(request_id='r2', attempt_id='a2')
+    assert caller_status(answer) == expected
+
+
 def test_permits_of_a_host_that_stood_still_are_not_used_at_once():
     harness = Harness(builders.route(timeout_ms=9_000), target_count=1)
     (target,) = harness.directory.all()
