Take a target that does not report in time for one that does not say its start

A busy target whose report takes longer than 250 ms would have been suspended for a second by each stream that goes on there, for new streams, too.

Change: after a connection without a report the request is sent over a new one without a check. Beside several versions its events wait for the list, as for any target that does not say since when it runs; beside one they do not, as before.

--- a/packages/targets/src/godwitglade/targets/forwarding.py
+++ b/packages/targets/src/godwitglade/targets/forwarding.py
@@ -249,19 +249,18 @@
                     connection, effect, report, wire, self._clock
                 )
                 if processes.may_send(effect, report):
-                    started_ms = report.started_ms or 0
                     call = _Call(
                         context,
                         effect,
                         attempt,
                         connection,
                         budget,
-                        started_ms,
+                        report.started_ms,
                     )
                     message, use.is_reusable = self._exchange(call)
                     return message
         raise _not_sent_fault(
-            'the process of the entry did not report',
+            'another process has the address',
             processes.is_replaced(effect, report),
         )
 
--- a/packages/targets/src/godwitglade/targets/processes.py
+++ b/packages/targets/src/godwitglade/targets/processes.py
@@ -29,12 +29,12 @@
 class Report:
     """What a target reported over a connection.
 
-    Its process started at ``started_ms`` (Unix time), 0 if the report does
-    not say so, None if there was no report. With ``is_open`` the connection
-    can be used for a request.
+    Its process started at ``started_ms`` (Unix time), 0 if there was no
+    report or it does not say so. With ``is_open`` the connection can be used
+    for a request.
     """
 
-    started_ms: int | None
+    started_ms: int
     is_open: bool
 
 
@@ -53,7 +53,7 @@
         response = http_exchange.receive(connection, budget)
         reply = http_exchange.read_reply(connection, response, budget)
     except faults.CallFaultError:
-        return Report(None, False)
+        return Report(0, False)
     is_open = response_bodies.may_be_reused(response, 'GET')
     return Report(parse_start(reply.content, field), is_open)
 
@@ -81,15 +81,12 @@
     None for the first one; ``wire`` has the path of reports and the field of
     the start.
     """
-    check = effect.process_check
-    if check is effects.ProcessCheck.NONE:
+    if effect.process_check is effects.ProcessCheck.NONE:
         return UNASKED
     if connection.started_ms is not None:
         return Report(connection.started_ms, True)
-    is_told = before is not None and before.started_ms is not None
     if before is not None and not before.is_open:
-        if is_told or check is effects.ProcessCheck.ASK:
-            return attrs.evolve(before, is_open=True)
+        return attrs.evolve(before, is_open=True)
     budget = http_exchange.Budget(clock, TIMEOUT_MS, TIMEOUT_MS)
     report = read_report(connection, *wire, budget)
     if report.is_open:
@@ -114,4 +111,4 @@
 
 def is_replaced(effect: effects.Forward, report: Report) -> bool:
     """Return whether a process has taken the place of that of the entry."""
-    return (report.started_ms or 0) > effect.target.started_ms
+    return report.started_ms > effect.target.started_ms
