End the feeds of the stand-in store when it goes down

Cause, in the test: a feed that was open when the stand-in went down still ended with 200, and so confirmed that nothing had changed, as it may. A store that is down answers no open feed either.

--- a/bench/standins/edge_platform.py
+++ b/bench/standins/edge_platform.py
@@ -197,9 +197,19 @@
         self._era = 1
         self._changed = threading.Condition()
         self._is_stopped = False
-        self.is_down = False
+        self._is_down = False
         super().__init__()
 
+    @property
+    def is_down(self) -> bool:
+        """Return whether every call gets 503, also feeds in progress."""
+        return self._is_down
+
+    @is_down.setter
+    def is_down(self, is_down: bool) -> None:
+        self._is_down = is_down
+        self._notify()
+
     def stop(self) -> None:
         """Stop listening, and end the feeds that wait for a change."""
         self._is_stopped = True
@@ -285,6 +295,8 @@
                 if self._era != era:
                     # The store was away for a moment.
                     return None
+                if self._is_down:
+                    return response(503, {})
         return self._rows_response(rows)
 
     def _rows_after(
