--- a/packages/routing/src/godwitglade/routing/hand_over.py
+++ b/packages/routing/src/godwitglade/routing/hand_over.py
@@ -63,8 +63,8 @@
             self._forget(now_ms)
         return is_new and name != self._self_name
 
-    def correct(self, message: shared_messages.FactChanged) -> Effects:
-        """Deny that this host is cut off, as a late message says.
+    def refute(self, message: shared_messages.FactChanged) -> Effects:
+        """Refute that this host is cut off, as a late message says.
 
         A message may be read long after it was sent, by a host that stood
         still, and its time to live starts anew there.
--- a/packages/routing/src/godwitglade/routing/host.py
+++ b/packages/routing/src/godwitglade/routing/host.py
@@ -327,7 +327,7 @@
     def _(self, message: shared_messages.FactChanged, now_ms: int) -> Effects:
         if message.kind == hand_over.FACT_KIND:
             if not self.components.cut_off.record(message, now_ms):
-                return self.components.cut_off.correct(message)
+                return self.components.cut_off.refute(message)
             # What cut that host off may have cut off this one too.
             return self.components.reachability.record_unreachable(now_ms)
         if message.kind == rate_limits.FACT_KIND:
--- a/packages/routing/src/godwitglade/routing/messages.py
+++ b/packages/routing/src/godwitglade/routing/messages.py
@@ -85,10 +85,11 @@
 
 
 @attrs.frozen
-class TargetSpoke:
-    """A target said something of itself in the head of a response.
+class NoticeReceived:
+    """What a target says of itself in the head of a response.
 
-    It arrives before the caller can have the response.
+    It is posted before the response is written to the caller, who may then
+    close the connection and end the request.
     """
 
     target: targets.TargetEntry
--- a/packages/routing/src/godwitglade/routing/request_lifecycle.py
+++ b/packages/routing/src/godwitglade/routing/request_lifecycle.py
@@ -191,7 +191,7 @@
         return [request_logs.body_event(message)]
 
     @handle.register
-    def _(self, message: messages.TargetSpoke, now_ms: int) -> Effects:
+    def _(self, message: messages.NoticeReceived, now_ms: int) -> Effects:
         target = self._directory.find(message.target.name)
         if target is None:
             return []
--- a/packages/targets/src/godwitglade/targets/forwarding.py
+++ b/packages/targets/src/godwitglade/targets/forwarding.py
@@ -376,7 +376,7 @@
         is_success = 200 <= status < 300
         is_valid = not is_success or classification.is_valid_reply
         if is_valid and not classification.is_misdirected:
-            self._report_speech(call, classification)
+            self._post_notice(call, classification)
         if classification.is_not_run:
             self._read_body(call, response)
             message = messages.CallNotRun(
@@ -421,14 +421,14 @@
         )
         return message, True
 
-    def _report_speech(
+    def _post_notice(
         self, call: _Call, classification: ResponseClassification
     ) -> None:
         """Report what a target says of itself before the caller leaves."""
         notice, limit = classification.notice, classification.limit
         if notice != targets.Notice() or limit is not None:
             target = call.effect.target
-            self._post(messages.TargetSpoke(target, notice, limit))
+            self._post(messages.NoticeReceived(target, notice, limit))
 
     def _handle_host_response(
         self,
--- a/tests/routing/test_request_lifecycle.py
+++ b/tests/routing/test_request_lifecycle.py
@@ -330,7 +330,7 @@
     harness = Harness(builders.route(), target_count=1)
     sent = find_effect(harness.arrive(), effects.Forward)
     harness.handle(messages.CallerDisconnected('r1'))
-    said = messages.TargetSpoke(
+    said = messages.NoticeReceived(
         attrs.evolve(sent.target, started_ms=born_ms),
         targets.Notice(is_leaving=True),
     )
--- a/tests/targets/test_target_notices.py
+++ b/tests/targets/test_target_notices.py
@@ -79,4 +79,4 @@
 ):
     heard = forward(edge_platform.response(status, fields, b''))
     kinds = [type(message) for message in heard.posted]
-    assert (messages.TargetSpoke in kinds) is is_heard
+    assert (messages.NoticeReceived in kinds) is is_heard
