Read evacuations, home regions and cold limits from store and settings

Change: decoding of rows moves to the package platform, where the names of a deployment come from a Decoder; the adapter reads the new fields and posts evacuated zones. Nothing uses them yet.

--- a/packages/routing/src/godwitglade/routing/documents.py
+++ b/packages/routing/src/godwitglade/routing/documents.py
@@ -45,7 +45,8 @@
     ``rank`` orders routes by urgency, 0 first. ``objective_ms`` is the
     target response time, ``timeout_ms`` the longest time a caller waits,
     ``max_targets`` how many targets one request may be sent to. An open
-    route (``needs_no_key``) needs no key.
+    route (``needs_no_key``) needs no key. Its requests are processed in
+    ``regions`` only, () for any.
     """
 
     name: str = checks.text_field()
@@ -61,6 +62,7 @@
     needs_no_key: bool = False
     has_prompt: bool = False
     is_resumable: bool = False
+    regions: tuple[str, ...] = ()
 
     def __attrs_post_init__(self) -> None:
         checks.stage_order([stage.after for stage in self.stages])
@@ -98,12 +100,17 @@
 
 @attrs.frozen
 class Pool:
-    """A group of interchangeable targets."""
+    """A group of interchangeable targets.
+
+    A target that has just started takes ``cold_milli_per_s`` thousandths of
+    a request per second, 0 for no such limit.
+    """
 
     name: str = checks.text_field()
     max_connections: int = checks.field(1, checks.MAX_COUNT, default=1)
     batching: Batching | None = None
     engine: Engine | None = None
+    cold_milli_per_s: int = checks.field(0, default=0)
 
 
 @attrs.frozen
@@ -122,11 +129,15 @@
 
 @attrs.frozen
 class Workspace:
-    """A caller's account with its keys; ``rank`` overrides the route's."""
+    """A caller's account with its keys; ``rank`` overrides the route's.
+
+    Its requests are processed in ``regions`` only, () for any.
+    """
 
     name: str
     keys: tuple[str, ...] = attrs.field(default=(), repr=False)
     rank: int | None = None
+    regions: tuple[str, ...] = ()
 
 
 @attrs.frozen(slots=False)
--- a/packages/routing/src/godwitglade/routing/host.py
+++ b/packages/routing/src/godwitglade/routing/host.py
@@ -24,6 +24,7 @@
 from godwitglade.coordination import messages as shared_messages
 from godwitglade.routing import bodies
 from godwitglade.routing import budget
+from godwitglade.routing import cold_targets
 from godwitglade.routing import crash_reports
 from godwitglade.routing import document_state
 from godwitglade.routing import effects
@@ -75,12 +76,21 @@
     withdrawn key may still be accepted, None for no bound;
     ``stop_limit_ms`` is the longest time of a stop, ``change_bound_ms`` the
     longest time until a change in the store is in force.
+    ``evacuate_ms`` is the longest time until nothing more is sent to an
+    evacuated zone, None if zones are not evacuated. ``cold`` bounds what
+    cold targets get, None for no bound. ``regions`` has the region of each
+    zone. A prompt part is kept by targets for ``reuse_window_ms`` after its
+    last use, None if that is not known.
     """
 
     retries: budget.Bounds = budget.Bounds()
     revoke_ms: int | None = None
     stop_limit_ms: int = 7_000
     change_bound_ms: int = 2_000
+    evacuate_ms: int | None = None
+    cold: cold_targets.Bounds | None = None
+    regions: typing.Mapping[str, str] = attrs.Factory(dict)
+    reuse_window_ms: int | None = None
     gossip: failure_detection.Settings = failure_detection.Settings()
 
 
--- a/packages/routing/src/godwitglade/routing/messages.py
+++ b/packages/routing/src/godwitglade/routing/messages.py
@@ -236,6 +236,20 @@
     read_from_ms: int
 
 
+@attrs.frozen
+class EvacuationsRead:
+    """The zones to whose targets nothing new may be sent.
+
+    They are all evacuated zones as of a version of the store, in an ``era``
+    as that of `TargetsRead`, and show all changes up to ``read_from_ms``.
+    """
+
+    zones: frozenset[str]
+    version: int
+    era: int = 0
+    read_from_ms: int | None = None
+
+
 @attrs.frozen
 class TargetsRead:
     """The complete list of targets as of a store version.
--- a/packages/routing/src/godwitglade/routing/targets.py
+++ b/packages/routing/src/godwitglade/routing/targets.py
@@ -83,11 +83,12 @@
     """What a target says of itself in a response.
 
     With ``is_leaving`` it wants no further requests; it wants none for
-    ``pause_ms``.
+    ``pause_ms``, and few for ``cold_ms`` after a start.
     """
 
     is_leaving: bool = False
     pause_ms: int = 0
+    cold_ms: int = 0
 
 
 @attrs.define(eq=False)
@@ -380,7 +381,10 @@
 
 
 def parse_notice(
-    status: int, leaving: str | None, retry_after_s: str | None
+    status: int,
+    leaving: str | None,
+    retry_after_s: str | None,
+    cold_ms: str | None = None,
 ) -> Notice:
     """Return what a target says of itself in a response of ``status``.
 
@@ -388,9 +392,14 @@
     """
     is_leaving = (leaving or '').strip() == '1'
     text = (retry_after_s or '').strip()
-    if status != BUSY_STATUS or not DECIMAL.fullmatch(text):
-        return Notice(is_leaving)
-    return Notice(is_leaving, min(int(float(text) * 1_000), MAX_PAUSE_MS))
+    pause_ms = 0
+    if status == BUSY_STATUS and DECIMAL.fullmatch(text):
+        pause_ms = min(int(float(text) * 1_000), MAX_PAUSE_MS)
+    text = (cold_ms or '').strip()
+    is_cold = COUNT.fullmatch(text) is not None
+    return Notice(
+        is_leaving, pause_ms, min(int(text), MAX_PAUSE_MS) if is_cold else 0
+    )
 
 
 def parse_load(value: str | None) -> Load | None:
--- a/tests/platform/test_follower.py
+++ b/tests/platform/test_follower.py
@@ -8,9 +8,11 @@
 
 from godwitglade.common import codec
 from godwitglade.common import errors
+from godwitglade.edge import decoding
 from godwitglade.edge import store as edge_store
 from godwitglade.platform import follower
 from godwitglade.platform import paces
+from godwitglade.platform import row_reader
 
 ROUND_TRIP_MS = 5
 REVOKE_MS = 5_000
@@ -230,8 +232,8 @@
 
 
 def make_reader(posted):
-    return edge_store.RowReader(
-        posted.append, lambda *_: None, 'h1', threading.Event()
+    return row_reader.RowReader(
+        posted.append, lambda *_: None, 'h1', threading.Event(), decoding
     )
 
 
