Send nothing new to targets of evacuated zones

Cause: rows evacuate/ZONE were read and posted, but nothing used them.

Change: routing.evacuations keeps the newest set of zones with version and era; the directory leaves their targets out of all new work and prefers others for probes of reachability. Readers tell the set with the age of the document, exchanges carry it to hosts without the store. Requests and stage items for which no target is left are refused at once, permits for evacuated targets are not used. Three log events and a gauge.

--- a/packages/common/src/godwitglade/common/events.py
+++ b/packages/common/src/godwitglade/common/events.py
@@ -137,6 +137,21 @@
         logging.WARNING,
         'A host told an age of its reading that cannot be true.',
     )
+    EVACUATION_STARTED = EventDescription(
+        3016,
+        logging.WARNING,
+        'Nothing new is sent to the targets of a data centre any more.',
+    )
+    EVACUATION_ENDED = EventDescription(
+        3017,
+        logging.INFO,
+        'The targets of a data centre are used again.',
+    )
+    EVACUATIONS_INVALID = EventDescription(
+        3018,
+        logging.WARNING,
+        'A host told evacuated data centres that cannot be read.',
+    )
     LOGS_DROPPED = EventDescription(
         1012,
         logging.WARNING,
--- a/packages/coordination/src/godwitglade/coordination/bodies.py
+++ b/packages/coordination/src/godwitglade/coordination/bodies.py
@@ -102,7 +102,8 @@
     be the latest. ``sent_ms`` is a time of the sender's clock, which the
     reply returns as ``answers_ms``. The digests cover all members and facts
     that the sender stores, so that hosts detect divergence that the deltas
-    missed.
+    missed. ``evacuated`` are zones to which the sender sends nothing new, as
+    of a version and an era of the store, None if it does not tell them.
     """
 
     sender: MemberRecord
@@ -117,6 +118,9 @@
     document_age_ms: int | None = None
     sent_ms: int | None = None
     answers_ms: int | None = None
+    evacuated: typing.Any = None
+    evacuated_version: typing.Any = 0
+    evacuated_era: typing.Any = 0
 
 
 @attrs.frozen
--- a/packages/daemon/src/godwitglade/daemon/metrics.py
+++ b/packages/daemon/src/godwitglade/daemon/metrics.py
@@ -30,6 +30,12 @@
             ['name'],
             registry=self.registry,
         )
+        self._gauges = prometheus_client.Gauge(
+            'godwitglade_state',
+            'Numbers that go up and down, by name.',
+            ['name'],
+            registry=self.registry,
+        )
         self._times = prometheus_client.Histogram(
             'godwitglade_request_seconds',
             'Time from a request to its end, by outcome.',
@@ -46,6 +52,10 @@
         """Increase the counter ``name``."""
         self._counts.labels(name).inc(by)
 
+    def set_gauge(self, name: str, value: int) -> None:
+        """Set the gauge ``name``."""
+        self._gauges.labels(name).set(value)
+
     def observe(self, name: str, elapsed_ms: int) -> None:
         """Record the duration of a request with the outcome in ``name``."""
         outcome = name.removeprefix('request.')
--- a/packages/daemon/src/godwitglade/daemon/routing_effect_runner.py
+++ b/packages/daemon/src/godwitglade/daemon/routing_effect_runner.py
@@ -261,6 +261,10 @@
     def _(self, effect: effects.Stop) -> None:
         self.stop_loop()
 
+    @carry_out.register
+    def _(self, effect: effects.SetGauge) -> None:
+        self._metrics.set_gauge(effect.name, effect.value)
+
     @carry_out.register
     def _(self, effect: shared_effects.LogEvent) -> None:
         self.carry_out_shared(effect)
--- a/packages/routing/src/godwitglade/routing/batching.py
+++ b/packages/routing/src/godwitglade/routing/batching.py
@@ -229,6 +229,24 @@
             self._report_ended(e.job, bodies.Ending.MOVED, 0) for e in moved
         ]
 
+    def fail_unservable(
+        self,
+        can_serve: typing.Callable[[bodies.JobRequest], bool],
+        now_ms: int,
+    ) -> list[typing.Any]:
+        """Fail waiting jobs for which no target is left.
+
+        Jobs with items in calls may still complete.
+        """
+        return [
+            effect
+            for entry in list(self._waiting.values())
+            if entry.pending
+            and not can_serve(entry.job.request)
+            and not self._is_running(entry)
+            for effect in self._fail_job(entry, bodies.Ending.FAILED, now_ms)
+        ]
+
     def dispatch(
         self, pool: list[targets.Target], now_ms: int
     ) -> list[typing.Any]:
--- a/packages/routing/src/godwitglade/routing/bodies.py
+++ b/packages/routing/src/godwitglade/routing/bodies.py
@@ -219,7 +219,8 @@
     ``present`` are the targets that changed, all with ``is_full``, and
     ``removed`` the names that are gone. A host that does not follow the
     tables, or cannot read them, gives no ages. Ages of any type are
-    decoded; see `ages`.
+    decoded; see `ages`. ``evacuated`` are the evacuated zones as of a version
+    and an era, None if they are not told; see `evacuations`.
     """
 
     era: int = 0
@@ -231,6 +232,9 @@
     document_version: int = 0
     document_age_ms: typing.Any = None
     hosts_digest: str = ''
+    evacuated: typing.Any = None
+    evacuated_version: typing.Any = 0
+    evacuated_era: typing.Any = 0
 
 
 @attrs.frozen
--- a/packages/routing/src/godwitglade/routing/effects.py
+++ b/packages/routing/src/godwitglade/routing/effects.py
@@ -234,6 +234,14 @@
     """Remove this host's row about versions from the store."""
 
 
+@attrs.frozen
+class SetGauge:
+    """Set a metric that goes up and down."""
+
+    name: str
+    value: int
+
+
 @attrs.frozen
 class CloseOtherConnections:
     """Close the connections to all addresses except these."""
--- a/packages/routing/src/godwitglade/routing/freshness.py
+++ b/packages/routing/src/godwitglade/routing/freshness.py
@@ -1,8 +1,9 @@
-"""Confirmation by other hosts that this host's document is the newest.
+"""What hosts attach to exchanges: the age of their document, evacuations.
 
 A host that cannot read the store continues to serve requests with keys as
 long as others can read it. It never receives a document this way, only the
-time at which its own document was still the newest.
+time at which its own document was still the newest. It does receive newer
+sets of evacuated zones, so that it need not reach the store for them.
 """
 
 import typing
@@ -13,6 +14,7 @@
 from godwitglade.coordination import membership as memberships
 from godwitglade.routing import ages
 from godwitglade.routing import document_state
+from godwitglade.routing import evacuations
 
 Effects = list[typing.Any]
 
@@ -25,8 +27,13 @@
     host sent the exchange being answered, by its own clock.
     """
 
-    def __init__(self, document_state_: document_state.DocumentState) -> None:
+    def __init__(
+        self,
+        document_state_: document_state.DocumentState,
+        evacuations_: evacuations.Evacuations | None = None,
+    ) -> None:
         self._document_state = document_state_
+        self._evacuations = evacuations_ or evacuations.Evacuations()
 
     def bind(self, membership: memberships.Membership) -> None:
         """Do nothing: the document does not depend on the members."""
@@ -47,16 +54,18 @@
             answers_ms=(
                 None if peer_exchange is None else peer_exchange.sent_ms
             ),
+            **self._evacuations.attached(),
         )
 
     def receive(self, exchange: bodies.Exchange, now_ms: int) -> Effects:
-        """Apply the age of the same document version in a reply."""
+        """Apply a newer set of zones, and the document's age in a reply."""
+        told = self._evacuations.receive(exchange)
         document = self._document_state.document
         if document is None or exchange.sequence != document.version:
-            return []
+            return told
         known_ms = ages.holds_up_to_ms(
             exchange.document_age_ms, exchange.answers_ms, now_ms
         )
         if known_ms is not None:
             self._document_state.confirm(known_ms)
-        return []
+        return told
--- a/packages/routing/src/godwitglade/routing/host.py
+++ b/packages/routing/src/godwitglade/routing/host.py
@@ -28,6 +28,7 @@
 from godwitglade.routing import crash_reports
 from godwitglade.routing import document_state
 from godwitglade.routing import effects
+from godwitglade.routing import evacuations
 from godwitglade.routing import freshness
 from godwitglade.routing import hand_over
 from godwitglade.routing import messages
@@ -53,6 +54,7 @@
 MAINTENANCE_INTERVAL_MS = 200
 #: A host that handled nothing for this time, not even a timer, did not run.
 STANDSTILL_MS = 1_000
+EVACUATED_GAUGE = 'evacuated_zones'
 
 PERMIT_BODIES = (bodies.PermitRequest, bodies.PermitGranted)
 TABLE_BODIES = (bodies.TablesQuery, bodies.TablesKnown)
@@ -114,6 +116,7 @@
     hand_over: hand_over.HandOver
     crash_reports: crash_reports.CrashReports
     tables: table_sharing.TableSharing
+    evacuations: evacuations.Evacuations
 
 
 def make_components(
@@ -129,7 +132,8 @@
 
     document_state_ = document_state.DocumentState(settings.revoke_ms)
     facts_ = facts.Facts(self_id, derive_random())
-    attachments = (freshness.Freshness(document_state_), facts_)
+    evacuations_ = evacuations.Evacuations(settings.evacuate_ms is not None)
+    attachments = (freshness.Freshness(document_state_, evacuations_), facts_)
     members = membership.Membership(
         self_id, address, derive_random(), attachments, settings.gossip
     )
@@ -188,8 +192,13 @@
             reachability_, cut_off, directory, live_names
         ),
         table_sharing.TableSharing(
-            self_id, members, document_state_, settings.change_bound_ms
+            self_id,
+            members,
+            document_state_,
+            settings.change_bound_ms,
+            evacuations_,
         ),
+        evacuations_,
     )
 
 
@@ -364,6 +373,8 @@
         )
         if message.document.version == document_state_.document.version:
             self.components.tables.record_document(message.read_from_ms)
+        # The rows of evacuations in the same table came before it.
+        self.components.evacuations.confirm(message.read_from_ms)
         if not is_newer:
             return []
         fields = {
@@ -377,6 +388,21 @@
         limits = effects.SetCallerLimits(message.document.limits)
         return [log, limits, *(ready if is_first else [])]
 
+    @_dispatch.register
+    def _(self, message: messages.EvacuationsRead, now_ms: int) -> Effects:
+        evacuations_ = self.components.evacuations
+        directory = self.components.directory
+        logs = evacuations_.record(message, now_ms)
+        if evacuations_.zones == directory.evacuated:
+            return logs
+        directory.evacuated = evacuations_.zones
+        return [
+            *logs,
+            effects.SetGauge(EVACUATED_GAUGE, len(evacuations_.zones)),
+            *self.components.requests.leave_closed(now_ms),
+            *self.components.work.dispatch_all(now_ms),
+        ]
+
     @_dispatch.register
     def _(self, message: messages.TargetsRead, now_ms: int) -> Effects:
         self.components.tables.record_targets(message, now_ms)
@@ -414,6 +440,9 @@
         self.components.stopping.limit_ms = message.bounds.stop_limit_ms
         self.components.tables.bound_ms = message.bounds.change_bound_ms
         self.components.requests.budgets.set_bounds(message.bounds.retries)
+        self.components.evacuations.is_required = (
+            message.bounds.evacuate_ms is not None
+        )
         return [shared_effects.LogEvent(events.Event.SETTINGS_RELOADED)]
 
     @_dispatch.register
--- a/packages/routing/src/godwitglade/routing/reachability.py
+++ b/packages/routing/src/godwitglade/routing/reachability.py
@@ -116,26 +116,33 @@
         if self._round.pending:
             return []
         if self._round.left:
-            return self._probe_rest(self._round)
+            return self._probe_rest(self._round, now_ms)
         self._round = None
         return self._set_cut_off(True, now_ms)
 
     def _start_round(self, now_ms: int) -> Effects:
         if self._round is not None or now_ms < self._next_ms:
             return []
-        known = self._directory.all()
-        if not known:
+        chosen = self._choose(now_ms)
+        if not chosen:
             return []
         self._next_ms = now_ms + PAUSE_MS
+        first, *left = [t.listed for t in chosen]
+        self._round = _Round([] if self.is_cut_off else left, now_ms)
+        return [_probe(first)]
+
+    def _choose(self, now_ms: int) -> list[targets.Target]:
+        known = self._directory.probed()
         # Those that failed lately tell less about the paths of this host.
         shuffled = self._random.sample(known, len(known))
         shuffled.sort(key=lambda target: now_ms < target.suspended_until_ms)
-        first, *left = [t.listed for t in shuffled[:PROBED_TARGETS]]
-        self._round = _Round([] if self.is_cut_off else left, now_ms)
-        return [_probe(first)]
+        return shuffled[:PROBED_TARGETS]
 
-    def _probe_rest(self, round_: _Round) -> Effects:
+    def _probe_rest(self, round_: _Round, now_ms: int) -> Effects:
         asked, round_.left = round_.left, []
+        if self._directory.evacuated:
+            # The evacuation may have begun after these were chosen.
+            asked = [target.listed for target in self._choose(now_ms)]
         round_.pending = len(asked)
         return [_probe(listed) for listed in asked]
 
--- a/packages/routing/src/godwitglade/routing/request_lifecycle.py
+++ b/packages/routing/src/godwitglade/routing/request_lifecycle.py
@@ -135,6 +135,7 @@
         ):
             return self._refuse_while_stopping(request)
         self._requests[request.request_id] = request
+        is_served = self._is_served(request)
         self.budgets.record_request(request.pool, now_ms)
         timer = shared_effects.StartTimer(
             f'{DEADLINE_TOKEN}{request.request_id}',
@@ -148,6 +149,9 @@
             left_ms=request.deadline_ms - now_ms,
             resumes=message.resumes or None,
         )
+        if not is_served:
+            refused = self._refuse(request, 'no_target', 0, now_ms)
+            return [timer, admitted, *refused]
         return [timer, admitted, *self._begin(request, now_ms)]
 
     @handle.register
@@ -504,6 +508,65 @@
             )
         ]
 
+    def _is_served(self, request: request_.Request) -> bool:
+        """Return whether open targets are left for the work not begun.
+
+        A request that is bound to no pool yet may change to another one of
+        its route.
+        """
+        can_serve = self._directory.can_serve
+        if not self._directory.evacuated:
+            return True
+        progress = request.progress
+        if not all(
+            can_serve(stage.pool)
+            for number, stage in enumerate(progress.stages)
+            if progress.counts[number] and number not in progress.started
+        ):
+            return False
+        if can_serve(request.pool):
+            return True
+        if request.version is not None or request.has_response_started:
+            return False
+        others = [
+            pool.name
+            for pool in request.route.pools
+            if pool.weight and can_serve(pool.name)
+        ]
+        if others and not request.is_resume:
+            request.pool = others[0]
+        return bool(others)
+
+    def leave_closed(self, now_ms: int) -> Effects:
+        """Refuse requests without a target left; drop permits of others."""
+        unsent = [r for r in self._requests.values() if r.target is None]
+        unserved = [r for r in unsent if not self._is_served(r)]
+        refused = [
+            effect
+            for request in unserved
+            for effect in self._end_without_retry(
+                request, request.has_held_response, now_ms
+            )
+        ]
+        closed = [
+            request
+            for request in unsent
+            if request.request_id in self._requests
+            and request.permit_candidates
+            and not any(
+                map(self._directory.is_open, request.permit_candidates)
+            )
+        ]
+        for request in closed:
+            request.permit_candidates = ()
+        return refused + [
+            effect
+            for request in closed
+            for effect in self._send(
+                request, now_ms, request.has_held_response
+            )
+        ]
+
     def leave_targets(self, now_ms: int) -> Effects:
         """Cancel calls that may be sent again, unless targets still send."""
         if not self._reachability.is_silent(now_ms):
@@ -860,6 +923,7 @@
             left_ms < MIN_TIME_LEFT_MS
             or self._quarantine.refuses(request, now_ms)
             or not (is_listed and target.is_usable(now_ms))
+            or not self._directory.is_open(target)
             or now_ms < target.paused_until_ms
             or now_ms >= request.permit_until_ms
         ):
--- a/packages/routing/src/godwitglade/routing/stage_work.py
+++ b/packages/routing/src/godwitglade/routing/stage_work.py
@@ -326,9 +326,23 @@
                 effects_ += [*freed, *self._dispatch(batcher, now_ms)]
         return effects_
 
+    def dispatch_all(self, now_ms: int) -> Effects:
+        """Make the calls, and the refusals, that other targets allow."""
+        return [
+            effect
+            for batcher in self._batchers.values()
+            for effect in self._dispatch(batcher, now_ms)
+        ]
+
     def _dispatch(self, batcher: batching.Batcher, now_ms: int) -> Effects:
+        effects_: Effects = []
+        if self._directory.evacuated:
+            effects_ = batcher.fail_unservable(
+                lambda _: self._directory.can_serve(batcher.name), now_ms
+            )
         pool = self._directory.usable(batcher.name, now_ms)
-        return self._report_and_log(batcher.dispatch(pool, now_ms), now_ms)
+        effects_ += batcher.dispatch(pool, now_ms)
+        return self._report_and_log(effects_, now_ms)
 
     def _report_and_log(self, effects_: Effects, now_ms: int) -> Effects:
         """Send the reports in ``effects_``; log calls, return the rest."""
--- a/packages/routing/src/godwitglade/routing/table_sharing.py
+++ b/packages/routing/src/godwitglade/routing/table_sharing.py
@@ -29,6 +29,7 @@
 from godwitglade.routing import bodies
 from godwitglade.routing import document_state
 from godwitglade.routing import effects
+from godwitglade.routing import evacuations
 from godwitglade.routing import messages
 from godwitglade.routing import table_readers
 from godwitglade.routing import target_log
@@ -68,7 +69,8 @@
 
     ``bound_ms`` is the longest time until a change that the store has
     confirmed is in force; all changes of the targets up to
-    ``targets_known_ms`` are known.
+    ``targets_known_ms`` are known. Evacuated zones are told and learnt with
+    the document, whose table has them.
     """
 
     def __init__(
@@ -77,10 +79,12 @@
         membership: memberships.Membership,
         document_state_: document_state.DocumentState,
         bound_ms: int = 2_000,
+        evacuations_: evacuations.Evacuations | None = None,
     ) -> None:
         self._self_name = self_id.name
         self._readers = table_readers.Readers(self_id, membership)
         self._document_state = document_state_
+        self._evacuations = evacuations_ or evacuations.Evacuations()
         self._log = target_log.TargetLog()
         self._document_read_ms: int | None = None
         self._targets_read_ms: int | None = None
@@ -165,7 +169,7 @@
             return []
         (name, asked_ms), self._asked = self._asked, None
         body = message.body
-        logs = self._check_ages(name, body)
+        logs = self._check(name, body)
         if not self._is_good(body, asked_ms, now_ms):
             self._readers.avoid(name, now_ms)
             # Another reader may know; silence is judged by the time.
@@ -223,22 +227,25 @@
             document_version=document.version,
             document_age_ms=now_ms - self._document_read_ms,
             hosts_digest=self._hosts_digest,
+            **self._evacuations.told(),
         )
 
-    def _check_ages(self, name: str, body: typing.Any) -> Effects:
-        """Log once that a host tells ages that cannot be true."""
+    def _check(self, name: str, body: typing.Any) -> Effects:
+        """Log once what a host tells that cannot be true or be read."""
         if not isinstance(body, bodies.TablesKnown):
             return []
+        logs = self._evacuations.check(name, body)
         told = (body.targets_age_ms, body.document_age_ms)
         if all(age is None or ages.is_age(age) for age in told):
-            return []
+            return logs
         if name in self._distrusted:
-            return []
+            return logs
         self._distrusted.add(name)
         return [
+            *logs,
             shared_effects.LogEvent(
                 events.Event.TABLES_AGE_INVALID, {'peer': name}
-            )
+            ),
         ]
 
     def _is_good(self, body: typing.Any, asked_ms: int, now_ms: int) -> bool:
@@ -254,11 +261,25 @@
             ages.holds_up_to_ms(age_ms, asked_ms, now_ms)
             for age_ms in (body.targets_age_ms, body.document_age_ms)
         )
+        if not self._tells_evacuations(body):
+            return False
         max_age_ms = self.bound_ms * RELIED_SHARE - POLL_MS
         return body.era == self._log.era and all(
             ms is not None and now_ms - ms < max_age_ms for ms in known_ms
         )
 
+    def _tells_evacuations(self, body: bodies.TablesKnown) -> bool:
+        """Return whether a reply has what this host must know of them.
+
+        A reader that the store has not told them in the era of its targets
+        may still know those of a state that the store has left.
+        """
+        if evacuations.is_malformed(body):
+            return False
+        if body.evacuated is None:
+            return not self._evacuations.is_required
+        return body.evacuated_era == body.era
+
     def _apply(
         self, body: bodies.TablesKnown, asked_ms: int, now_ms: int
     ) -> Effects:
@@ -277,12 +298,17 @@
                     body.present, body.removed, body.version, **fields
                 )
             ]
+        document_ms = asked_ms - body.document_age_ms
+        zones = evacuations.decode(body, document_ms)
+        if zones is not None:
+            told.append(zones)
+            self._evacuations.confirm(document_ms)
         applied: Effects = [shared_effects.Deliver(m) for m in told]
         self.targets_known_ms = max(self.targets_known_ms or 0, read_from_ms)
         document = self._document_state.document
         if document is not None and body.document_version == document.version:
             # The document was the newest before the reply was sent.
-            self._document_state.confirm(asked_ms - body.document_age_ms)
+            self._document_state.confirm(document_ms)
         elif document is None or body.document_version > document.version:
             applied.append(effects.ReadTable(Table.DOCUMENT.value))
         if (
@@ -334,7 +360,11 @@
         document_ms = self._document_state.confirmed_ms
         if document_ms is None or self.targets_known_ms is None:
             return None
+        known_ms = [document_ms, self.targets_known_ms]
+        if self._evacuations.is_required:
+            # Other hosts confirm the document, but not the evacuations.
+            known_ms.append(self._evacuations.known_ms or 0)
         digest = xxhash.xxh3_64_intdigest(self._self_name.encode())
         spread = SPREAD_SHARE * (digest % 1_000) / 1_000
         relied_ms = int(self.bound_ms * (RELIED_SHARE - spread))
-        return min(document_ms, self.targets_known_ms) + relied_ms
+        return min(known_ms) + relied_ms
--- a/packages/routing/src/godwitglade/routing/targets.py
+++ b/packages/routing/src/godwitglade/routing/targets.py
@@ -156,6 +156,8 @@
         )
         self._era = 0
         self.version = 0
+        #: Zones to whose targets nothing new is sent.
+        self.evacuated: frozenset[str] = frozenset()
 
     def __len__(self) -> int:
         return len(self._targets)
@@ -177,10 +179,27 @@
         return frozenset(t.listed.version for t in self.pool(pool))
 
     def has_version(self, pool: str, version: str) -> bool:
-        """Return whether a target of a version accepts new work."""
-        return bool(self._serving(pool, version))
+        """Return whether a target of a version stays, evacuated or not."""
+        return bool(self._staying(pool, version))
+
+    def is_open(self, target: Target) -> bool:
+        """Return whether new work may be sent to a target's zone."""
+        return target.listed.zone not in self.evacuated
+
+    def can_serve(self, pool: str) -> bool:
+        """Return whether a target of a pool is open and not leaving."""
+        return bool(self._serving(pool, None))
+
+    def probed(self) -> list[Target]:
+        """Return the targets to probe: open ones while there are any."""
+        known = self.all()
+        return [t for t in known if self.is_open(t)] or known
 
     def _serving(self, pool: str, version: str | None) -> list[Target]:
+        staying = self._staying(pool, version)
+        return [target for target in staying if self.is_open(target)]
+
+    def _staying(self, pool: str, version: str | None) -> list[Target]:
         listed = self.pool(pool)
         if version == '' and any(t.listed.version for t in listed):
             # Targets that name no version may have different ones.
