--- a/tests/platform/test_follower.py
+++ b/tests/platform/test_follower.py
@@ -13,6 +13,7 @@
 from godwitglade.platform import follower
 from godwitglade.platform import paces
 from godwitglade.platform import row_reader
+from godwitglade.routing import messages
 
 ROUND_TRIP_MS = 5
 REVOKE_MS = 5_000
@@ -237,6 +238,20 @@
     )
 
 
+@pytest.mark.parametrize('value', ['e30=', '{', 4, None])
+def test_row_evacuates_a_zone_whatever_its_value(value):
+    posted = []
+    made = make_reader(posted)
+    rows = [{'key': 'evacuate/z1', 'value': value}, {'key': 'evacuate'}]
+    made.apply_document(follower.Rows(rows, 4, era=1), True, 10)
+    removed = [{'key': 'evacuate/z1', 'deleted': True}]
+    made.apply_document(follower.Rows(removed, 5, era=1), False, 20)
+    assert posted == [
+        messages.EvacuationsRead(frozenset(['z1']), 4, 1, 10),
+        messages.EvacuationsRead(frozenset(), 5, 1, 20),
+    ]
+
+
 def host_row(name, zone, **fields):
     """Return a host's row; one without a zone is a removal."""
     if zone is None:
--- a/tests/routing/test_evacuations.py
+++ b/tests/routing/test_evacuations.py
@@ -315,6 +315,19 @@
     assert world.checks and not world.late
 
 
+def test_order_given_right_before_an_outage_is_known_after_it():
+    world = World([f'z{n % 3}' for n in range(9)])
+    for due_ms, step in (
+        (9_999, world.change_document),
+        (10_000, world.stop_store),
+        (14_000, world.start_store),
+        (18_000, lambda: world.check_zones(world.history[-1])),
+    ):
+        world.at(due_ms, step)
+    world.run(19_000)
+    assert world.checks == 9 and not world.late
+
+
 @pytest.mark.parametrize(('is_told', 'count'), [(True, 10), (False, 66)])
 def test_host_whose_reader_tells_no_zones_reads_the_store(is_told, count):
     world = World([f'z{n % 5}' for n in range(66)], is_told=is_told)
