Process requests with home regions only there

Cause: allowedRegions of routes and workspaces were read, but not used.

Change: routing.home_regions; the directory, the hand-over and the owners of stage pools leave out targets and hosts of other regions. Job requests carry the regions. Requests without a home target are refused on arrival, and a reload of the zones applies to what waits. A log event names zones without a region.

--- a/packages/common/src/godwitglade/common/events.py
+++ b/packages/common/src/godwitglade/common/events.py
@@ -152,6 +152,12 @@
         logging.WARNING,
         'A host told evacuated data centres that cannot be read.',
     )
+    ZONE_WITHOUT_REGION = EventDescription(
+        3019,
+        logging.WARNING,
+        'The settings name no region of a data centre with targets; requests '
+        'with home regions do not use them.',
+    )
     LOGS_DROPPED = EventDescription(
         1012,
         logging.WARNING,
--- a/packages/routing/src/godwitglade/routing/admission.py
+++ b/packages/routing/src/godwitglade/routing/admission.py
@@ -6,6 +6,7 @@
 from godwitglade.routing import document_state
 from godwitglade.routing import documents
 from godwitglade.routing import effects
+from godwitglade.routing import home_regions
 from godwitglade.routing import messages
 from godwitglade.routing import pipeline
 from godwitglade.routing import request as request_
@@ -73,6 +74,9 @@
             traits=traits.traits_of(
                 message, workspace.name if workspace else '', route.has_prompt
             ),
+            regions=home_regions.allowed(
+                route.regions, workspace.regions if workspace else ()
+            ),
         )
         if request.is_resume:
             # The objective is the time to the first event, which has arrived.
--- a/packages/routing/src/godwitglade/routing/batching.py
+++ b/packages/routing/src/godwitglade/routing/batching.py
@@ -17,6 +17,7 @@
 from godwitglade.routing import bodies
 from godwitglade.routing import documents
 from godwitglade.routing import effects
+from godwitglade.routing import home_regions
 from godwitglade.routing import item_selection
 from godwitglade.routing import messages
 from godwitglade.routing import target_states
@@ -60,7 +61,11 @@
     """The queue of one pool and the calls made from it."""
 
     def __init__(
-        self, name: str, batching: documents.Batching, prefix: str
+        self,
+        name: str,
+        batching: documents.Batching,
+        prefix: str,
+        home: home_regions.HomeRegions | None = None,
     ) -> None:
         self.name = name
         self._prefix = prefix
@@ -68,7 +73,7 @@
         self._waiting: dict[str, item_selection.QueuedJob] = {}
         self._calls: dict[str, _Call] = {}
         self._states = target_states.TargetStates(batching)
-        self._selector = item_selection.ItemSelector(self._states)
+        self._selector = item_selection.ItemSelector(self._states, home)
         self._retained: dict[str, tuple[tuple[str, ...], int]] = {}
 
     @property
@@ -112,7 +117,12 @@
         if not pool:
             ttl_ms = self.batching.result_ttl_ms
             return bodies.QueueWait(rank or 0, ttl_ms, ttl_ms)
-        entries = [e for e in self._waiting.values() if e.pending]
+        entries = [
+            entry
+            for entry in self._waiting.values()
+            if entry.pending
+            and self._selector.may_run(entry.job.request.regions, pool)
+        ]
         all_items = sum(len(e.pending) for e in entries)
         if rank is not None:
             entries = [e for e in entries if self._is_ahead(e, rank, now_ms)]
@@ -231,18 +241,20 @@
 
     def fail_unservable(
         self,
-        can_serve: typing.Callable[[bodies.JobRequest], bool],
+        can_serve: typing.Callable[[tuple[str, ...]], bool],
         now_ms: int,
     ) -> list[typing.Any]:
-        """Fail waiting jobs for which no target is left.
+        """Fail waiting jobs whose regions have no target left.
 
         Jobs with items in calls may still complete.
         """
+        waiting = [entry for entry in self._waiting.values() if entry.pending]
+        named = {entry.job.request.regions for entry in waiting}
+        closed = {regions for regions in named if not can_serve(regions)}
         return [
             effect
-            for entry in list(self._waiting.values())
-            if entry.pending
-            and not can_serve(entry.job.request)
+            for entry in waiting
+            if entry.job.request.regions in closed
             and not self._is_running(entry)
             for effect in self._fail_job(entry, bodies.Ending.FAILED, now_ms)
         ]
--- a/packages/routing/src/godwitglade/routing/bodies.py
+++ b/packages/routing/src/godwitglade/routing/bodies.py
@@ -38,6 +38,7 @@
     ``zone`` holds most of the inputs, of which each item reads about
     ``input_bytes``. ``later_wait_ms`` is the time that the request would
     wait in the queues of later stages, whose pools are ``later_pools``.
+    Its items are sent to targets in ``regions`` only, () for any.
     """
 
     job_id: str
@@ -55,6 +56,7 @@
     input_bytes: int = 0
     later_wait_ms: int = 0
     later_pools: tuple[str, ...] = ()
+    regions: tuple[str, ...] = ()
 
 
 @attrs.frozen
--- a/packages/routing/src/godwitglade/routing/call_tracking.py
+++ b/packages/routing/src/godwitglade/routing/call_tracking.py
@@ -62,7 +62,9 @@
     def _usable(
         self, request: request_.Request, now_ms: int
     ) -> list[targets.Target]:
-        return self._directory.usable(request.pool, now_ms, request.version)
+        return self._directory.usable(
+            request.pool, now_ms, request.version, request.regions
+        )
 
     def limited(
         self, request: request_.Request, now_ms: int
--- a/packages/routing/src/godwitglade/routing/hand_over.py
+++ b/packages/routing/src/godwitglade/routing/hand_over.py
@@ -14,6 +14,7 @@
 from godwitglade.coordination import members
 from godwitglade.coordination import membership as memberships
 from godwitglade.coordination import messages as shared_messages
+from godwitglade.routing import home_regions
 from godwitglade.routing import targets
 
 Effects = list[typing.Any]
@@ -117,7 +118,9 @@
         members_: memberships.Membership,
         cut_off: CutOffHosts,
         random: randoms.Random,
+        home: home_regions.HomeRegions | None = None,
     ) -> None:
+        self._home = home or home_regions.HomeRegions({})
         self._self_name = self_name
         self._members = members_
         self._cut_off = cut_off
@@ -149,9 +152,15 @@
         }
 
     def choose(
-        self, tried: typing.Collection[str], now_ms: int
+        self,
+        tried: typing.Collection[str],
+        now_ms: int,
+        regions: home_regions.Regions = None,
     ) -> targets.Target | None:
-        """Return the host to hand a request to, None if there is none."""
+        """Return the host to hand a request to, None if there is none.
+
+        Its body is sent to hosts in ``regions`` only.
+        """
         handed_over = sum(t.in_flight for t in self._takers.values())
         if handed_over >= MAX_HANDED_OVER:
             return None
@@ -162,6 +171,7 @@
             if name in serving
             and name not in self._cut_off
             and target.name not in tried
+            and self._home.is_home(target.listed.zone, regions)
         ]
         free = [t for t in able if t.is_usable(now_ms)] or able
         if not free:
--- a/packages/routing/src/godwitglade/routing/host.py
+++ b/packages/routing/src/godwitglade/routing/host.py
@@ -31,6 +31,7 @@
 from godwitglade.routing import evacuations
 from godwitglade.routing import freshness
 from godwitglade.routing import hand_over
+from godwitglade.routing import home_regions
 from godwitglade.routing import messages
 from godwitglade.routing import pool_versions
 from godwitglade.routing import process_confirmations
@@ -117,6 +118,7 @@
     crash_reports: crash_reports.CrashReports
     tables: table_sharing.TableSharing
     evacuations: evacuations.Evacuations
+    home: home_regions.HomeRegions
 
 
 def make_components(
@@ -137,7 +139,8 @@
     members = membership.Membership(
         self_id, address, derive_random(), attachments, settings.gossip
     )
-    directory = targets.Directory()
+    home = home_regions.HomeRegions(settings.regions)
+    directory = targets.Directory(home)
 
     def live_names() -> list[str]:
         return [member.host.name for member in members.serving()]
@@ -146,7 +149,7 @@
     cut_off = hand_over.CutOffHosts(self_id.name)
     reachability_ = reachability.Reachability(directory, derive_random())
     hand_over_ = hand_over.HandOver(
-        self_id.name, members, cut_off, derive_random()
+        self_id.name, members, cut_off, derive_random(), home
     )
     rate_limits_ = rate_limits.RateLimits(self_id.name, members, cut_off)
     versions = pool_versions.PoolVersions()
@@ -168,7 +171,7 @@
         process_confirmations.ProcessConfirmations(versions, directory),
     )
     stage_work_ = stage_work.StageWork(
-        self_id, address, members, document_state_, directory, cut_off
+        self_id, address, members, document_state_, directory, cut_off, home
     )
     stage_work_.on_job_ended = requests_.job_ended
     stage_work_.on_job_started = requests_.job_started
@@ -199,6 +202,7 @@
             evacuations_,
         ),
         evacuations_,
+        home,
     )
 
 
@@ -386,7 +390,12 @@
         ready = [shared_effects.LogEvent(events.Event.READY)]
         log = shared_effects.LogEvent(event, fields)
         limits = effects.SetCallerLimits(message.document.limits)
-        return [log, limits, *(ready if is_first else [])]
+        self.components.home.set_document(message.document)
+        unknown = self._check_zones()
+        return [log, limits, *unknown, *(ready if is_first else [])]
+
+    def _check_zones(self) -> Effects:
+        return self.components.home.check(self.components.directory.zones())
 
     @_dispatch.register
     def _(self, message: messages.EvacuationsRead, now_ms: int) -> Effects:
@@ -399,6 +408,12 @@
         return [
             *logs,
             effects.SetGauge(EVACUATED_GAUGE, len(evacuations_.zones)),
+            *self._apply_closed(now_ms),
+        ]
+
+    def _apply_closed(self, now_ms: int) -> Effects:
+        """Go on with work that waits for targets that may have closed."""
+        return [
             *self.components.requests.leave_closed(now_ms),
             *self.components.work.dispatch_all(now_ms),
         ]
@@ -443,7 +458,11 @@
         self.components.evacuations.is_required = (
             message.bounds.evacuate_ms is not None
         )
-        return [shared_effects.LogEvent(events.Event.SETTINGS_RELOADED)]
+        log = shared_effects.LogEvent(events.Event.SETTINGS_RELOADED)
+        if self.components.home.by_zone == message.bounds.regions:
+            return [log]
+        self.components.home.by_zone = message.bounds.regions
+        return [log, *self._check_zones(), *self._apply_closed(now_ms)]
 
     @_dispatch.register
     def _(self, message: messages.StopRequested, now_ms: int) -> Effects:
@@ -562,6 +581,7 @@
         self.components.rate_limits.maintain(directory.all(), now_ms)
         logs = target_changes.logs(changes, version)
         addresses = frozenset(directory.addresses())
+        logs += self._check_zones()
         return [*logs, *told, effects.CloseOtherConnections(addresses)]
 
 
--- a/packages/routing/src/godwitglade/routing/item_selection.py
+++ b/packages/routing/src/godwitglade/routing/item_selection.py
@@ -12,6 +12,7 @@
 import attrs
 
 from godwitglade.routing import bodies
+from godwitglade.routing import home_regions
 from godwitglade.routing import target_states
 from godwitglade.routing import targets
 
@@ -59,8 +60,24 @@
 class ItemSelector:
     """Selects the items for the calls of one pool."""
 
-    def __init__(self, states: target_states.TargetStates) -> None:
+    def __init__(
+        self,
+        states: target_states.TargetStates,
+        home: home_regions.HomeRegions | None = None,
+    ) -> None:
         self._states = states
+        self._home = home or home_regions.HomeRegions({})
+
+    def may_run(
+        self,
+        regions: tuple[str, ...],
+        pool: typing.Iterable[targets.Target],
+    ) -> bool:
+        """Return whether items of ``regions`` may go to one of a pool."""
+        if not regions:
+            return True
+        allowed = home_regions.allowed(regions)
+        return any(self._home.is_home(t.listed.zone, allowed) for t in pool)
 
     @property
     def _max_items(self) -> int:
@@ -78,7 +95,12 @@
         free_bytes = self._states.free_bytes(target, now_ms)
         chosen: list[tuple[QueuedJob, int]] = []
         ready_by_zone_ms = self._ready_by_zone(pool, now_ms)
-        for entry in self._by_urgency(list(waiting), slowness, now_ms):
+        fitting = [
+            entry
+            for entry in waiting
+            if self.may_run(entry.job.request.regions, [target])
+        ]
+        for entry in self._by_urgency(fitting, slowness, now_ms):
             if self._should_wait_for_zone(
                 entry, target, ready_by_zone_ms, now_ms
             ):
@@ -96,7 +118,13 @@
             free_bytes -= size * len(indexes)
             if len(chosen) >= self._max_items:
                 break
-        if self._is_faster_elsewhere(target, len(chosen), pool, now_ms):
+        named = {entry.job.request.regions for entry, _ in chosen}
+        others = [
+            other
+            for other in pool
+            if all(self.may_run(regions, [other]) for regions in named)
+        ]
+        if self._is_faster_elsewhere(target, len(chosen), others, now_ms):
             return []
         return chosen
 
--- a/packages/routing/src/godwitglade/routing/request.py
+++ b/packages/routing/src/godwitglade/routing/request.py
@@ -3,6 +3,7 @@
 import attrs
 
 from godwitglade.routing import documents
+from godwitglade.routing import home_regions
 from godwitglade.routing import messages
 from godwitglade.routing import pipeline
 from godwitglade.routing import targets
@@ -42,7 +43,8 @@
     ``version`` is that of the targets at which its stream may go on, None
     for any; it ``can_go_on`` unless its last event has no id. ``has_run``
     means that a target may have started to process it, and ``traits`` are
-    what it may have in common with other requests.
+    what it may have in common with other requests. It is processed in
+    ``regions`` only, None for any.
     """
 
     arrived: messages.RequestArrived
@@ -53,6 +55,7 @@
     due_ms: int
     progress: pipeline.Progress
     traits: tuple[str, ...] = ()
+    regions: home_regions.Regions = None
     calls: int = 0
     sends: int = 0
     restarts: int = 0
--- a/packages/routing/src/godwitglade/routing/request_lifecycle.py
+++ b/packages/routing/src/godwitglade/routing/request_lifecycle.py
@@ -150,7 +150,10 @@
             resumes=message.resumes or None,
         )
         if not is_served:
-            refused = self._refuse(request, 'no_target', 0, now_ms)
+            reason = (
+                'no_target' if request.regions is None else 'no_home_target'
+            )
+            refused = self._refuse(request, reason, 0, now_ms)
             return [timer, admitted, *refused]
         return [timer, admitted, *self._begin(request, now_ms)]
 
@@ -514,9 +517,12 @@
         A request that is bound to no pool yet may change to another one of
         its route.
         """
-        can_serve = self._directory.can_serve
-        if not self._directory.evacuated:
+        regions = request.regions
+        if regions is None and not self._directory.evacuated:
             return True
+        can_serve = functools.partial(
+            self._directory.can_serve, regions=regions
+        )
         progress = request.progress
         if not all(
             can_serve(stage.pool)
@@ -554,7 +560,8 @@
             if request.request_id in self._requests
             and request.permit_candidates
             and not any(
-                map(self._directory.is_open, request.permit_candidates)
+                self._directory.is_open(target, request.regions)
+                for target in request.permit_candidates
             )
         ]
         for request in closed:
@@ -764,7 +771,7 @@
         if request.arrived.is_taken_over:
             ending = error_replies.misdirected(request)
             return self._finish(request, 'cut_off', ending, now_ms)
-        taker = self._hand_over.choose(request.tried, now_ms)
+        taker = self._hand_over.choose(request.tried, now_ms, request.regions)
         if taker is None:
             return self._end_without_retry(
                 request, request.has_held_response, now_ms
@@ -923,7 +930,7 @@
             left_ms < MIN_TIME_LEFT_MS
             or self._quarantine.refuses(request, now_ms)
             or not (is_listed and target.is_usable(now_ms))
-            or not self._directory.is_open(target)
+            or not self._directory.is_open(target, request.regions)
             or now_ms < target.paused_until_ms
             or now_ms >= request.permit_until_ms
         ):
@@ -974,7 +981,7 @@
             held = [effects.ForwardHeldResponse(request.request_id)]
             return self._finish(request, 'failed', held, now_ms)
         wait_ms = wait_ms or self._directory.pause_left_ms(
-            request.pool, now_ms
+            request.pool, now_ms, request.regions
         )
         reason = 'limited' if wait_ms else 'no_target'
         return self._refuse(request, reason, wait_ms, now_ms)
--- a/packages/routing/src/godwitglade/routing/stage_jobs.py
+++ b/packages/routing/src/godwitglade/routing/stage_jobs.py
@@ -120,6 +120,7 @@
                 progress.stages[later].pool
                 for later in progress.later_stages(stage)
             ),
+            regions=tuple(sorted(request.regions or ())),
         )
 
     def release_consumed(self, request: request_.Request) -> Effects:
--- a/packages/routing/src/godwitglade/routing/stage_work.py
+++ b/packages/routing/src/godwitglade/routing/stage_work.py
@@ -22,6 +22,7 @@
 from godwitglade.routing import document_state
 from godwitglade.routing import effects
 from godwitglade.routing import hand_over
+from godwitglade.routing import home_regions
 from godwitglade.routing import messages
 from godwitglade.routing import owners
 from godwitglade.routing import pool_waits
@@ -71,7 +72,9 @@
         document_state_: document_state.DocumentState,
         directory: targets.Directory,
         cut_off: hand_over.CutOffHosts,
+        home: home_regions.HomeRegions | None = None,
     ) -> None:
+        self._home = home or home_regions.HomeRegions({})
         self._self_id = self_id
         self._address = address
         self._document_state = document_state_
@@ -304,7 +307,11 @@
                     [effects.ReportJobEnded(origin, ended)], now_ms
                 )
                 continue
-            pool = self._directory.usable(request.pool, now_ms)
+            pool = self._directory.usable(
+                request.pool,
+                now_ms,
+                regions=home_regions.allowed(request.regions),
+            )
             lead_ms = batcher.lead_ms(request, pool, now_ms)
             job = self._pool_waits.make_job(request, origin, lead_ms, now_ms)
             refused = batcher.submit(job, pool, now_ms)
@@ -335,11 +342,14 @@
         ]
 
     def _dispatch(self, batcher: batching.Batcher, now_ms: int) -> Effects:
-        effects_: Effects = []
-        if self._directory.evacuated:
-            effects_ = batcher.fail_unservable(
-                lambda _: self._directory.can_serve(batcher.name), now_ms
+        def can_serve(regions: tuple[str, ...]) -> bool:
+            # A pool without any target waits for one that joins.
+            may_wait = not regions and not self._directory.evacuated
+            return may_wait or self._directory.can_serve(
+                batcher.name, home_regions.allowed(regions)
             )
+
+        effects_ = batcher.fail_unservable(can_serve, now_ms)
         pool = self._directory.usable(batcher.name, now_ms)
         effects_ += batcher.dispatch(pool, now_ms)
         return self._report_and_log(effects_, now_ms)
@@ -409,7 +419,9 @@
             return None
         batcher = self._batchers.get(name)
         if batcher is None:
-            batcher = batching.Batcher(name, pool.batching, f'{name}|')
+            batcher = batching.Batcher(
+                name, pool.batching, f'{name}|', self._home
+            )
             self._batchers[name] = batcher
         batcher.batching = pool.batching
         return batcher
--- a/packages/routing/src/godwitglade/routing/targets.py
+++ b/packages/routing/src/godwitglade/routing/targets.py
@@ -10,6 +10,8 @@
 
 import attrs
 
+from godwitglade.routing import home_regions
+
 #: Entries that expired while the store was unavailable are renewed within
 #: this time.
 LAPSE_GRACE_MS = 2_000
@@ -148,7 +150,8 @@
 class Directory:
     """All known targets."""
 
-    def __init__(self) -> None:
+    def __init__(self, home: home_regions.HomeRegions | None = None) -> None:
+        self._home = home or home_regions.HomeRegions({})
         self._targets: dict[str, Target] = {}
         self._store_returned_ms: int | None = None
         self._gone: collections.OrderedDict[str, _Gone] = (
@@ -182,22 +185,37 @@
         """Return whether a target of a version stays, evacuated or not."""
         return bool(self._staying(pool, version))
 
-    def is_open(self, target: Target) -> bool:
-        """Return whether new work may be sent to a target's zone."""
-        return target.listed.zone not in self.evacuated
-
-    def can_serve(self, pool: str) -> bool:
+    def is_open(
+        self, target: Target, regions: home_regions.Regions = None
+    ) -> bool:
+        """Return whether new work of ``regions`` may go to a target's zone."""
+        zone = target.listed.zone
+        is_home = self._home.is_home(zone, regions)
+        return is_home and zone not in self.evacuated
+
+    def can_serve(
+        self, pool: str, regions: home_regions.Regions = None
+    ) -> bool:
         """Return whether a target of a pool is open and not leaving."""
-        return bool(self._serving(pool, None))
+        return bool(self._serving(pool, None, regions))
 
     def probed(self) -> list[Target]:
         """Return the targets to probe: open ones while there are any."""
         known = self.all()
         return [t for t in known if self.is_open(t)] or known
 
-    def _serving(self, pool: str, version: str | None) -> list[Target]:
+    def zones(self) -> set[str]:
+        """Return the zones that have targets."""
+        return {target.listed.zone for target in self._targets.values()}
+
+    def _serving(
+        self,
+        pool: str,
+        version: str | None,
+        regions: home_regions.Regions = None,
+    ) -> list[Target]:
         staying = self._staying(pool, version)
-        return [target for target in staying if self.is_open(target)]
+        return [target for target in staying if self.is_open(target, regions)]
 
     def _staying(self, pool: str, version: str | None) -> list[Target]:
         listed = self.pool(pool)
@@ -216,29 +234,36 @@
             )
         ]
 
-    def pause_left_ms(self, pool: str, now_ms: int) -> int:
+    def pause_left_ms(
+        self, pool: str, now_ms: int, regions: home_regions.Regions = None
+    ) -> int:
         """Return the time until a target of a pool wants requests again.
 
         It is 0 if one wants them now, or if there is none.
         """
         left = (
             target.paused_until_ms - now_ms
-            for target in self._serving(pool, None)
+            for target in self._serving(pool, None, regions)
         )
         return max(0, min(left, default=0))
 
     def usable(
-        self, pool: str, now_ms: int, version: str | None = None
+        self,
+        pool: str,
+        now_ms: int,
+        version: str | None = None,
+        regions: home_regions.Regions = None,
     ) -> list[Target]:
         """Return the targets of a pool that accept new work.
 
-        With ``version`` only targets of that version are included. Suspended
+        With ``version`` only targets of that version are included, with
+        ``regions`` only those of zones in these. Suspended
         ones are included only if no other one is left, and those that asked
         for a pause never.
         """
         serving = [
             target
-            for target in self._serving(pool, version)
+            for target in self._serving(pool, version, regions)
             if now_ms >= target.paused_until_ms
             and (version is None or target.version(now_ms) == version)
         ]
--- a/tests/routing/test_evacuations.py
+++ b/tests/routing/test_evacuations.py
@@ -1,6 +1,5 @@
 """Targets of evacuated zones get nothing new, whichever way work comes."""
 
-import itertools
 import random
 
 import attrs
@@ -13,82 +12,16 @@
 from godwitglade.coordination import messages as shared_messages
 from godwitglade.peers import codec
 from godwitglade.routing import bodies
-from godwitglade.routing import documents
 from godwitglade.routing import effects
 from godwitglade.routing import evacuations
 from godwitglade.routing import host as routing_host
 from godwitglade.routing import messages
 from godwitglade.routing import reachability
 from godwitglade.routing import targets
-from tests.routing import builders
+from tests.routing import one_host
 from tests.routing import table_world
 from tests.routing import test_knowledge_ages
 
-APP = documents.WeightedPool('app')
-ROUTES = (
-    builders.route(documents.RequestKind.IDEMPOTENT, max_targets=3),
-    builders.route(
-        name='staged', prefix='/s/', stages=(documents.Stage('encode'),)
-    ),
-    builders.route(
-        documents.RequestKind.STREAM,
-        name='stream',
-        prefix='/b/',
-        is_resumable=True,
-    ),
-)
-LISTED = (
-    builders.listed('t1', 'app', 'z1', version='v1'),
-    builders.listed('t2', 'app', 'z2', version='v2'),
-    builders.listed('e1', 'encode', 'z1'),
-    builders.listed('e3', 'encode', 'z3'),
-)
-
-
-class OneHost:
-    """A host with targets in three zones; what it does is in ``done``."""
-
-    def __init__(self, evacuate_ms=5_000, listed=LISTED):
-        settings = routing_host.Settings(evacuate_ms=evacuate_ms)
-        self.components = routing_host.make_components(
-            hosts.HostId('h1', 'z1', 1), 'h1:1', random.Random(1), settings
-        )
-        self.host = routing_host.Host(self.components)
-        self.versions, self.done = itertools.count(10), []
-        pool = documents.Pool('encode', batching=builders.batching())
-        document = builders.document(*ROUTES, pools=(pool,))
-        self.handle(messages.DocumentRead(document, 0))
-        self.handle(messages.TargetsRead(listed, 1))
-
-    def handle(self, message, now_ms=10):
-        self.done = self.host.handle(message, now_ms)
-        return self.done
-
-    def evacuate(self, *zones, now_ms=10):
-        version = next(self.versions)
-        zones = frozenset(zones)
-        read = messages.EvacuationsRead(zones, version, 0, now_ms)
-        return self.handle(read, now_ms)
-
-    def arrive(self, path='/a/x', now_ms=10, **fields):
-        fields = {'path': path, 'read_ms': now_ms} | fields
-        return self.handle(builders.arrived(**fields), now_ms)
-
-    def found(self, kind):
-        return [effect for effect in self.done if isinstance(effect, kind)]
-
-    @property
-    def sent_to(self):
-        calls = self.found(effects.Forward) + self.found(effects.RunBatch)
-        return [call.target.name for call in calls]
-
-    @property
-    def is_refused(self):
-        return [
-            (answer.status, answer.retry_after_ms is not None)
-            for answer in self.found(effects.Answer)
-        ] == [(503, True)]
-
 
 def retry(host):
     host.arrive()
@@ -147,13 +80,13 @@
 
 @pytest.mark.parametrize('play', LEFT)
 def test_request_without_another_target_is_refused_at_once(play):
-    host = OneHost()
+    host = one_host.OneHost()
     play(host)
     assert host.is_refused and not host.sent_to
 
 
 def test_permit_granted_earlier_is_not_used_at_an_evacuated_target():
-    host = OneHost()
+    host = one_host.OneHost()
     wait_for_a_permit(host)
     timer = host.found(shared_effects.StartTimer)[-1]
     (request,) = host.components.requests._requests.values()
@@ -165,7 +98,8 @@
 
 @pytest.mark.parametrize('evacuate_ms', [None, 5_000])
 def test_zones_that_overlap_end_one_by_one_and_are_used_again(evacuate_ms):
-    host, used, logged = OneHost(evacuate_ms), [], []
+    settings = routing_host.Settings(evacuate_ms=evacuate_ms)
+    host, used, logged = one_host.OneHost(settings), [], []
     orders = [('z1',), ('z1', 'z2', 'nowhere'), ('z2',), ()]
     for number, zones in enumerate(orders):
         host.evacuate(*zones)
@@ -195,7 +129,7 @@
     ('zones', 'count'), [(['z1'], 2), (['z1', 'z2', 'z3'], 4)]
 )
 def test_evacuated_targets_are_probed_only_if_no_other_is_left(zones, count):
-    host, probed = OneHost(), set()
+    host, probed = one_host.OneHost(), set()
     probes = reachability.Reachability(
         host.components.directory, random.Random(2)
     )
@@ -207,8 +141,8 @@
             messages.TargetProbed(effects_[0].name, False), 1_100
         )
     }
-    open_names = {e.name for e in LISTED if e.zone not in zones}
-    assert probed == (open_names or {e.name for e in LISTED})
+    open_names = {e.name for e in one_host.LISTED if e.zone not in zones}
+    assert probed == (open_names or {e.name for e in one_host.LISTED})
     assert len(probed) == count
 
 
@@ -226,7 +160,7 @@
     ('fields', 'known'), [(TOLD, {'z2'}), *((bad, {'z1'}) for bad in BAD)]
 )
 def test_host_without_the_store_learns_zones_from_exchanges(fields, known):
-    host = OneHost()
+    host = one_host.OneHost()
     host.evacuate('z1')
     kinds = codec.Codec(routing_host.kinds())
     own = host.components.members.table.own
