--- a/tests/routing/test_evacuations.py
+++ b/tests/routing/test_evacuations.py
@@ -153,6 +153,8 @@
     {'evacuated': ['z1'] * 99},
     {'evacuated': ['z1'], 'evacuated_version': -1},
     {'evacuated': ['z1'], 'evacuated_era': 2**60},
+    TOLD | {'evacuated_era': 1},
+    TOLD | {'evacuated_version': 9},
 ]
 
 
@@ -262,6 +264,24 @@
     assert world.checks == 9 and not world.late
 
 
+def test_document_confirmed_by_peers_does_not_confirm_evacuations():
+    world = World(['z0'] * 9)
+    sharing = world.nodes['h0'].sharing
+    world.run(9_000)
+    known_ms = sharing._evacuations.known_ms
+    sharing._document_state.confirm(known_ms + 5_000)
+    sharing.targets_known_ms = known_ms + 5_000
+    assert sharing._reading_due_ms() < known_ms + world.bound_ms
+
+
+def test_stream_of_an_evacuated_version_is_not_gone_for_good():
+    host = one_host.OneHost()
+    host.evacuate('z1')
+    directory = host.components.directory
+    assert directory.has_version('app', 'v1')
+    assert not directory.usable('app', 10, 'v1')
+
+
 @pytest.mark.parametrize(('is_told', 'count'), [(True, 10), (False, 66)])
 def test_host_whose_reader_tells_no_zones_reads_the_store(is_told, count):
     world = World([f'z{n % 5}' for n in range(66)], is_told=is_told)
