--- a/packages/common/src/godwitglade/common/events.py
+++ b/packages/common/src/godwitglade/common/events.py
@@ -137,6 +137,27 @@
         logging.WARNING,
         'A host told an age of its reading that cannot be true.',
     )
+    EVACUATION_STARTED = EventDescription(
+        3016,
+        logging.WARNING,
+        'Nothing new is sent to the targets of a data centre any more.',
+    )
+    EVACUATION_ENDED = EventDescription(
+        3017,
+        logging.INFO,
+        'The targets of a data centre are used again.',
+    )
+    EVACUATIONS_INVALID = EventDescription(
+        3018,
+        logging.WARNING,
+        'A host told evacuated data centres that cannot be read.',
+    )
+    ZONE_WITHOUT_REGION = EventDescription(
+        3019,
+        logging.WARNING,
+        'The settings name no region of a data centre with targets; requests '
+        'with home regions do not use them.',
+    )
     LOGS_DROPPED = EventDescription(
         1012,
         logging.WARNING,
--- a/packages/routing/src/godwitglade/routing/bodies.py
+++ b/packages/routing/src/godwitglade/routing/bodies.py
@@ -38,6 +38,7 @@
     ``zone`` holds most of the inputs, of which each item reads about
     ``input_bytes``. ``later_wait_ms`` is the time that the request would
     wait in the queues of later stages, whose pools are ``later_pools``.
+    Its items are sent to targets in ``regions`` only, () for any.
     """
 
     job_id: str
@@ -55,6 +56,7 @@
     input_bytes: int = 0
     later_wait_ms: int = 0
     later_pools: tuple[str, ...] = ()
+    regions: tuple[str, ...] = ()
 
 
 @attrs.frozen
@@ -219,7 +221,8 @@
     ``present`` are the targets that changed, all with ``is_full``, and
     ``removed`` the names that are gone. A host that does not follow the
     tables, or cannot read them, gives no ages. Ages of any type are
-    decoded; see `ages`.
+    decoded; see `ages`. ``evacuated`` are the evacuated zones as of a version
+    and an era, None if they are not told; see `evacuations`.
     """
 
     era: int = 0
@@ -231,6 +234,9 @@
     document_version: int = 0
     document_age_ms: typing.Any = None
     hosts_digest: str = ''
+    evacuated: typing.Any = None
+    evacuated_version: typing.Any = 0
+    evacuated_era: typing.Any = 0
 
 
 @attrs.frozen
--- a/packages/routing/src/godwitglade/routing/host.py
+++ b/packages/routing/src/godwitglade/routing/host.py
@@ -28,8 +28,10 @@
 from godwitglade.routing import crash_reports
 from godwitglade.routing import document_state
 from godwitglade.routing import effects
+from godwitglade.routing import evacuations
 from godwitglade.routing import freshness
 from godwitglade.routing import hand_over
+from godwitglade.routing import home_regions
 from godwitglade.routing import messages
 from godwitglade.routing import pool_versions
 from godwitglade.routing import process_confirmations
@@ -53,6 +55,7 @@
 MAINTENANCE_INTERVAL_MS = 200
 #: A host that handled nothing for this time, not even a timer, did not run.
 STANDSTILL_MS = 1_000
+EVACUATED_GAUGE = 'evacuated_zones'
 
 PERMIT_BODIES = (bodies.PermitRequest, bodies.PermitGranted)
 TABLE_BODIES = (bodies.TablesQuery, bodies.TablesKnown)
@@ -114,6 +117,8 @@
     hand_over: hand_over.HandOver
     crash_reports: crash_reports.CrashReports
     tables: table_sharing.TableSharing
+    evacuations: evacuations.Evacuations
+    home: home_regions.HomeRegions
 
 
 def make_components(
@@ -129,11 +134,13 @@
 
     document_state_ = document_state.DocumentState(settings.revoke_ms)
     facts_ = facts.Facts(self_id, derive_random())
-    attachments = (freshness.Freshness(document_state_), facts_)
+    evacuations_ = evacuations.Evacuations(settings.evacuate_ms is not None)
+    attachments = (freshness.Freshness(document_state_, evacuations_), facts_)
     members = membership.Membership(
         self_id, address, derive_random(), attachments, settings.gossip
     )
-    directory = targets.Directory()
+    home = home_regions.HomeRegions(settings.regions)
+    directory = targets.Directory(home)
 
     def live_names() -> list[str]:
         return [member.host.name for member in members.serving()]
@@ -142,7 +149,7 @@
     cut_off = hand_over.CutOffHosts(self_id.name)
     reachability_ = reachability.Reachability(directory, derive_random())
     hand_over_ = hand_over.HandOver(
-        self_id.name, members, cut_off, derive_random()
+        self_id.name, members, cut_off, derive_random(), home
     )
     rate_limits_ = rate_limits.RateLimits(self_id.name, members, cut_off)
     versions = pool_versions.PoolVersions()
@@ -164,7 +171,7 @@
         process_confirmations.ProcessConfirmations(versions, directory),
     )
     stage_work_ = stage_work.StageWork(
-        self_id, address, members, document_state_, directory, cut_off
+        self_id, address, members, document_state_, directory, cut_off, home
     )
     stage_work_.on_job_ended = requests_.job_ended
     stage_work_.on_job_started = requests_.job_started
@@ -188,8 +195,14 @@
             reachability_, cut_off, directory, live_names
         ),
         table_sharing.TableSharing(
-            self_id, members, document_state_, settings.change_bound_ms
+            self_id,
+            members,
+            document_state_,
+            settings.change_bound_ms,
+            evacuations_,
         ),
+        evacuations_,
+        home,
     )
 
 
@@ -364,6 +377,8 @@
         )
         if message.document.version == document_state_.document.version:
             self.components.tables.record_document(message.read_from_ms)
+        # The rows of evacuations in the same table came before it.
+        self.components.evacuations.confirm(message.read_from_ms)
         if not is_newer:
             return []
         fields = {
@@ -375,7 +390,33 @@
         ready = [shared_effects.LogEvent(events.Event.READY)]
         log = shared_effects.LogEvent(event, fields)
         limits = effects.SetCallerLimits(message.document.limits)
-        return [log, limits, *(ready if is_first else [])]
+        self.components.home.set_document(message.document)
+        unknown = self._check_zones()
+        return [log, limits, *unknown, *(ready if is_first else [])]
+
+    def _check_zones(self) -> Effects:
+        return self.components.home.check(self.components.directory.zones())
+
+    @_dispatch.register
+    def _(self, message: messages.EvacuationsRead, now_ms: int) -> Effects:
+        evacuations_ = self.components.evacuations
+        directory = self.components.directory
+        logs = evacuations_.record(message, now_ms)
+        if evacuations_.zones == directory.evacuated:
+            return logs
+        directory.evacuated = evacuations_.zones
+        return [
+            *logs,
+            effects.SetGauge(EVACUATED_GAUGE, len(evacuations_.zones)),
+            *self._apply_closed(now_ms),
+        ]
+
+    def _apply_closed(self, now_ms: int) -> Effects:
+        """Go on with work that waits for targets that may have closed."""
+        return [
+            *self.components.requests.leave_closed(now_ms),
+            *self.components.work.dispatch_all(now_ms),
+        ]
 
     @_dispatch.register
     def _(self, message: messages.TargetsRead, now_ms: int) -> Effects:
@@ -414,7 +455,14 @@
         self.components.stopping.limit_ms = message.bounds.stop_limit_ms
         self.components.tables.bound_ms = message.bounds.change_bound_ms
         self.components.requests.budgets.set_bounds(message.bounds.retries)
-        return [shared_effects.LogEvent(events.Event.SETTINGS_RELOADED)]
+        self.components.evacuations.is_required = (
+            message.bounds.evacuate_ms is not None
+        )
+        log = shared_effects.LogEvent(events.Event.SETTINGS_RELOADED)
+        if self.components.home.by_zone == message.bounds.regions:
+            return [log]
+        self.components.home.by_zone = message.bounds.regions
+        return [log, *self._check_zones(), *self._apply_closed(now_ms)]
 
     @_dispatch.register
     def _(self, message: messages.StopRequested, now_ms: int) -> Effects:
@@ -533,6 +581,7 @@
         self.components.rate_limits.maintain(directory.all(), now_ms)
         logs = target_changes.logs(changes, version)
         addresses = frozenset(directory.addresses())
+        logs += self._check_zones()
         return [*logs, *told, effects.CloseOtherConnections(addresses)]
 
 
--- a/packages/routing/src/godwitglade/routing/stage_work.py
+++ b/packages/routing/src/godwitglade/routing/stage_work.py
@@ -22,6 +22,7 @@
 from godwitglade.routing import document_state
 from godwitglade.routing import effects
 from godwitglade.routing import hand_over
+from godwitglade.routing import home_regions
 from godwitglade.routing import messages
 from godwitglade.routing import owners
 from godwitglade.routing import pool_waits
@@ -71,7 +72,9 @@
         document_state_: document_state.DocumentState,
         directory: targets.Directory,
         cut_off: hand_over.CutOffHosts,
+        home: home_regions.HomeRegions | None = None,
     ) -> None:
+        self._home = home or home_regions.HomeRegions({})
         self._self_id = self_id
         self._address = address
         self._document_state = document_state_
@@ -304,7 +307,11 @@
                     [effects.ReportJobEnded(origin, ended)], now_ms
                 )
                 continue
-            pool = self._directory.usable(request.pool, now_ms)
+            pool = self._directory.usable(
+                request.pool,
+                now_ms,
+                regions=home_regions.allowed(request.regions),
+            )
             lead_ms = batcher.lead_ms(request, pool, now_ms)
             job = self._pool_waits.make_job(request, origin, lead_ms, now_ms)
             refused = batcher.submit(job, pool, now_ms)
@@ -326,9 +333,26 @@
                 effects_ += [*freed, *self._dispatch(batcher, now_ms)]
         return effects_
 
+    def dispatch_all(self, now_ms: int) -> Effects:
+        """Make the calls, and the refusals, that other targets allow."""
+        return [
+            effect
+            for batcher in self._batchers.values()
+            for effect in self._dispatch(batcher, now_ms)
+        ]
+
     def _dispatch(self, batcher: batching.Batcher, now_ms: int) -> Effects:
+        def can_serve(regions: tuple[str, ...]) -> bool:
+            # A pool without any target waits for one that joins.
+            may_wait = not regions and not self._directory.evacuated
+            return may_wait or self._directory.can_serve(
+                batcher.name, home_regions.allowed(regions)
+            )
+
+        effects_ = batcher.fail_unservable(can_serve, now_ms)
         pool = self._directory.usable(batcher.name, now_ms)
-        return self._report_and_log(batcher.dispatch(pool, now_ms), now_ms)
+        effects_ += batcher.dispatch(pool, now_ms)
+        return self._report_and_log(effects_, now_ms)
 
     def _report_and_log(self, effects_: Effects, now_ms: int) -> Effects:
         """Send the reports in ``effects_``; log calls, return the rest."""
@@ -395,7 +419,9 @@
             return None
         batcher = self._batchers.get(name)
         if batcher is None:
-            batcher = batching.Batcher(name, pool.batching, f'{name}|')
+            batcher = batching.Batcher(
+                name, pool.batching, f'{name}|', self._home
+            )
             self._batchers[name] = batcher
         batcher.batching = pool.batching
         return batcher
