Send to cold targets by permit only

Cause: a target that has just started crashes above a number of requests a second from all hosts together, and hosts sent to it as to any other.

Warm targets are preferred.

--- a/packages/common/src/godwitglade/common/events.py
+++ b/packages/common/src/godwitglade/common/events.py
@@ -137,6 +137,14 @@
         logging.WARNING,
         'A host told an age of its reading that cannot be true.',
     )
+    TARGET_COLD = EventDescription(
+        3018,
+        logging.INFO,
+        'A target is slow for a while and gets few requests.',
+    )
+    TARGET_WARM = EventDescription(
+        3019, logging.INFO, 'A target that was cold gets requests as usual.'
+    )
     LOGS_DROPPED = EventDescription(
         1012,
         logging.WARNING,
--- a/packages/routing/src/godwitglade/routing/bodies.py
+++ b/packages/routing/src/godwitglade/routing/bodies.py
@@ -148,8 +148,8 @@
     ``limits`` has the incarnations that it can use, the preferred one first,
     with their limits in thousandths of a request per second. Those in
     ``adaptive`` take more while they turn no requests away; ``turned_away``
-    counts what they did since the last request of this host. The other fields
-    are those of `permit_schedule.Asked`.
+    counts what they did since the last request of this host. Those in ``cold``
+    have just started. The other fields are those of `permit_schedule.Asked`.
     """
 
     pool: str
@@ -160,6 +160,7 @@
     max_return_ms: int = 0
     adaptive: tuple[str, ...] = ()
     turned_away: dict[str, int] = attrs.Factory(dict)
+    cold: tuple[str, ...] = ()
 
 
 @attrs.frozen
@@ -170,6 +171,7 @@
     wait_ms: int
     target: str = ''
     is_kept: bool = False
+    ttl_ms: int = 250
 
 
 @attrs.frozen
--- a/packages/routing/src/godwitglade/routing/call_tracking.py
+++ b/packages/routing/src/godwitglade/routing/call_tracking.py
@@ -37,13 +37,12 @@
     ) -> targets.Target | None:
         """Return the target to send to, None if no untried one is left.
 
-        Targets whose limit is used up are left out.
+        Targets whose limit is used up are left out, and cold ones while
+        another one has a free slot.
         """
-        usable = [
-            target
-            for target in self._usable(request, now_ms)
-            if not self._limits.wait_ms(target, now_ms)
-        ]
+        usable = self._without_cold(
+            request, self._open(request, now_ms), now_ms
+        )
         affinity = ''
         if request.route.has_prompt:
             affinity = target_selection.shared_part(request.arrived.prompt)
@@ -59,6 +58,33 @@
             usable, preferences, self._zone, self._random, now_ms
         )
 
+    def _open(
+        self, request: request_.Request, now_ms: int
+    ) -> list[targets.Target]:
+        return [
+            target
+            for target in self._usable(request, now_ms)
+            if not self._limits.wait_ms(target, now_ms)
+        ]
+
+    def _without_cold(
+        self,
+        request: request_.Request,
+        usable: list[targets.Target],
+        now_ms: int,
+    ) -> list[targets.Target]:
+        """Leave out the cold targets, or the full ones where all are full."""
+        cold = [t for t in usable if self._limits.is_cold(t, now_ms)]
+        if not any(t.name not in request.tried for t in cold):
+            return usable
+        warm = [t for t in usable if not self._limits.is_cold(t, now_ms)]
+        has_slot = any(
+            target_selection.fullness(target, now_ms) < 1.0
+            for target in warm
+            if target.name not in request.tried
+        )
+        return warm if has_slot else cold
+
     def _usable(
         self, request: request_.Request, now_ms: int
     ) -> list[targets.Target]:
@@ -72,15 +98,36 @@
             target
             for target in self._usable(request, now_ms)
             if target.name not in request.tried
-            and self._limits.is_limited(target)
+            and self._limits.needs_permit(target, now_ms)
         ]
         return sorted(limited, key=lambda t: self._limits.wait_ms(t, now_ms))
 
+    def permit_candidates(
+        self,
+        request: request_.Request,
+        preferred: targets.Target,
+        now_ms: int,
+    ) -> tuple[targets.Target, ...]:
+        """Return the targets to ask for one of, beside unlimited ones.
+
+        Of the cold ones all are asked for by one message.
+        """
+        if not self._limits.is_cold(preferred, now_ms):
+            return (preferred,)
+        others = [
+            target
+            for target in self._open(request, now_ms)
+            if target is not preferred
+            and target.name not in request.tried
+            and self._limits.is_cold(target, now_ms)
+        ]
+        return (preferred, *others)
+
     def has_unlimited(self, request: request_.Request, now_ms: int) -> bool:
         """Return whether a request can be sent without a permit."""
         return any(
             target.name not in request.tried
-            and not self._limits.is_limited(target)
+            and not self._limits.needs_permit(target, now_ms)
             for target in self._usable(request, now_ms)
         )
 
--- a/packages/routing/src/godwitglade/routing/host.py
+++ b/packages/routing/src/godwitglade/routing/host.py
@@ -144,7 +144,10 @@
     hand_over_ = hand_over.HandOver(
         self_id.name, members, cut_off, derive_random()
     )
-    rate_limits_ = rate_limits.RateLimits(self_id.name, members, cut_off)
+    cold = cold_targets.ColdTargets(
+        document_state_, settings.cold, settings.regions
+    )
+    rate_limits_ = rate_limits.RateLimits(self_id.name, members, cut_off, cold)
     versions = pool_versions.PoolVersions()
     streams = stream_versions.StreamVersions(self_id, members, versions)
     stopping_ = stopping.Stopping(settings.stop_limit_ms)
@@ -340,6 +343,11 @@
                 return self.components.cut_off.refute(message)
             # What cut that host off may have cut off this one too.
             return self.components.reachability.record_unreachable(now_ms)
+        if message.kind == cold_targets.FACT_KIND:
+            self.components.rate_limits.record_cold(
+                message, self.components.directory, now_ms
+            )
+            return []
         if message.kind == rate_limits.FACT_KIND:
             return self.components.rate_limits.handle(message, now_ms)
         if message.kind not in quarantine.FACT_KINDS:
@@ -406,6 +414,9 @@
         self.components.tables.record_hosts(message.entries, now_ms)
         self.components.work.owners.set_registered(message.entries)
         self.components.hand_over.set_registered(message.entries)
+        self.components.rate_limits.permit_hosts.set_registered(
+            message.entries
+        )
         return self.components.members.add_entries(message.entries, now_ms)
 
     @_dispatch.register
@@ -414,6 +425,9 @@
         self.components.stopping.limit_ms = message.bounds.stop_limit_ms
         self.components.tables.bound_ms = message.bounds.change_bound_ms
         self.components.requests.budgets.set_bounds(message.bounds.retries)
+        self.components.rate_limits.cold.set_bounds(
+            message.bounds.cold, message.bounds.regions
+        )
         return [shared_effects.LogEvent(events.Event.SETTINGS_RELOADED)]
 
     @_dispatch.register
@@ -448,7 +462,9 @@
         effects_ += self._check_reachability(now_ms)
         effects_ += self.components.requests.clear_running(now_ms)
         effects_ += self.components.quarantine.maintain(now_ms)
-        self.components.rate_limits.maintain(directory.all(), now_ms)
+        effects_ += self.components.rate_limits.maintain(
+            directory.all(), now_ms
+        )
         if self.components.stopping.should_close(now_ms):
             effects_.append(effects.StopListening())
         if self.components.stopping.should_answer(now_ms):
@@ -530,10 +546,10 @@
             for effect in streams.record_replaced(change.listed, now_ms)
         ]
         told += streams.update_pools(now_ms)
-        self.components.rate_limits.maintain(directory.all(), now_ms)
+        cold = self.components.rate_limits.maintain(directory.all(), now_ms)
         logs = target_changes.logs(changes, version)
         addresses = frozenset(directory.addresses())
-        return [*logs, *told, effects.CloseOtherConnections(addresses)]
+        return [*logs, *cold, *told, effects.CloseOtherConnections(addresses)]
 
 
 def kinds() -> dict[str, type]:
--- a/packages/routing/src/godwitglade/routing/rate_limits.py
+++ b/packages/routing/src/godwitglade/routing/rate_limits.py
@@ -3,11 +3,13 @@
 A host that hears a limit tells all others, as a fact. Before a request is
 sent to a limited target, its host asks the first host in rendezvous order of
 the pool for a permit (see `permit_schedule`). A host that gets none, or no
-reply, uses other targets until the time that it was told.
+reply, uses other targets until the time that it was told. Cold targets are
+limited too, without naming a limit (see `cold_targets`, `permit_hosts`).
 """
 
 import collections
 import functools
+import itertools
 import typing
 
 import attrs
@@ -19,7 +21,10 @@
 from godwitglade.coordination import messages as shared_messages
 from godwitglade.routing import adaptive_rates
 from godwitglade.routing import bodies
+from godwitglade.routing import cold_targets
+from godwitglade.routing import document_state
 from godwitglade.routing import hand_over
+from godwitglade.routing import permit_hosts
 from godwitglade.routing import permit_schedule
 from godwitglade.routing import rendezvous
 from godwitglade.routing import targets
@@ -41,8 +46,6 @@
 #: the target is not used if it does not.
 REPLY_TIMEOUT_MS = 150
 SILENCE_MS = 300
-#: A permit that is not used within this time is lost.
-PERMIT_TTL_MS = 250
 #: Bounds of what comes from other hosts, and of what is kept.
 MAX_PERMITS = 100
 MAX_WAIT_MS = 20 * clocks.SECOND_MS
@@ -57,10 +60,16 @@
     milli_per_s: int
     heard_ms: int
     is_adaptive: bool = False
-    turned_away: int = 0
     told_ms: int | None = None
     told_milli_per_s: int | None = None
     responses_without: int = 0
+
+
+@attrs.define(eq=False)
+class _Use:
+    """How this host uses a target that it needs permits for."""
+
+    turned_away: int = 0
     closed_until_ms: int = 0
     permits_until_ms: list[int] = attrs.Factory(list)
     sent_ms: collections.deque[int] = attrs.Factory(collections.deque)
@@ -74,11 +83,17 @@
         self_name: str,
         members: memberships.Membership,
         cut_off: hand_over.CutOffHosts,
+        cold: cold_targets.ColdTargets | None = None,
     ) -> None:
         self._cut_off = cut_off
         self._self_name = self_name
         self._members = members
+        self.cold = cold or cold_targets.ColdTargets(
+            document_state.DocumentState()
+        )
+        self.permit_hosts = permit_hosts.PermitHosts(members, cut_off)
         self._limits: dict[str, _Limit] = {}
+        self._uses: dict[str, _Use] = {}
         self._ended: set[str] = set()
         self._rates = adaptive_rates.AdaptiveRates()
         self._schedules: collections.OrderedDict[
@@ -137,6 +152,40 @@
             shared_effects.PublishFact(FACT_KIND, key, value, TTL_MS, True),
         ]
 
+    def tell_cold(
+        self, target: targets.Target, remaining_ms: int, now_ms: int
+    ) -> Effects:
+        """Tell other hosts of a target that turns out to be cold."""
+        is_news = (
+            cold_targets.is_valid(remaining_ms)
+            and self.cold.per_s(target.listed.pool) is not None
+            and not self.is_cold(target, now_ms)
+        )
+        if not is_news:
+            return []
+        return [
+            shared_effects.PublishFact(
+                cold_targets.FACT_KIND,
+                key_of(target),
+                remaining_ms,
+                remaining_ms,
+                True,
+            )
+        ]
+
+    def record_cold(
+        self,
+        message: shared_messages.FactChanged,
+        directory: targets.Directory,
+        now_ms: int,
+    ) -> None:
+        """Record that another host tells of a cold target."""
+        target = directory.find(message.key.rpartition('@')[0])
+        if target is None or key_of(target) != message.key:
+            return
+        if cold_targets.is_valid(message.value):
+            target.record_cold(message.value, now_ms)
+
     @functools.singledispatchmethod
     def handle(self, message: typing.Any, now_ms: int) -> Effects:
         """Handle a message; messages of other components are ignored."""
@@ -160,17 +209,21 @@
     def _(self, message: shared_messages.PeerMessage, now_ms: int) -> Effects:
         grant = self.grant(message.body, now_ms)
         reply = bodies.PermitGranted(
-            grant.count, grant.wait_ms, grant.target, grant.is_kept
+            grant.count,
+            grant.wait_ms,
+            grant.target,
+            grant.is_kept,
+            grant.ttl_ms,
         )
         return [shared_effects.ReplyPeer(message.reply_token, reply)]
 
     def maintain(
-        self, listed: typing.Iterable[targets.Target], now_ms: int
-    ) -> None:
+        self, listed: typing.Collection[targets.Target], now_ms: int
+    ) -> Effects:
         """Forget targets that are gone; expect as much of new ones.
 
         A target that starts beside brittle ones is taken for one of them
-        until it has responded.
+        until it has responded. Returns log events about cold targets.
         """
         pools = {key_of(target): target.listed.pool for target in listed}
         keys = set(pools)
@@ -189,6 +242,16 @@
         for schedule in self._schedules.values():
             schedule.keep_only(keys)
         self._rates.keep_only(keys)
+        if self.cold.is_in_force:
+            self.permit_hosts.maintain(now_ms)
+        cold = {
+            key_of(target): (target.name, target.cold_until_ms)
+            for target in listed
+            if self.is_cold(target, now_ms)
+        }
+        used = self._limits.keys() | cold.keys()
+        self._uses = {k: use for k, use in self._uses.items() if k in used}
+        return self.cold.update(cold, now_ms)
 
     def _set(self, key: str, milli_per_s: int, now_ms: int) -> Effects:
         limit = self._limits.get(key)
@@ -208,6 +271,7 @@
     def _end(self, key: str) -> Effects:
         if self._limits.pop(key, None) is None:
             return []
+        self._uses.pop(key, None)
         self._ended.add(key)
         event = events.Event.TARGET_LIMIT_ENDED
         return [shared_effects.LogEvent(event, {'target': key})]
@@ -216,34 +280,48 @@
         """Return whether a target has named a limit."""
         return key_of(target) in self._limits
 
+    def is_cold(self, target: targets.Target, now_ms: int) -> bool:
+        """Return whether a target may get few requests, as it has started."""
+        return self.cold.is_cold(
+            target.listed.pool, target.cold_until_ms, now_ms
+        )
+
+    def needs_permit(self, target: targets.Target, now_ms: int) -> bool:
+        """Return whether a request needs a permit to be sent to a target."""
+        return self.is_cold(target, now_ms) or self.is_limited(target)
+
     def wait_ms(self, target: targets.Target, now_ms: int) -> int:
         """Return the time for which a target is not to be used, 0 for none."""
-        limit = self._limits.get(key_of(target))
-        return 0 if limit is None else max(0, limit.closed_until_ms - now_ms)
+        use = self._uses.get(key_of(target))
+        if use is None or not self.needs_permit(target, now_ms):
+            return 0
+        return max(0, use.closed_until_ms - now_ms)
 
     def record_turned_away(self, target: targets.Target) -> None:
         """Record that a target had no room for a request."""
-        limit = self._limits.get(key_of(target))
-        if limit is not None:
-            limit.turned_away += 1
+        if self.is_limited(target):
+            self._use(key_of(target)).turned_away += 1
 
     def use_permit(self, target: targets.Target, now_ms: int) -> bool:
         """Use a permit that was given out with an earlier one."""
-        limit = self._limits.get(key_of(target))
-        if limit is None:
+        use = self._uses.get(key_of(target))
+        if use is None:
             return False
-        valid = [ms for ms in limit.permits_until_ms if ms > now_ms]
-        limit.permits_until_ms = valid[1:]
+        valid = [ms for ms in use.permits_until_ms if ms > now_ms]
+        use.permits_until_ms = valid[1:]
         return bool(valid)
 
     def record_send(self, target: targets.Target, now_ms: int) -> None:
         """Record that a request is sent, for the number of permits to ask."""
-        limit = self._limits.get(key_of(target))
-        if limit is None:
+        if not self.is_limited(target):
             return
-        limit.sent_ms.append(now_ms)
-        while limit.sent_ms[0] <= now_ms - permit_schedule.BATCH_MS:
-            limit.sent_ms.popleft()
+        use = self._use(key_of(target))
+        use.sent_ms.append(now_ms)
+        while use.sent_ms[0] <= now_ms - permit_schedule.BATCH_MS:
+            use.sent_ms.popleft()
+
+    def _use(self, key: str) -> _Use:
+        return self._uses.setdefault(key, _Use())
 
     def ask(
         self,
@@ -254,43 +332,105 @@
     ) -> permit_schedule.Grant | shared_effects.SendPeer:
         """Return the answer, or the message that asks another host for it.
 
-        ``candidates`` are limited targets of a pool, the preferred one first.
+        ``candidates`` are targets of a pool that need permits, the preferred
+        one first.
         """
         pool = candidates[0].listed.pool
-        known = {
-            key: self._limits[key]
-            for key in map(key_of, candidates[:MAX_CANDIDATES])
-        }
-        recent = max(len(limit.sent_ms) for limit in known.values())
+        asked_for = {key_of(t): t for t in candidates[:MAX_CANDIDATES]}
+        uses = {key: self._use(key) for key in asked_for}
+        cold = tuple(
+            key for key, t in asked_for.items() if self.is_cold(t, now_ms)
+        )
+        recent = max(len(use.sent_ms) for use in uses.values())
         body = bodies.PermitRequest(
             pool,
-            {key: limit.milli_per_s for key, limit in known.items()},
+            {key: self._asked_rate(pool, key, key in cold) for key in uses},
             min(MAX_PERMITS, recent + 1),
             asked.caller,
             asked.max_wait_ms,
             asked.max_return_ms,
-            tuple(key for key, limit in known.items() if limit.is_adaptive),
-            {k: limit.turned_away for k, limit in known.items()},
+            tuple(key for key in uses if self._is_adaptive(key)),
+            {key: use.turned_away for key, use in uses.items()},
+            cold,
         )
-        for limit in known.values():
-            limit.turned_away = 0
+        for use in uses.values():
+            use.turned_away = 0
         addresses = {m.host.name: m.address for m in self._members.serving()}
-        name = rendezvous.first(pool, self._cut_off.reaching(addresses))
+        name = self._permit_host(pool, addresses)
         if name in (None, self._self_name):
             return self.grant(body, now_ms)
         return shared_effects.SendPeer(
             TOKEN + token, addresses[name], body, REPLY_TIMEOUT_MS
         )
 
+    def _is_adaptive(self, key: str) -> bool:
+        limit = self._limits.get(key)
+        return limit is not None and limit.is_adaptive
+
+    def _asked_rate(self, pool: str, key: str, is_cold: bool) -> int:
+        """Return the lower of the limits of a target.
+
+        A host of an earlier build spaces the permits of a cold target by it.
+        """
+        limit = self._limits.get(key)
+        rates = [] if limit is None else [limit.milli_per_s]
+        if is_cold:
+            zones = self.permit_hosts.zones
+            rates.append(self.cold.milli_per_s(pool, zones))
+        return min(rates, default=0)
+
+    def _permit_host(
+        self, pool: str, addresses: typing.Iterable[str]
+    ) -> str | None:
+        """Return the host that gives the permits of a pool.
+
+        With cold targets it is one whose data centre has a share of them.
+        """
+        reaching = self._cut_off.reaching(addresses)
+        if self.cold.per_s(pool) is not None:
+            eligible = self.permit_hosts.eligible(self._has_share(pool))
+            reaching = eligible or reaching
+        return rendezvous.first(pool, reaching)
+
+    def _share(self, pool: str, zone: str) -> int:
+        return self.cold.share(pool, zone, self.permit_hosts.zones)
+
+    def _has_share(self, pool: str) -> typing.Callable[[str], bool]:
+        return lambda zone: self._share(pool, zone) > 0
+
+    def _cold_permits(
+        self, body: bodies.PermitRequest, now_ms: int
+    ) -> dict[str, int]:
+        """Return the cold targets asked for, and what this host may give.
+
+        The permits are those of `cold_targets.WINDOW_MS`, 0 for none.
+        """
+        if self.cold.per_s(body.pool) is None:
+            return {}
+        keys = [
+            key
+            for key in itertools.islice(body.limits, MAX_CANDIDATES)
+            if key in body.cold or key in self.cold
+        ]
+        may_give = keys and self.permit_hosts.may_give(
+            body.pool, self._has_share(body.pool), now_ms
+        )
+        if not may_give:
+            return dict.fromkeys(keys, 0)
+        zone = self._members.table.own.host.zone
+        share = self._share(body.pool, zone)
+        return {key: self.cold.permits(key, share, now_ms) for key in keys}
+
     def grant(
         self, body: bodies.PermitRequest, now_ms: int
     ) -> permit_schedule.Grant:
         """Decide what a host gets that asks this one for permits."""
         asked_limits = list(body.limits.items())[:MAX_CANDIDATES]
+        cold = self._cold_permits(body, now_ms)
         limits = {
             key: self._allowed(body, key, max(0, milli_per_s), now_ms)
             for key, milli_per_s in asked_limits
-            if len(key) <= MAX_TEXT_LENGTH
+            if len(key) <= MAX_TEXT_LENGTH and cold.get(key) != 0
         }
         if not limits or len(body.pool) > MAX_TEXT_LENGTH:
             return permit_schedule.Grant(0, SILENCE_MS)
@@ -305,7 +445,8 @@
             max(0, min(MAX_WAIT_MS, body.max_wait_ms)),
             max(0, min(MAX_WAIT_MS, body.max_return_ms)),
         )
-        return schedule.ask(asked, limits, now_ms)
+        given = {key: cold[key] for key in limits if key in cold}
+        return schedule.ask(asked, limits, now_ms, given)
 
     def _allowed(
         self,
@@ -344,14 +485,14 @@
         is_named = grant.target in map(key_of, candidates)
         if grant.count and not (is_named and now_ms < until_ms):
             grant = permit_schedule.Grant(0, SILENCE_MS)
-        for key in map(key_of, candidates):
-            limit = self._limits.get(key)
-            if limit is None:
+        for target in candidates:
+            if not self.needs_permit(target, now_ms):
                 continue
+            use = self._use(key_of(target))
             if not grant.count:
-                limit.closed_until_ms = now_ms + max(1, grant.wait_ms)
-            elif key == grant.target:
-                limit.permits_until_ms += [until_ms] * (grant.count - 1)
+                use.closed_until_ms = now_ms + max(1, grant.wait_ms)
+            elif key_of(target) == grant.target:
+                use.permits_until_ms += [until_ms] * (grant.count - 1)
         return grant
 
 
@@ -360,7 +501,7 @@
 
     They were given after that, at a time that the other host does not tell.
     """
-    return asked_ms + grant.wait_ms + PERMIT_TTL_MS
+    return asked_ms + grant.wait_ms + grant.ttl_ms
 
 
 def decode_grant(body: typing.Any) -> permit_schedule.Grant:
@@ -372,6 +513,7 @@
         max(0, min(MAX_WAIT_MS, body.wait_ms)),
         body.target,
         body.is_kept,
+        max(0, min(permit_schedule.PERMIT_TTL_MS, body.ttl_ms)),
     )
 
 
--- a/packages/routing/src/godwitglade/routing/request_lifecycle.py
+++ b/packages/routing/src/godwitglade/routing/request_lifecycle.py
@@ -197,8 +197,7 @@
             return []
         if target.listed.started_ms != message.target.started_ms:
             return []
-        changes = self._directory.apply_notice(target, message.notice, now_ms)
-        noted = target_changes.logs(changes, self._directory.version)
+        noted = self._apply_notice(target, message.notice, now_ms)
         return noted + self._limits.record_limit(target, message.limit, now_ms)
 
     @handle.register
@@ -237,13 +236,18 @@
             return []
         if isinstance(message, RESPONSES) and not request.is_handed_over:
             self._reachability.record_contact(now_ms)
-            changes = self._directory.apply_notice(
-                request.target, message.notice, now_ms
-            )
-            noted = target_changes.logs(changes, self._directory.version)
+            noted = self._apply_notice(request.target, message.notice, now_ms)
             return noted + self._apply(message, request, now_ms)
         return self._apply(message, request, now_ms)
 
+    def _apply_notice(
+        self, target: targets.Target, notice: targets.Notice, now_ms: int
+    ) -> Effects:
+        """Apply what a target says of itself; return what follows from it."""
+        told = self._limits.tell_cold(target, notice.cold_ms, now_ms)
+        changes = self._directory.apply_notice(target, notice, now_ms)
+        return told + target_changes.logs(changes, self._directory.version)
+
     @functools.singledispatchmethod
     def _apply(
         self, message: typing.Any, request: request_.Request, now_ms: int
@@ -686,15 +690,18 @@
         if not request.progress.is_complete:
             return self._stage_jobs.start(request, now_ms)
         target = self._tracker.choose(request, now_ms)
-        is_limited = target is not None and self._limits.is_limited(target)
+        needs_permit = target is not None and self._limits.needs_permit(
+            target, now_ms
+        )
         if target is not None and (
-            not is_limited or self._limits.use_permit(target, now_ms)
+            not needs_permit or self._limits.use_permit(target, now_ms)
         ):
             return self._send_to(request, target, now_ms)
         if not self._tracker.has_unlimited(request, now_ms):
             return self._ask_to_wait(request, target, now_ms)
         request.may_wait_for_permit = False
-        return self._ask(request, (target,), permit_schedule.Asked(), now_ms)
+        candidates = self._tracker.permit_candidates(request, target, now_ms)
+        return self._ask(request, candidates, permit_schedule.Asked(), now_ms)
 
     def _send_to_host(self, request: request_.Request, now_ms: int) -> Effects:
         """Hand a request over, since this host reaches no target."""
--- a/packages/routing/src/godwitglade/routing/targets.py
+++ b/packages/routing/src/godwitglade/routing/targets.py
@@ -10,6 +10,8 @@
 
 import attrs
 
+from godwitglade.routing import cold_targets
+
 #: Entries that expired while the store was unavailable are renewed within
 #: this time.
 LAPSE_GRACE_MS = 2_000
@@ -96,6 +98,7 @@
     """A listed target and its state as seen by this host.
 
     With ``is_replaced`` it has started again since its entry was written.
+    As far as it told, it is cold until ``cold_until_ms``.
     """
 
     listed: TargetEntry
@@ -108,6 +111,7 @@
     unverified_until_ms: int = 0
     is_replaced: bool = False
     paused_until_ms: int = 0
+    cold_until_ms: int = 0
 
     @property
     def name(self) -> str:
@@ -134,6 +138,12 @@
             return True
         return False
 
+    def record_cold(self, remaining_ms: int, now_ms: int) -> None:
+        """Record for how long the target is cold, as it tells now."""
+        self.cold_until_ms = cold_targets.until_ms(
+            self.cold_until_ms, remaining_ms, now_ms
+        )
+
     def record_unreachable(self, now_ms: int) -> None:
         """Distrust the entry until one of a new process would be listed."""
         self.unverified_until_ms = now_ms + ENTRY_LAG_MS
@@ -280,14 +290,20 @@
             return None
         target = self._targets.get(entry.name)
         if target is None:
-            self._targets[entry.name] = Target(entry)
+            self._add(entry, now_ms)
             return Change(entry, 'joined')
         if (target.listed.started_ms, target.listed.version) != (
             entry.started_ms,
             entry.version,
         ):
-            self._targets[entry.name] = Target(entry)
+            self._add(entry, now_ms)
             return Change(entry, RESTARTED)
+        if (target.listed.sequence, target.listed.warmup_ms) != (
+            entry.sequence,
+            entry.warmup_ms,
+        ):
+            # An entry that is read again tells nothing new.
+            target.record_cold(entry.warmup_ms, now_ms)
         target.missing_since_ms = None
         if target.listed.is_leaving and not entry.is_leaving:
             # A leaving target does not return in the same incarnation.
@@ -296,12 +312,17 @@
         target.listed = entry
         return Change(entry, 'leaving') if is_newly_leaving else None
 
+    def _add(self, entry: TargetEntry, now_ms: int) -> None:
+        target = self._targets[entry.name] = Target(entry)
+        target.record_cold(entry.warmup_ms, now_ms)
+
     def apply_notice(
         self, target: Target, notice: Notice, now_ms: int
     ) -> list['Change']:
         """Apply what a target says of itself; return the changes."""
         until_ms = now_ms + notice.pause_ms
         target.paused_until_ms = max(target.paused_until_ms, until_ms)
+        target.record_cold(notice.cold_ms, now_ms)
         if not notice.is_leaving or target.listed.is_leaving:
             return []
         target.listed = attrs.evolve(target.listed, is_leaving=True)
--- a/tests/routing/fleet.py
+++ b/tests/routing/fleet.py
@@ -65,6 +65,7 @@
     falls_ms: list = attrs.field(factory=list)
     says_start: bool = True
     arrivals: list = attrs.field(factory=list)
+    notice: targets.Notice = targets.Notice()
 
     @property
     def named(self):
@@ -130,6 +131,9 @@
     fail ``failing_share`` of the requests at once.
     """
 
+    settings = routing_host.Settings()
+    document = builders.document(ROUTE, RESUMABLE, WITHOUT_PROMPT)
+
     def __init__(self, seed, host_count=9, engine_count=6):
         self.rng = random.Random(seed)
         self.now_ms = 0
@@ -194,11 +198,10 @@
             hosts.HostId(node.name, zone, node.incarnation),
             node.address,
             random.Random(self.rng.getrandbits(64)),
-            routing_host.Settings(),
+            self.settings,
         )
         node.host = routing_host.Host(components)
-        document = builders.document(ROUTE, RESUMABLE, WITHOUT_PROMPT)
-        self._post(node, messages.DocumentRead(document, self.now_ms))
+        self._post(node, messages.DocumentRead(self.document, self.now_ms))
         entries = tuple(
             members.HostEntry(
                 n.name,
@@ -590,6 +593,7 @@
             effect.request_id,
             effect.call,
             limit=engine.named,
+            notice=engine.notice,
             started_ms=started_ms,
         )
         self._post_to(node, incarnation, message)
--- a/tests/routing/test_request_lifecycle.py
+++ b/tests/routing/test_request_lifecycle.py
@@ -17,6 +17,7 @@
 from godwitglade.routing import effects
 from godwitglade.routing import hand_over
 from godwitglade.routing import messages
+from godwitglade.routing import permit_schedule
 from godwitglade.routing import pool_versions
 from godwitglade.routing import process_confirmations
 from godwitglade.routing import quarantine
@@ -355,7 +356,7 @@
         and effect.token.startswith(request_lifecycle.PERMIT_TOKEN)
     ]
     assert len(timers) == 5
-    late_ms = timers[-1].due_ms + rate_limits.PERMIT_TTL_MS + 500
+    late_ms = timers[-1].due_ms + permit_schedule.PERMIT_TTL_MS + 500
     sent = [
         effect
         for timer in timers
