Serve callers that come back a little late to a cold target

Cause: a caller that came back a millisecond after the time that it was told lost its place when all permits were given out.

Change: such a caller uses the rest of the time of its permit, which ends no later than before.

--- a/packages/routing/src/godwitglade/routing/permit_schedule.py
+++ b/packages/routing/src/godwitglade/routing/permit_schedule.py
@@ -29,6 +29,9 @@
 MAX_START_MS = 1_000
 #: A permit that is not used within this time is lost.
 PERMIT_TTL_MS = 250
+#: Time that a permit for a cold target has left at least when it is given,
+#: for the way to the host that asked.
+MIN_TTL_MS = 50
 
 
 @attrs.frozen
@@ -91,6 +94,10 @@
         """Record a permit for a time."""
         bisect.insort(self._times_ms.setdefault(target, []), at_ms)
 
+    def has(self, target: str, at_ms: float) -> bool:
+        """Return whether a permit for a time was recorded."""
+        return at_ms in self._times_ms.get(target, [])
+
     def remove(self, target: str, at_ms: float) -> None:
         """Remove one for a time, if it was recorded."""
         times_ms = self._times_ms.get(target, [])
@@ -208,20 +215,25 @@
     ) -> Grant | None:
         """Return what a caller gets that comes back, None if as a new one.
 
-        A caller that is late, or whose place was kept before the target was
-        cold, gets a permit only if there is room for it at that time.
+        A caller that is a little late uses the rest of its permit's time. One
+        that is later, or whose place was kept before the target was cold,
+        gets a permit only if there is room for it.
         """
         wait_ms = max(0, math.ceil(place.at_ms - now_ms))
         if wait_ms > max(EARLY_MS, asked.max_wait_ms):
             return Grant(0, wait_ms, is_kept=True)
         del self._places[asked.caller]
+        late_ms = max(0, math.ceil(now_ms - place.at_ms))
+        ttl_ms = cold_targets.PERMIT_TTL_MS
+        is_in_time = ttl_ms - late_ms >= MIN_TTL_MS
+        if is_in_time and self._cold.has(place.target, place.at_ms):
+            return Grant(1, wait_ms, place.target, ttl_ms=ttl_ms - late_ms)
         self._cold.remove(place.target, place.at_ms)
         at_ms = max(now_ms, place.at_ms)
         permits = cold[place.target]
         if self._cold.next_ms(place.target, at_ms, permits) > at_ms:
             return None
         self._cold.record(place.target, at_ms)
-        ttl_ms = cold_targets.PERMIT_TTL_MS
         return Grant(1, wait_ms, place.target, ttl_ms=ttl_ms)
 
     def keep_only(self, names: typing.Container[str]) -> None:
