--- a/packages/common/src/godwitglade/common/events.py
+++ b/packages/common/src/godwitglade/common/events.py
@@ -157,6 +157,13 @@
         logging.WARNING,
         'The settings name no region of a data centre with targets; requests '
         'with home regions do not use them.',
+    TARGET_COLD = EventDescription(
+        3020,
+        logging.INFO,
+        'A target is slow for a while and gets few requests.',
+    )
+    TARGET_WARM = EventDescription(
+        3021, logging.INFO, 'A target that was cold gets requests as usual.'
     )
     LOGS_DROPPED = EventDescription(
         1012,
