Read load headers of four figures and weigh the pace of targets

Cause: a load header with a fourth figure (the pace of the machine) or with one unreadable figure was dropped whole, so fullness was unknown.

Change: parse_load uses each readable figure of three or four; the first malformed header of a target's process is logged. The choice compares the fullness that a target of the usual pace would need for the same delay; the pace counts less with its age and not at all after 1 s. With loads of three figures the comparison is the same as before.

--- a/packages/common/src/godwitglade/common/events.py
+++ b/packages/common/src/godwitglade/common/events.py
@@ -137,6 +137,12 @@
         logging.WARNING,
         'A host told an age of its reading that cannot be true.',
     )
+    TARGET_LOAD_MALFORMED = EventDescription(
+        3020,
+        logging.WARNING,
+        'A target reported load figures that cannot be read; once for each '
+        'of its processes. The readable ones are used.',
+    )
     LOGS_DROPPED = EventDescription(
         1012,
         logging.WARNING,
--- a/packages/routing/src/godwitglade/routing/call_tracking.py
+++ b/packages/routing/src/godwitglade/routing/call_tracking.py
@@ -84,6 +84,17 @@
             for target in self._usable(request, now_ms)
         )
 
+    def check_load(
+        self, target: targets.Target, load: targets.Load | None
+    ) -> Effects:
+        """Return a log event for the first malformed load of a process."""
+        if load is None or not load.malformed or target.has_malformed_load:
+            return []
+        target.has_malformed_load = True
+        fields = {'target': target.name, 'load': load.malformed}
+        event = events.Event.TARGET_LOAD_MALFORMED
+        return [shared_effects.LogEvent(event, fields)]
+
     def start_call(
         self, request: request_.Request, target: targets.Target, now_ms: int
     ) -> None:
--- a/packages/routing/src/godwitglade/routing/request_lifecycle.py
+++ b/packages/routing/src/godwitglade/routing/request_lifecycle.py
@@ -241,6 +241,7 @@
                 request.target, message.notice, now_ms
             )
             noted = target_changes.logs(changes, self._directory.version)
+            noted += self._tracker.check_load(request.target, message.load)
             return noted + self._apply(message, request, now_ms)
         return self._apply(message, request, now_ms)
 
@@ -739,6 +740,7 @@
             resumes=request.arrived.resumes or None,
             fullness=round(target_selection.fullness(target, now_ms), 2),
             load_age_ms=now_ms - target.load_ms if target.load else None,
+            pace=round(target_selection.pace(target, now_ms), 2),
             list_version=self._directory.version,
         )
         return [
--- a/packages/routing/src/godwitglade/routing/target_selection.py
+++ b/packages/routing/src/godwitglade/routing/target_selection.py
@@ -62,7 +62,7 @@
     if all(fullness(t, now_ms) > 0.5 for t in near):
         near = with_free_slots
     sampled = rng.sample(near, min(2, len(near)))
-    return min(sampled, key=lambda t: fullness(t, now_ms))
+    return min(sampled, key=lambda t: paced_fullness(t, now_ms))
 
 
 def _by_affinity(
@@ -71,7 +71,7 @@
     near = [t for t in untried if t.listed.zone == preferences.zone] or untried
     by_name = {t.name: t for t in near}
     fullness_by_name = {
-        name: fullness(t, now_ms) for name, t in by_name.items()
+        name: paced_fullness(t, now_ms) for name, t in by_name.items()
     }
     max_fullness = (
         sum(fullness_by_name.values()) / len(fullness_by_name) + FULLNESS_SLACK
@@ -85,11 +85,40 @@
 
 def fullness(target: targets.Target, now_ms: int) -> float:
     """Return the load divided by the target's slots, 1 if all are in use."""
-    busy: float = target.in_flight
-    is_known = target.load is not None
-    if is_known and now_ms - target.load_ms < LOAD_TTL_MS:
-        busy = max(busy, target.load.running + target.load.waiting)
-    return busy / max(1, target.listed.slots)
+    return requests_at(target, now_ms) / max(1, target.listed.slots)
+
+
+def requests_at(target: targets.Target, now_ms: int) -> int:
+    """Return the number of requests at a target, as far as known."""
+    if target.load is None or now_ms - target.load_ms >= LOAD_TTL_MS:
+        return target.in_flight
+    return max(target.in_flight, target.load.requests)
+
+
+def pace(target: targets.Target, now_ms: int) -> float:
+    """Return the time that work takes at a target, divided by the usual.
+
+    The reported pace changes many times per second, so its difference to the
+    usual pace counts less with its age.
+    """
+    age_ms = now_ms - target.load_ms
+    if target.load is None or age_ms >= LOAD_TTL_MS:
+        return 1.0
+    excess_percent = target.load.pace_percent - targets.USUAL_PACE_PERCENT
+    return 1.0 + excess_percent / 100 * (1 - max(0, age_ms) / LOAD_TTL_MS)
+
+
+def paced_fullness(target: targets.Target, now_ms: int) -> float:
+    """Return the fullness that delays a further request as much.
+
+    It is that of a target of the usual pace, so a slow idle target compares
+    like one that is partly in use.
+    """
+    pace_ = pace(target, now_ms)
+    if pace_ == 1.0:
+        return fullness(target, now_ms)
+    requests = (requests_at(target, now_ms) + 1) * pace_ - 1
+    return requests / max(1, target.listed.slots)
 
 
 def record_success(
@@ -106,7 +135,7 @@
     target: targets.Target | None, load: targets.Load | None, now_ms: int
 ) -> None:
     """Record the load reported in a response of any kind."""
-    if target is not None and load is not None:
+    if target is not None and load is not None and load.is_known:
         target.load = load
         target.load_ms = now_ms
 
--- a/packages/routing/src/godwitglade/routing/targets.py
+++ b/packages/routing/src/godwitglade/routing/targets.py
@@ -6,6 +6,7 @@
 
 import collections
 import re
+import reprlib
 import typing
 
 import attrs
@@ -27,6 +28,10 @@
 #: A number of requests at a target.
 COUNT = re.compile('[0-9]{1,9}')
 MAX_LIMIT_MILLI_PER_S = 1_000_000_000
+#: Pace of a target that works as fast as usual.
+USUAL_PACE_PERCENT = 100
+#: Paces outside this range are taken as unknown; 70 to 425 were seen.
+PACES_PERCENT = range(10, 5_001)
 BUSY_STATUS = 503
 #: Longest pause that a target can ask for.
 MAX_PAUSE_MS = 60_000
@@ -58,11 +63,31 @@
 
 @attrs.frozen
 class Load:
-    """Load that a target reported in a response."""
+    """Load that a target reported in a response, None for unknown figures.
 
-    running: int
-    waiting: int
-    slots: int
+    Work takes ``pace_percent`` of its usual time at the target. ``malformed``
+    is the start of a header that is not as it should be, else empty.
+    """
+
+    running: int | None
+    waiting: int | None
+    slots: int | None
+    pace_percent: int = USUAL_PACE_PERCENT
+    malformed: str = attrs.field(default='', eq=False)
+
+    @property
+    def requests(self) -> int:
+        """Return the number of requests at the target, as far as known."""
+        return (self.running or 0) + (self.waiting or 0)
+
+    @property
+    def is_known(self) -> bool:
+        """Return whether any figure but that of the slots could be read."""
+        return (
+            self.running is not None
+            or self.waiting is not None
+            or self.pace_percent != USUAL_PACE_PERCENT
+        )
 
 
 @attrs.frozen
@@ -102,6 +127,7 @@
     in_flight: int = 0
     load: Load | None = None
     load_ms: int = 0
+    has_malformed_load: bool = False
     failures: int = 0
     suspended_until_ms: int = 0
     missing_since_ms: int | None = None
@@ -403,10 +429,28 @@
 
 
 def parse_load(value: str | None) -> Load | None:
-    """Return the load that a target reports, None if malformed."""
-    parts = (value or '').split(',')
-    if len(parts) != 3 or not all(
-        COUNT.fullmatch(part.strip()) for part in parts
-    ):
+    """Return the load that a target reports, None if it reports none.
+
+    Targets report three or four figures. Those that cannot be read, and a
+    pace outside of `PACES_PERCENT`, are unknown.
+    """
+    if value is None:
         return None
-    return Load(*map(int, parts))
+    parts = value.split(',', 5)
+    figures = [
+        int(part) if COUNT.fullmatch(part.strip()) else None for part in parts
+    ]
+    running, waiting, slots, pace = (figures + 4 * [None])[:4]
+    is_pace_valid = pace in PACES_PERCENT
+    is_malformed = (
+        len(parts) not in (3, 4)
+        or None in figures
+        or (pace is not None and not is_pace_valid)
+    )
+    return Load(
+        running,
+        waiting,
+        slots,
+        pace if is_pace_valid else USUAL_PACE_PERCENT,
+        reprlib.repr(value) if is_malformed else '',
+    )
--- a/tests/routing/test_request_lifecycle.py
+++ b/tests/routing/test_request_lifecycle.py
@@ -6,6 +6,7 @@
 import pytest
 import xxhash
 
+from godwitglade.common import events
 from godwitglade.coordination import effects as shared_effects
 from godwitglade.coordination import hosts
 from godwitglade.coordination import membership
@@ -193,6 +194,19 @@
     assert not len(harness.requests)
 
 
+def test_malformed_load_is_logged_once_for_a_target():
+    """Guards against a log line for each response of a faulty target."""
+    harness = Harness(ROUTES['at_most_once'], target_count=1)
+    load = targets.parse_load('1,x,4')
+    logged = []
+    for name in ('r1', 'r2', 'r3'):
+        harness.arrive(request_id=name)
+        message = messages.ResponseCompleted(name, 1, 200, load)
+        logged += harness.handle(message)
+    event = events.Event.TARGET_LOAD_MALFORMED
+    assert [e.event for e in logged if hasattr(e, 'event')].count(event) == 1
+
+
 def test_refusal_without_a_run_has_a_retry_time():
     harness = Harness(ROUTES['at_most_once'], target_count=0)
     answer = find_effect(harness.arrive(), effects.Answer)
--- a/tests/routing/test_routing_components.py
+++ b/tests/routing/test_routing_components.py
@@ -179,6 +179,38 @@
     )
 
 
+def test_malformed_load_does_not_replace_a_fresh_one():
+    target = builders.target('t1', slots=4)
+    target_selection.record_load(target, targets.Load(4, 4, 4), 0)
+    unknown = targets.Load(None, None, None, malformed='x')
+    target_selection.record_load(target, unknown, 5)
+    assert target_selection.fullness(target, 10) == 2.0
+
+
+@pytest.mark.parametrize(
+    ('pace_percent', 'age_ms', 'fullness'),
+    [(100, 0, 0.25), (300, 0, 1.25), (300, 500, 0.75), (300, 1_000, 0.0)],
+)
+def test_slow_target_counts_as_fuller_while_its_pace_is_fresh(
+    pace_percent, age_ms, fullness
+):
+    target = builders.target('t1', slots=4)
+    load = targets.Load(1, 0, 4, pace_percent)
+    target_selection.record_load(target, load, 0)
+    assert target_selection.paced_fullness(target, age_ms) == fullness
+
+
+@pytest.mark.parametrize('affinity', ['', 'part'])
+def test_target_that_slows_down_gets_no_request(affinity):
+    """Guards against filling slow engines as much as fast ones."""
+    pool = [builders.target(f't{n}', slots=2) for n in range(2)]
+    preferences = target_selection.Preferences('z1', affinity)
+    first = choose(pool, preferences)
+    load = targets.Load(0, 0, 2, 400)
+    target_selection.record_load(first, load, 0)
+    assert choose(pool, preferences) is not first
+
+
 @pytest.mark.parametrize(
     ('is_idle', 'is_closed', 'elapsed_ms', 'may_end'),
     [
