Test the choice of engines against today's rule and an oracle

Change: the load of an engine that reports none is estimated from this host's own sends and the number of hosts; the age of its oldest unanswered call counts as a queue; a popular part has as many main holders as its requests need, up to 16. Requests other than streams are no samples of first events.

--- a/packages/routing/src/godwitglade/routing/call_tracking.py
+++ b/packages/routing/src/godwitglade/routing/call_tracking.py
@@ -6,6 +6,7 @@
 from godwitglade.common import events
 from godwitglade.coordination import effects as shared_effects
 from godwitglade.routing import document_state
+from godwitglade.routing import documents
 from godwitglade.routing import engine_choice
 from godwitglade.routing import held_prompts
 from godwitglade.routing import holder_orders
@@ -268,4 +269,5 @@
         parts,
         min(tokens + arrived.output_tokens, held_prompts.MAX_TOKENS),
         arrived.attempt_id,
+        request.route.kind is documents.RequestKind.STREAM,
     )
--- a/packages/routing/src/godwitglade/routing/engine_choice.py
+++ b/packages/routing/src/godwitglade/routing/engine_choice.py
@@ -21,16 +21,19 @@
 
 #: Holders that a part may have, and targets compared for a request. Each
 #: further one costs another reading of the part, and memory there.
-MAX_HOLDERS = 8
+MAX_HOLDERS = 16
 #: Sends of this host to an engine that its estimated load is drawn to: one
 #: host of many sees too few of them to tell the loads of engines apart.
-PRIOR_SENDS = 4.0
+PRIOR_SENDS = 8.0
 #: A part gets another holder when its requests would fill more than this
 #: share of the slots of those that it has.
-HOLDER_FILL = 0.75
+HOLDER_FILL = 0.5
 #: Weight of a ms by which a reading delays each running request, compared
 #: to a ms of the request itself: most running ones have had their first event.
-DELAY_WEIGHT = 0.25
+DELAY_WEIGHT = 0.5
+#: Sends of a part that do not count towards its rate: seen from one of many
+#: hosts, a rare part would look popular after one send.
+IGNORED_SENDS = 0.5
 #: Parts, pools and targets whose rate of requests is known.
 MAX_RATES = 8_192
 
@@ -40,11 +43,13 @@
     """A prompt to send: its parts, and the tokens that it needs in memory.
 
     ``key`` spreads the requests of a popular part, evenly and repeatably.
+    Only of a stream is the time of the first event known.
     """
 
     parts: held_prompts.Parts
     memory_tokens: int
     key: str = ''
+    is_stream: bool = True
 
     @property
     def shared(self) -> int | None:
@@ -68,8 +73,8 @@
     ``holder`` is its index in the agreed order, None outside of it. The
     oldest request of this host that has had no event there was sent
     ``waited_ms`` ago. ``pace`` is the time that work takes there, divided by
-    the usual. ``is_certain`` means
-    that ``read_tokens`` does not depend on what other hosts have sent.
+    the usual. ``is_certain`` means that ``read_tokens`` does not depend on
+    what other hosts have sent.
     """
 
     target: targets.Target
@@ -259,16 +264,17 @@
     ) -> tuple[int, _Expected]:
         """Return the number of main holders, and what is expected there.
 
-        The requests of all hosts are estimated from those of this one. One
-        send of a part does not count: seen from one of many hosts, a rare
-        part would look popular.
+        The requests of all hosts are estimated from those of this one, since
+        each of them sees about the same share of the requests.
         """
         call_ms = self.times(pool.name).call_ms
         per_send = self._count_hosts() * call_ms / self.window_ms
         sends = self._count(pool.name, now_ms)
         part_sends = 0.0
         if prompt.shared is not None:
-            part_sends = max(0.0, self._count(prompt.shared, now_ms) - 1)
+            part_sends = max(
+                0.0, self._count(prompt.shared, now_ms) - IGNORED_SENDS
+            )
         requests = part_sends * per_send
         others = max(0.0, sends * per_send - requests) / pool.size
         free = max(1.0, HOLDER_FILL * pool.engine.slots - others)
@@ -361,8 +367,9 @@
             now_ms,
         )
         self._tokens[choice.target.name] += prompt.memory_tokens
-        waiting = self._waiting.setdefault(choice.target.name, {})
-        waiting[request_id] = now_ms
+        if prompt.is_stream:
+            waiting = self._waiting.setdefault(choice.target.name, {})
+            waiting[request_id] = now_ms
         self._sends[request_id] = _Send(choice, pool.name, prompt, new, now_ms)
 
     def record_start(
@@ -374,16 +381,16 @@
             return
         send.has_started = True
         self._end_wait(request_id, send.choice.target)
-        if load is None or not load.is_known:
+        if load is None or load.running is None or load.waiting:
             return
-        times = self.times(send.pool)
         # An assumed reading says nothing of speed, nor does time in a queue.
-        if send.choice.is_certain and not load.waiting:
+        if send.choice.is_certain and send.prompt.is_stream:
             elapsed_ms = (now_ms - send.sent_ms) * (
                 targets.USUAL_PACE_PERCENT / load.pace_percent
             )
-            running = max(0, load.requests - 1)
-            times.record_read(send.choice.read_tokens, running, elapsed_ms)
+            self.times(send.pool).record_read(
+                send.choice.read_tokens, max(0, load.running - 1), elapsed_ms
+            )
 
     def end(self, request_id: str, now_ms: int | None = None) -> None:
         """Record that a call has ended."""
--- a/packages/routing/src/godwitglade/routing/holder_orders.py
+++ b/packages/routing/src/godwitglade/routing/holder_orders.py
@@ -14,7 +14,7 @@
 from godwitglade.routing import targets
 
 #: Targets kept of each order. Some may be excluded when a request comes.
-KEPT_TARGETS = 8
+KEPT_TARGETS = 16
 #: Orders kept, of those used last.
 MAX_ORDERS = 2_048
 
--- a/tests/edge/test_settings.py
+++ b/tests/edge/test_settings.py
@@ -55,6 +55,21 @@
     assert loaded.bounds.change_bound_ms == change_bound_ms
 
 
+@pytest.mark.parametrize(
+    ('bounds', 'window_ms'),
+    [
+        ({}, None),
+        ({'reuseWindowS': 7.5}, 7_500),
+        ({'reuseWindowS': 7.5, 'weighsPrompts': False}, None),
+    ],
+)
+def test_prompts_are_weighed_where_their_window_is_known(
+    tmp_path, bounds, window_ms
+):
+    loaded = settings.load(write(tmp_path / 's.yaml', bounds=bounds))
+    assert loaded.bounds.prompt_window_ms == window_ms
+
+
 def test_capacity_follows_the_limits_of_the_machine(tmp_path):
     small = {'cpuShare': 0.516, 'cores': 1, 'linkMbps': 5.0}
     large = {'cpuShare': 0.717, 'cores': 3, 'linkMbps': 100.0}
--- a/tests/routing/engine_model.py
+++ b/tests/routing/engine_model.py
@@ -5,159 +5,115 @@
 import itertools
 import random
 
-import attrs
-
 from godwitglade.routing import documents
 from godwitglade.routing import engine_choice
-from godwitglade.routing import held_prompts
 from godwitglade.routing import holder_orders
-from godwitglade.routing import messages
 from godwitglade.routing import target_selection
 from godwitglade.routing import targets
 from tests.routing import builders
 
-TOKENS_PER_MS = 60
-RUNNING_MS = 3
-
-
-@attrs.frozen
-class Workload:
-    """Prompts of ``per_s`` requests a second, a share of one shared part."""
+ENGINE = documents.Engine(slots=8, memory_tokens=80_000)
+TOKENS_PER_MS, RUNNING_MS, DURATION_MS = 60, 3, 45_000
+#: Requests of ``hosts``; ``hot_share`` of them share the same part.
+Workload = collections.namedtuple(
+    'Workload',
+    'per_s hot_share hosts engines parts slow_engines',
+    defaults=(40.0, 0.0, 60, 12, 40, 0),
+)
 
-    per_s: float
-    hot_share: float
-    hosts: int = 6
-    engines: int = 12
-    parts: int = 40
-    shared_tokens: int = 6_300
-    mean_call_ms: int = 1_500
-    slow_engines: int = 0
-    duration_ms: int = 45_000
-    engine: documents.Engine = documents.Engine(8, 80_000)
 
-
-@attrs.define(eq=False)
 class Engine:
     """Reads one prompt at a time; a request holds a slot until it ends."""
 
-    workload: Workload
-    pace: float = 1.0
-    reader_free_ms: float = 0.0
-    ends_ms: list = attrs.Factory(list)
-    cache: collections.OrderedDict = attrs.Factory(collections.OrderedDict)
+    def __init__(self, pace):
+        self.pace, self.reader_free_ms, self.ends_ms = pace, 0.0, []
+        self.cache = collections.OrderedDict()
 
-    def first_event_ms(self, at_ms, parts):
+    def first_event(self, at_ms, parts):
         """Return when a request's first event comes, and tokens to read."""
-        read = sum(n for _, n in itertools.dropwhile(self._has, parts))
-        slots = self.workload.engine.slots
-        open_ = sorted(end for end in self.ends_ms if end > at_ms)
-        slot_ms = open_[-slots] if len(open_) >= slots else at_ms
-        took_ms = read / TOKENS_PER_MS + RUNNING_MS * min(len(open_), slots)
-        start_ms = max(at_ms, slot_ms, self.reader_free_ms)
+        held = itertools.takewhile(lambda p: p[0] in self.cache, parts)
+        read = sum(n for _, n in parts) - sum(n for _, n in held)
+        self.ends_ms = sorted(e for e in self.ends_ms if e > at_ms)
+        count = len(self.ends_ms)
+        waits = self.ends_ms[: max(0, count - ENGINE.slots + 1)]
+        took_ms = read / TOKENS_PER_MS + RUNNING_MS * min(count, 8)
+        start_ms = max(at_ms, self.reader_free_ms, *waits[-1:])
         return start_ms + self.pace * took_ms, read
 
-    def _has(self, part):
-        return part[0] in self.cache
-
     def take(self, at_ms, parts, call_ms):
-        """Run a request; return the time to its first event, tokens read."""
-        first_ms, read = self.first_event_ms(at_ms, parts)
-        self.reader_free_ms = first_ms
-        self.ends_ms = [end for end in self.ends_ms if end > at_ms]
-        self.ends_ms.append(first_ms + self.pace * call_ms)
+        self.reader_free_ms, read = self.first_event(at_ms, parts)
+        self.ends_ms.append(self.reader_free_ms + self.pace * call_ms)
         for key, tokens in reversed(parts):
             self.cache[key] = tokens
             self.cache.move_to_end(key)
-        while sum(self.cache.values()) > self.workload.engine.memory_tokens:
+        while sum(self.cache.values()) > ENGINE.memory_tokens:
             self.cache.popitem(last=False)
-        return first_ms, read
-
-    def load(self, at_ms):
-        """Return what the engine reports."""
-        count = sum(end > at_ms for end in self.ends_ms)
-        slots = self.workload.engine.slots
-        running = min(count, slots)
-        pace_percent = round(100 * self.pace)
-        return targets.Load(running, count - running, slots, pace_percent)
+        return self.reader_free_ms, read
 
 
 class Host:
-    """What one host knows; it chooses by ``rule``."""
+    """What one host knows of the engines; it chooses by ``rule``."""
 
-    def __init__(self, rule, workload, engines):
-        self.rule, self.workload, self.engines = rule, workload, engines
+    def __init__(self, rule, hosts, engines):
+        self.rule, self.engines = rule, engines
         self.directory = targets.Directory()
-        slots = workload.engine.slots
-        listed = [builders.listed(n, 'p', slots=slots) for n in engines]
+        listed = [builders.listed(n, 'p', slots=ENGINE.slots) for n in engines]
         self.directory.replace(listed, 1, 0)
         self.orders = holder_orders.HolderOrders(self.directory)
-        self.chooser = engine_choice.EngineChooser(
-            10_000, lambda: workload.hosts
-        )
+        self.pool = engine_choice.Pool('p', ENGINE, len(engines))
+        self.chooser = engine_choice.EngineChooser(10_000, lambda: hosts)
 
-    def choose(self, name, prompt, at_ms):
-        """Return the name of the target for a prompt."""
-        pool, part = self.directory.pool('p'), prompt[0].name
-        parts = held_prompts.condense(prompt)
+    def choose(self, name, parts, at_ms):
+        find, part = self.directory.find, str(parts[0][0])
         if self.rule == 'oracle':
-            costs = {n: e.first_event_ms(at_ms, parts)
-                     for n, e in self.engines.items()}  # fmt: skip
-            return min(costs, key=lambda n: costs[n])
+            e = self.engines
+            return find(min(e, key=lambda n: e[n].first_event(at_ms, parts)))
         if self.rule == 'today':
-            preferences = target_selection.Preferences('', part)
-            rng = random.Random(1)
-            return target_selection.choose(
-                pool, preferences, '', rng, at_ms
-            ).name
-        tokens = sum(n for _, n in parts)
-        weighed = engine_choice.Prompt(parts, tokens, name)
-        names = self.orders.first('p', '', part)
-        found = [self.directory.find(name) for name in names]
-        engine, size = self.workload.engine, self.workload.engines
-        args = weighed, engine_choice.Pool('p', engine, size)
-        choice = self.chooser.choose(*args, found, True, at_ms)
-        self.chooser.start(name, *args, choice, at_ms)
-        return choice.target.name
-
-
-def play(rule, workload, seed=1):
-    """Return the 95th percentile of times to first events, tokens read."""
-    rng = random.Random(seed)
-    slow = workload.slow_engines
-    engines = {f't{n}': Engine(workload, 4.0 if n < slow else 1.0)
-               for n in range(workload.engines)}  # fmt: skip
-    hosts = [Host(rule, workload, engines) for _ in range(workload.hosts)]
-    times_ms, read, at_ms, events, numbers = [], 0, 0.0, [], itertools.count()
-    while at_ms < workload.duration_ms:
+            args = target_selection.Preferences('', part), '', random, at_ms
+            return target_selection.choose(self.directory.pool('p'), *args)
+        prompt = engine_choice.Prompt(parts, sum(n for _, n in parts), name)
+        order = [*map(find, self.orders.first('p', '', part))]
+        choice = self.chooser.choose(prompt, self.pool, order, True, at_ms)
+        self.chooser.start(name, prompt, self.pool, choice, at_ms)
+        return choice.target
+
+    def handle(self, is_end, target, name, at_ms):
+        if is_end:
+            target.in_flight -= 1
+            return self.chooser.end(name, at_ms)
+        engine = self.engines[target.name]
+        count = sum(end > at_ms for end in engine.ends_ms)
+        queued, pace = max(0, count - ENGINE.slots), int(100 * engine.pace)
+        load = targets.Load(count - queued, queued, ENGINE.slots, pace)
+        target_selection.record_load(target, load, at_ms)
+        self.chooser.record_start(name, load, at_ms)
+
+
+def play(rule, workload, seed):
+    """Return the 95th percentile to the first event, % of parts read."""
+    rng, times_ms, readings, at_ms, events = random.Random(seed), [], 0, 0, []
+    paces = [4.0] * workload.slow_engines + [1.0] * workload.engines
+    engines = {f't{n}': Engine(paces[n]) for n in range(workload.engines)}
+    hosts = [
+        Host(rule, workload.hosts, engines) for _ in range(workload.hosts)
+    ]
+    for number in itertools.count(workload.parts):
         at_ms += rng.expovariate(workload.per_s / 1_000)
+        if at_ms > DURATION_MS:
+            count = len(times_ms)
+            return sorted(times_ms)[count * 95 // 100], 100 * readings / count
         while events and events[0][0] <= at_ms:
-            heapq.heappop(events)[2]()
-        host, now_ms, name = rng.choice(hosts), int(at_ms), f'r{at_ms}'
-        is_hot = rng.random() < workload.hot_share
-        part = 0 if is_hot else rng.randrange(1, workload.parts)
-        prompt = (
-            messages.PromptPart(f'p{part}', workload.shared_tokens),
-            messages.PromptPart(name, rng.randrange(100, 1_000)),
-        )
-        target = host.directory.find(host.choose(name, prompt, now_ms))
-        engine = engines[target.name]
-        call_ms = rng.expovariate(1 / workload.mean_call_ms)
-        parts = held_prompts.condense(prompt)
-        first_ms, tokens = engine.take(now_ms, parts, call_ms)
-        if at_ms > workload.duration_ms / 3:
-            times_ms.append(first_ms - now_ms)
-            read += max(0, tokens - prompt[-1].tokens)
+            then_ms, name, is_end, host, target = heapq.heappop(events)
+            host.handle(is_end, target, str(name), int(then_ms))
+        host, is_hot = rng.choice(hosts), rng.random() < workload.hot_share
+        part = 0 if is_hot else rng.randrange(workload.parts)
+        parts = ((part, 6_300), (number, rng.randrange(100, 1_000)))
+        target = host.choose(str(number), parts, int(at_ms))
         target.in_flight += 1
-
-        def start(h=host, t=target, e=engine, n=name, at=first_ms):
-            load = e.load(at)
-            target_selection.record_load(t, load, int(at))
-            h.chooser.record_start(n, load, int(at))
-
-        def end(h=host, t=target, n=name, at=engine.ends_ms[-1]):
-            t.in_flight -= 1
-            h.chooser.end(n, int(at))
-
-        heapq.heappush(events, (first_ms, next(numbers), start))
-        heapq.heappush(events, (engine.ends_ms[-1], next(numbers), end))
-    return sorted(times_ms)[int(0.95 * len(times_ms))], read
+        engine, call_ms = engines[target.name], rng.expovariate(1 / 1_500)
+        first_ms, tokens = engine.take(at_ms, parts, call_ms)
+        if at_ms > DURATION_MS / 3:
+            times_ms.append(first_ms - at_ms)
+            readings += tokens >= 6_300
+        for is_end, then_ms in enumerate((first_ms, engine.ends_ms[-1])):
+            heapq.heappush(events, (then_ms, number, is_end, host, target))
