--- a/packages/common/src/godwitglade/common/events.py
+++ b/packages/common/src/godwitglade/common/events.py
@@ -157,6 +157,7 @@
         logging.WARNING,
         'The settings name no region of a data centre with targets; requests '
         'with home regions do not use them.',
+    )
     TARGET_COLD = EventDescription(
         3020,
         logging.INFO,
@@ -165,6 +166,12 @@
     TARGET_WARM = EventDescription(
         3021, logging.INFO, 'A target that was cold gets requests as usual.'
     )
+    TARGET_LOAD_MALFORMED = EventDescription(
+        3022,
+        logging.WARNING,
+        'A target reported load figures that cannot be read; once for each '
+        'of its processes. The readable ones are used.',
+    )
     LOGS_DROPPED = EventDescription(
         1012,
         logging.WARNING,
