Export the number of evacuated zones from the start

Cause: the gauge was absent until the first evacuation, and every choice of a target checked each zone, every change of targets all zones, also where no zone is evacuated and no route names regions.

Change: the gauge is set at the start; both checks are left out there.

--- a/packages/routing/src/godwitglade/routing/home_regions.py
+++ b/packages/routing/src/godwitglade/routing/home_regions.py
@@ -26,11 +26,14 @@
 
 
 class HomeRegions:
-    """The region of each zone, as the settings have it."""
+    """The region of each zone, as the settings have it.
+
+    It ``is_used`` if the document names regions at all.
+    """
 
     def __init__(self, by_zone: typing.Mapping[str, str]) -> None:
         self.by_zone = by_zone
-        self._is_used = False
+        self.is_used = False
         self._logged: set[str] = set()
 
     def is_home(self, zone: str, regions: Regions) -> bool:
@@ -40,14 +43,12 @@
     def set_document(self, document: documents.Document) -> None:
         """Apply whether requests have home regions at all."""
         owners = (*document.routes, *(document.workspaces or ()))
-        self._is_used = any(owner.regions for owner in owners)
+        self.is_used = any(owner.regions for owner in owners)
 
     def check(
         self, zones: typing.Iterable[str]
     ) -> list[shared_effects.LogEvent]:
         """Log once each zone whose targets home regions leave out."""
-        if not self._is_used:
-            return []
         left = MAX_LOGGED - len(self._logged)
         unknown = sorted(set(zones) - self.by_zone.keys() - self._logged)
         self._logged.update(unknown[:left])
--- a/packages/routing/src/godwitglade/routing/host.py
+++ b/packages/routing/src/godwitglade/routing/host.py
@@ -224,8 +224,10 @@
         timer = shared_effects.StartTimer(
             MAINTENANCE_TOKEN, now_ms + MAINTENANCE_INTERVAL_MS
         )
+        zones = self.components.directory.evacuated
         return [
             timer,
+            effects.SetGauge(EVACUATED_GAUGE, len(zones)),
             *self.components.facts.start(now_ms),
             *self.components.members.start(now_ms),
             *self.components.tables.start(now_ms),
@@ -395,7 +397,10 @@
         return [log, limits, *unknown, *(ready if is_first else [])]
 
     def _check_zones(self) -> Effects:
-        return self.components.home.check(self.components.directory.zones())
+        home = self.components.home
+        if not home.is_used:
+            return []
+        return home.check(self.components.directory.zones())
 
     @_dispatch.register
     def _(self, message: messages.EvacuationsRead, now_ms: int) -> Effects:
--- a/packages/routing/src/godwitglade/routing/targets.py
+++ b/packages/routing/src/godwitglade/routing/targets.py
@@ -215,6 +215,8 @@
         regions: home_regions.Regions = None,
     ) -> list[Target]:
         staying = self._staying(pool, version)
+        if regions is None and not self.evacuated:
+            return staying
         return [target for target in staying if self.is_open(target, regions)]
 
     def _staying(self, pool: str, version: str | None) -> list[Target]:
