--- a/tests/routing/test_evacuations.py
+++ b/tests/routing/test_evacuations.py
@@ -116,6 +116,15 @@
     assert [e.fields['zone'] for e in ended] == ['nowhere', 'z1', 'z2']
 
 
+def test_reload_makes_a_host_tell_and_require_zones():
+    host = one_host.OneHost(routing_host.Settings())
+    host.evacuate()
+    known = host.components.evacuations
+    assert not known.is_required and not known.attached()
+    host.handle(messages.SettingsReloaded(one_host.SETTINGS), 20)
+    assert known.is_required and known.attached()
+
+
 def test_older_set_of_zones_does_not_replace_a_newer_one():
     known = evacuations.Evacuations()
     orders = [(3, 0, 'a'), (2, 0, 'b'), (1, 1, 'c'), (9, 0, 'd')]
