Log, count and describe the choice of engines by expected time

Cause: operators could not tell why a prompt was sent to an engine.

A reload of the settings switches the choice on and off.

--- a/packages/routing/src/godwitglade/routing/call_tracking.py
+++ b/packages/routing/src/godwitglade/routing/call_tracking.py
@@ -201,7 +201,26 @@
 
     def send_fields(self, request: request_.Request) -> dict[str, typing.Any]:
         """Return the log fields of the choice of an engine."""
-        return self._chooser.send_fields(request.request_id)
+        choice = self._chooser.sent(request.request_id)
+        if choice is None:
+            return {}
+        return {
+            'holder': choice.holder,
+            'read_tokens': choice.read_tokens,
+            'expected_ms': round(choice.expected_ms),
+        }
+
+    def send_counts(self, request: request_.Request) -> Effects:
+        """Return counters of the choice of an engine."""
+        choice = self._chooser.sent(request.request_id)
+        if choice is None:
+            return []
+        is_moved = choice.holder is not None and choice.holder > 0
+        return [
+            shared_effects.Count('prompts.sent'),
+            shared_effects.Count('prompts.moved', int(is_moved)),
+            shared_effects.Count('prompts.read_tokens', choice.read_tokens),
+        ]
 
     def end_call(
         self, request: request_.Request, now_ms: int | None = None
--- a/packages/routing/src/godwitglade/routing/engine_choice.py
+++ b/packages/routing/src/godwitglade/routing/engine_choice.py
@@ -268,7 +268,7 @@
         each of them sees about the same share of the requests.
         """
         call_ms = self.times(pool.name).call_ms
-        per_send = self._count_hosts() * call_ms / self.window_ms
+        per_send = max(1, self._count_hosts()) * call_ms / self.window_ms
         sends = self._count(pool.name, now_ms)
         part_sends = 0.0
         if prompt.shared is not None:
@@ -407,13 +407,7 @@
         elif now_ms is not None:
             self.times(send.pool).record_call(now_ms - send.sent_ms)
 
-    def send_fields(self, request_id: str) -> dict[str, typing.Any]:
-        """Return the log fields of a prompt that is sent."""
+    def sent(self, request_id: str) -> Choice | None:
+        """Return the choice for a prompt that is sent now."""
         send = self._sends.get(request_id)
-        if send is None:
-            return {}
-        return {
-            'holder': send.choice.holder,
-            'read_tokens': send.choice.read_tokens,
-            'expected_ms': round(send.choice.expected_ms),
-        }
+        return send.choice if send is not None else None
--- a/packages/routing/src/godwitglade/routing/request_lifecycle.py
+++ b/packages/routing/src/godwitglade/routing/request_lifecycle.py
@@ -763,6 +763,7 @@
         return [
             forward,
             sent,
+            *self._tracker.send_counts(request),
             *self._start_resend_timer(request, left_ms, now_ms),
         ]
 
--- a/tests/routing/test_engine_choice.py
+++ b/tests/routing/test_engine_choice.py
@@ -1,9 +1,12 @@
 """Choice of engines by what they hold, their queues, paces and memory."""
 
+import random
+
 import attrs
 import pytest
 
 from godwitglade.common import events
+from godwitglade.coordination import effects as shared_effects
 from godwitglade.routing import documents
 from godwitglade.routing import engine_choice
 from godwitglade.routing import forecasts
@@ -222,7 +225,7 @@
 
 
 def sent(window_ms, engine):
-    """Return the log events of requests that share a part, as sent."""
+    """Return the log fields and counters of requests that share parts."""
     harness = lifecycle.Harness(lifecycle.ROUTES['stream'], target_count=20)
     document = builders.document(
         lifecycle.ROUTES['stream'],
@@ -237,23 +240,27 @@
         own = messages.PromptPart(f'own{n}', 10)
         logged += harness.arrive(request_id=f'r{n}', prompt=(part, own))
     kind = events.Event.REQUEST_SENT
-    return [e.fields for e in logged if getattr(e, 'event', None) is kind]
+    fields = [e.fields for e in logged if getattr(e, 'event', None) is kind]
+    counts = [e for e in logged if isinstance(e, shared_effects.Count)]
+    return fields, counts
 
 
 def test_choice_without_window_or_engine_is_that_of_the_hash():
-    plain = [fields['target'] for fields in sent(None, None)]
+    plain = [fields['target'] for fields in sent(None, None)[0]]
     for window_ms, engine in ((None, ENGINE), (0, ENGINE), (10_000, None)):
-        fields = sent(window_ms, engine)
+        fields, counts = sent(window_ms, engine)
         assert [f['target'] for f in fields] == plain
         assert not any('holder' in f for f in fields)
+        assert not counts
 
 
 def test_log_of_a_send_tells_the_holder_and_what_is_read():
     """Guards against a choice that is not used where it should be."""
-    first = sent(WINDOW_MS, ENGINE)[0]
+    (first, *_), counts = sent(WINDOW_MS, ENGINE)
     names = [f't{n}' for n in range(20)]
     assert first['target'] == rendezvous.first('p0', names)
     assert (first['holder'], first['read_tokens']) == (0, 10)
+    assert sum(c.by for c in counts if c.name == 'prompts.sent') == 40
 
 
 @pytest.mark.parametrize(
@@ -261,5 +268,14 @@
     [(9_000, True, 9_000), (9_000, False, None), (None, True, None)],
 )
 def test_choice_can_be_switched_off(window_ms, weighs, expected):
-    settings = host.Settings(reuse_window_ms=window_ms, weighs_prompts=weighs)
-    assert settings.prompt_window_ms == expected
+    bounds = host.Settings(reuse_window_ms=window_ms, weighs_prompts=weighs)
+    components = host.make_components(
+        lifecycle.SELF, '10.0.1.1:1', random.Random(1), bounds
+    )
+    chooser = components.requests.chooser
+    assert chooser.window_ms == expected
+    decider = host.Host(components)
+    decider.handle(messages.SettingsReloaded(host.Settings()), 1)
+    assert chooser.window_ms is None
+    decider.handle(messages.SettingsReloaded(bounds), 2)
+    assert chooser.window_ms == expected
