Try a lost store with one follower, and tables that can wait less often

Cause: while the store turned hosts away, each of the four followers of a host repeated its read every 250 ms.

Tables of hosts and of quarantined traits are retried after up to 4 s.

--- a/packages/platform/src/godwitglade/platform/follower.py
+++ b/packages/platform/src/godwitglade/platform/follower.py
@@ -17,6 +17,7 @@
 #: Pause after a failed read, and after a HistoryGoneError that comes within
 #: this time of the start of the last full read.
 RETRY_MS = 250
+MAX_DOUBLINGS = 16
 #: A larger number could not be told to other hosts.
 MAX_VERSION = 2**53 - 1
 #: Pause of a follower that leaves the reading to others; a request ends it.
@@ -90,7 +91,8 @@
     after ``pause_ms``. Every ``full_read_ms`` the whole table is read, to
     correct what feeds missed. With ``confirm_ms`` a feed ends that long
     after the last confirmation of the table. After a time without following
-    the first read comes after ``resume_ms``.
+    the first read comes after ``resume_ms``. Reads that fail in a row are
+    repeated at growing intervals, after ``max_retry_ms`` at most.
     """
 
     wait_ms: int
@@ -98,6 +100,12 @@
     pause_ms: int = 0
     confirm_ms: int | None = None
     resume_ms: int = 0
+    max_retry_ms: int = RETRY_MS
+
+    def retry_ms(self, failures: int) -> int:
+        """Return the pause after a number of failures in a row."""
+        doublings = min(max(0, failures - 1), MAX_DOUBLINGS)
+        return min(self.max_retry_ms, RETRY_MS << doublings)
 
     def feed_wait_ms(self, confirmed_ms: int, now_ms: int) -> int:
         """Return how long a feed that starts now waits for changes."""
@@ -193,6 +201,10 @@
         self._is_following = True
         self._is_read_requested = True
         self._is_resumed = False
+        self._failures = 0
+        #: The follower that tries whether the store responds again.
+        self.prober: Follower | None = None
+        self.on_regained: typing.Callable[[], None] = lambda: None
         self.on_new_era: typing.Callable[[int], None] = lambda _era: None
 
     def set_following(
@@ -263,6 +275,8 @@
         """Read once and return the pause before the next read, in ms."""
         if not self._is_following and not self._is_read_requested:
             return IDLE_MS
+        if self._must_wait_for_prober():
+            return self._pace.retry_ms(self._failures)
         left_ms = self._resumes_at_ms - self._clock.monotonic_ms()
         if left_ms > 0 and not self._is_read_requested:
             return left_ms
@@ -274,6 +288,23 @@
             self._is_read_requested = True
         return pause_ms
 
+    @property
+    def is_probing(self) -> bool:
+        """Return whether this follower reads a store that does not respond."""
+        return self._is_following and self._availability.is_lost
+
+    def _must_wait_for_prober(self) -> bool:
+        """Return whether another follower tries the store for this one."""
+        return (
+            self._availability.is_lost
+            and self.prober is not None
+            and self.prober.is_probing
+        )
+
+    def wake(self) -> None:
+        """End the pause before the next read."""
+        self._wake_event.set()
+
     def _read(self, is_requested: bool) -> tuple[int, bool]:
         """Read once; return the pause, and whether rows were applied."""
         started_ms = self._clock.monotonic_ms()
@@ -302,7 +333,8 @@
             # thread.
             self._availability.record_failure(describe(error))
             self._version = None
-            return RETRY_MS, False
+            self._failures += 1
+            return pace.retry_ms(self._failures), False
         last_era, self._era = self._era, result.era
         is_new_era = last_era != self._era
         if is_new_era and last_era:
@@ -316,7 +348,11 @@
             outage_ms = response_ms - self._last_response_ms
             result = attrs.evolve(result, outage_ms=outage_ms)
         self._last_response_ms = response_ms
+        was_lost = self._availability.is_lost
         self._availability.record_success()
+        self._failures = 0
+        if was_lost:
+            self.on_regained()
         self._confirmed_ms = started_ms
         if not is_full_read:
             self._confirmed_ms = feed_confirms_ms(
@@ -341,6 +377,23 @@
         return now_ms - self._full_read_started_ms >= self._pace.full_read_ms
 
 
+def share_probes(
+    prober: Follower, others: typing.Collection[Follower]
+) -> None:
+    """Let one follower try a store that has stopped to respond.
+
+    Otherwise each table costs failing calls all through an outage.
+    """
+
+    def wake_others() -> None:
+        for other in others:
+            other.wake()
+
+    prober.on_regained = wake_others
+    for other in others:
+        other.prober = prober
+
+
 def share_eras(followers: typing.Collection[Follower]) -> None:
     """Make each follower tell the others when the store has gone back.
 
--- a/packages/platform/src/godwitglade/platform/paces.py
+++ b/packages/platform/src/godwitglade/platform/paces.py
@@ -8,6 +8,8 @@
 
 #: Time between two confirmations of a reader's tables.
 CONFIRM_MS = 700
+#: Longest interval of retries of tables whose changes are not urgent.
+SLOW_RETRY_MS = 4_000
 #: A feed that fails at its end leaves time for one more read before keys
 #: are no longer accepted.
 DOCUMENT = follower.Pace(wait_ms=2_500, full_read_ms=2_500)
@@ -25,7 +27,13 @@
 )
 #: Hosts reach each other without the table, which only lists new ones.
 HOSTS = follower.Pace(
-    wait_ms=10_000, full_read_ms=30_000, pause_ms=2_000, resume_ms=2_000
+    wait_ms=10_000,
+    full_read_ms=30_000,
+    pause_ms=2_000,
+    resume_ms=2_000,
+    max_retry_ms=SLOW_RETRY_MS,
 )
 #: Hosts tell each other first what crashes targets; the table keeps it.
-QUARANTINE = follower.Pace(wait_ms=25_000, full_read_ms=60_000)
+QUARANTINE = follower.Pace(
+    wait_ms=25_000, full_read_ms=60_000, max_retry_ms=SLOW_RETRY_MS
+)
--- a/tests/platform/test_follower.py
+++ b/tests/platform/test_follower.py
@@ -121,6 +121,58 @@
     )
 
 
+@pytest.mark.parametrize('pace', [paces.HOSTS, paces.QUARANTINE])
+def test_tables_that_are_not_urgent_cost_few_retries(pace):
+    def prepare(store):
+        store.is_unreachable = True
+
+    store, _ = follow(pace, 10_000, prepare)
+    assert 3 <= len(store.calls) <= 7
+
+
+def test_one_follower_tries_a_lost_store_and_wakes_the_others():
+    clock = Clock()
+    stores = [Store(clock) for _ in range(3)]
+    prober, *others = (
+        follower.Follower(
+            store, 't', lambda *_: None, clock, lambda *_: None, paces.TARGETS
+        )
+        for store in stores
+    )
+    follower.share_probes(prober, others)
+    for store in stores:
+        store.is_unreachable = True
+    for each in (prober, *others) * 5:
+        clock.now_ms += each.run_once()
+    assert [len(store.calls) for store in stores] == [5, 1, 1]
+    woken = []
+    for other in others:
+        other.wake = lambda: woken.append(True)
+    for store in stores:
+        store.is_unreachable = False
+    prober.run_once()
+    assert len(woken) == 2
+    assert [other.run_once() for other in others] == [0, 0]
+
+
+def test_follower_does_not_wait_for_a_prober_that_follows_nothing():
+    clock = Clock()
+    store, own = Store(clock), Store(clock)
+    prober, other = (
+        follower.Follower(
+            each, 't', lambda *_: None, clock, lambda *_: None, paces.TARGETS
+        )
+        for each in (store, own)
+    )
+    follower.share_probes(prober, [other])
+    store.is_unreachable = own.is_unreachable = True
+    prober.run_once()
+    prober.set_following(False)
+    other.run_once()
+    other.run_once()
+    assert len(own.calls) == 2
+
+
 def test_reads_pause_while_the_history_stays_unavailable():
     def prepare(store):
         store.is_history_gone = True
