Bound what is learnt from the tokens that callers name

Cause: a caller could name more tokens than any engine holds, which spoiled the mean size of requests and the reading speed for all others.

Change: sizes count as at most the memory of an engine, and longer readings are no samples of the speed.

Result: tests of the engine choice pass; the new one fails without the bound.

--- a/packages/routing/src/godwitglade/routing/engine_choice.py
+++ b/packages/routing/src/godwitglade/routing/engine_choice.py
@@ -189,7 +189,7 @@
     """A prompt sent to a target, until its call ends."""
 
     choice: Choice
-    pool: str
+    pool: Pool
     prompt: Prompt
     new: tuple[int, ...]
     sent_ms: int
@@ -355,7 +355,10 @@
         now_ms: int,
     ) -> None:
         """Record that a prompt is sent to the engine chosen."""
-        self.times(pool.name).record_prompt(prompt.memory_tokens)
+        # Callers name the tokens, so they are no more than fit an engine.
+        self.times(pool.name).record_prompt(
+            min(prompt.memory_tokens, pool.engine.memory_tokens)
+        )
         for key in (pool.name, choice.target.name, prompt.shared):
             if key is not None:
                 self._rates.add(key, self.window_ms, now_ms)
@@ -370,7 +373,7 @@
         if prompt.is_stream:
             waiting = self._waiting.setdefault(choice.target.name, {})
             waiting[request_id] = now_ms
-        self._sends[request_id] = _Send(choice, pool.name, prompt, new, now_ms)
+        self._sends[request_id] = _Send(choice, pool, prompt, new, now_ms)
 
     def record_start(
         self, request_id: str, load: targets.Load | None, now_ms: int
@@ -383,12 +386,15 @@
         self._end_wait(request_id, send.choice.target)
         if load is None or load.running is None or load.waiting:
             return
-        # An assumed reading says nothing of speed, nor does time in a queue.
-        if send.choice.is_certain and send.prompt.is_stream:
+        # An assumed reading says nothing of speed, nor does time in a queue,
+        # nor more tokens than an engine can hold.
+        is_possible = send.choice.read_tokens <= send.pool.engine.memory_tokens
+        is_measured = send.choice.is_certain and send.prompt.is_stream
+        if is_measured and is_possible:
             elapsed_ms = (now_ms - send.sent_ms) * (
                 targets.USUAL_PACE_PERCENT / load.pace_percent
             )
-            self.times(send.pool).record_read(
+            self.times(send.pool.name).record_read(
                 send.choice.read_tokens, max(0, load.running - 1), elapsed_ms
             )
 
@@ -405,7 +411,7 @@
         if not send.has_started:
             self.held.discard(target, send.new)
         elif now_ms is not None:
-            self.times(send.pool).record_call(now_ms - send.sent_ms)
+            self.times(send.pool.name).record_call(now_ms - send.sent_ms)
 
     def sent(self, request_id: str) -> Choice | None:
         """Return the choice for a prompt that is sent now."""
--- a/tests/routing/test_engine_choice.py
+++ b/tests/routing/test_engine_choice.py
@@ -203,6 +203,22 @@
     assert chooser.send('s', 1, tokens=6_000) != 0
 
 
+def test_prompt_that_names_too_many_tokens_is_not_learnt_from():
+    """Guards against one caller who spoils the choices for all others."""
+    chooser = Chooser()
+    for n in range(50):
+        tokens = held_prompts.MAX_TOKENS // (1 + n % 3)
+        prompt = engine_choice.Prompt(((n, tokens),), tokens, f'r{n}')
+        args = prompt, POOL, chooser.holders
+        choice = chooser.choose(*args, False, n)
+        chooser.start(f'r{n}', prompt, POOL, choice, n)
+        chooser.record_start(f'r{n}', targets.Load(1, 0, 8), n + 9)
+        chooser.end(f'r{n}', n + 9)
+    times = chooser.times('p')
+    assert times.token_ms == forecasts.TOKEN_MS
+    assert times.memory_tokens <= ENGINE.memory_tokens
+
+
 def test_order_is_made_once_for_a_part_whatever_the_number_of_targets(
     monkeypatch,
 ):
