Count targets beside many cold ones as cold for a while

At 775 hosts with 153 cold engines half the callers were served, since each message asked for the same 32 targets.

Change: while half of a pool in a data centre is cold, and two at least, the rest counts as cold for 3.5 s. Cold candidates are asked for in random order.

--- a/packages/routing/src/godwitglade/routing/call_tracking.py
+++ b/packages/routing/src/godwitglade/routing/call_tracking.py
@@ -100,6 +100,9 @@
             if target.name not in request.tried
             and self._limits.needs_permit(target, now_ms)
         ]
+        if any(self._limits.is_cold(target, now_ms) for target in limited):
+            # One message asks for rate_limits.MAX_CANDIDATES of them at most.
+            self._random.shuffle(limited)
         return sorted(limited, key=lambda t: self._limits.wait_ms(t, now_ms))
 
     def permit_candidates(
@@ -121,6 +124,7 @@
             and target.name not in request.tried
             and self._limits.is_cold(target, now_ms)
         ]
+        self._random.shuffle(others)
         return (preferred, *others)
 
     def has_unlimited(self, request: request_.Request, now_ms: int) -> bool:
--- a/packages/routing/src/godwitglade/routing/cold_targets.py
+++ b/packages/routing/src/godwitglade/routing/cold_targets.py
@@ -32,6 +32,12 @@
 #: written within 1.2 s and read within 2 s. Until then some send as usual.
 LEARNING_MS = 3_500
 LEARNING_SHARE = 0.5
+#: If so many and such a share of the targets of a pool in a data centre are
+#: cold, the others there count as cold for LEARNING_MS: the requests of 65
+#: hosts that were cut off from the store all went to the last target that
+#: they did not know to be cold (24 in a second).
+PRESUMED_SHARE = 0.5
+MIN_PRESUMED = 2
 #: Greatest bound; figures above it have the same effect.
 MAX_PER_S = 1_000_000
 
@@ -85,6 +91,7 @@
     ) -> None:
         self._document_state = document_state_
         self._known: dict[str, _Cold] = {}
+        self._presumed_until_ms: dict[tuple[str, str], int] = {}
         self.set_bounds(bounds, zones)
 
     def set_bounds(
@@ -110,9 +117,30 @@
         return self._bounds.per_s(listed.cold_milli_per_s)
 
     def is_cold(self, pool: str, cold_until_ms: int, now_ms: int) -> bool:
-        """Return whether a target gets requests by permit only."""
+        """Return whether a target has told that it is cold."""
         return now_ms < cold_until_ms and self.per_s(pool) is not None
 
+    def is_presumed(self, pool: str, zone: str, now_ms: int) -> bool:
+        """Return whether the targets of a data centre count as cold."""
+        until_ms_ = self._presumed_until_ms.get((pool, zone), 0)
+        return self.is_cold(pool, until_ms_, now_ms)
+
+    def presume(
+        self,
+        counts: typing.Mapping[tuple[str, str], tuple[int, int]],
+        now_ms: int,
+    ) -> None:
+        """Set of how many targets how many are cold, by pool and zone.
+
+        A data centre of which many are cold counts as a whole for a while,
+        in which its other targets tell whether they are.
+        """
+        self._presumed_until_ms = {
+            key: self._presumed_until_ms.get(key, now_ms + LEARNING_MS)
+            for key, (cold, listed) in counts.items()
+            if cold >= max(MIN_PRESUMED, listed * PRESUMED_SHARE)
+        }
+
     def milli_per_s(
         self, pool: str, registered_zones: typing.Iterable[str]
     ) -> int:
--- a/packages/routing/src/godwitglade/routing/rate_limits.py
+++ b/packages/routing/src/godwitglade/routing/rate_limits.py
@@ -159,7 +159,7 @@
         is_news = (
             cold_targets.is_valid(remaining_ms)
             and self.cold.per_s(target.listed.pool) is not None
-            and not self.is_cold(target, now_ms)
+            and now_ms >= target.cold_until_ms
         )
         if not is_news:
             return []
@@ -247,9 +247,14 @@
         cold = {
             key_of(target): (target.name, target.cold_until_ms)
             for target in listed
-            if self.is_cold(target, now_ms)
+            if self.cold.is_cold(
+                target.listed.pool, target.cold_until_ms, now_ms
+            )
+        }
+        self.cold.presume(_count_cold(listed, cold), now_ms)
+        used = self._limits.keys() | {
+            key_of(target) for target in listed if self.is_cold(target, now_ms)
         }
-        used = self._limits.keys() | cold.keys()
         self._uses = {k: use for k, use in self._uses.items() if k in used}
         return self.cold.update(cold, now_ms)
 
@@ -282,9 +287,10 @@
 
     def is_cold(self, target: targets.Target, now_ms: int) -> bool:
         """Return whether a target may get few requests, as it has started."""
+        pool, zone = target.listed.pool, target.listed.zone
         return self.cold.is_cold(
-            target.listed.pool, target.cold_until_ms, now_ms
-        )
+            pool, target.cold_until_ms, now_ms
+        ) or self.cold.is_presumed(pool, zone, now_ms)
 
     def needs_permit(self, target: targets.Target, now_ms: int) -> bool:
         """Return whether a request needs a permit to be sent to a target."""
@@ -523,6 +529,21 @@
     return key[-MAX_TEXT_LENGTH:]
 
 
+def _count_cold(
+    listed: typing.Iterable[targets.Target], cold: typing.Container[str]
+) -> dict[tuple[str, str], tuple[int, int]]:
+    """Return the number of cold targets and of all, by pool and zone."""
+    if not cold:
+        return {}
+    counts: dict[tuple[str, str], tuple[int, int]] = {}
+    for target in listed:
+        place = target.listed.pool, target.listed.zone
+        cold_count, count = counts.get(place, (0, 0))
+        is_cold = key_of(target) in cold
+        counts[place] = cold_count + is_cold, count + 1
+    return counts
+
+
 def _set_told(limit: _Limit, now_ms: int) -> None:
     limit.told_ms, limit.told_milli_per_s = now_ms, limit.milli_per_s
 
--- a/tests/routing/test_cold_targets.py
+++ b/tests/routing/test_cold_targets.py
@@ -413,3 +413,22 @@
     check(fleet_)
     mean, _ = cold_fleet.permits_asked(fleet_)
     assert mean <= 4
+
+
+@pytest.mark.parametrize(
+    ('cold_count', 'is_presumed'), [(1, False), (2, True), (3, True)]
+)
+def test_targets_beside_many_cold_ones_count_as_cold(cold_count, is_presumed):
+    # Guards against the requests of hosts without the store that all go to
+    # the last target that they do not know to be cold.
+    harness = Harness()
+    names = ('t1', 't2', 't3', 'other')
+    cold = dict.fromkeys(names[:cold_count], 60_000)
+    harness.list_targets(0, **{**dict.fromkeys(names, 0), **cold})
+    limits = harness.components.rate_limits
+    other = harness.components.directory.find('other')
+    seen = []
+    for now_ms in (200, 3_000, 4_000):
+        harness.pass_time(now_ms, now_ms + 1)
+        seen.append(limits.is_cold(other, now_ms))
+    assert seen == [is_presumed, is_presumed, False]
