--- a/packages/routing/src/godwitglade/routing/cold_targets.py
+++ b/packages/routing/src/godwitglade/routing/cold_targets.py
@@ -128,15 +128,23 @@
     def presume(
         self,
         counts: typing.Mapping[tuple[str, str], tuple[int, int]],
+        confirmed_ms: int | None,
         now_ms: int,
     ) -> None:
         """Set of how many targets how many are cold, by pool and zone.
 
-        A data centre of which many are cold counts as a whole for a while,
-        in which its other targets tell whether they are.
+        A data centre of which many are cold counts as a whole for a while, at
+        a host that has not read the list since ``confirmed_ms`` for longer.
         """
+        is_read = confirmed_ms is not None and (
+            now_ms - confirmed_ms < LEARNING_MS
+        )
+        extended_ms = 0 if is_read else now_ms + LEARNING_MS
         self._presumed_until_ms = {
-            key: self._presumed_until_ms.get(key, now_ms + LEARNING_MS)
+            key: max(
+                extended_ms,
+                self._presumed_until_ms.get(key, now_ms + LEARNING_MS),
+            )
             for key, (cold, listed) in counts.items()
             if cold >= max(MIN_PRESUMED, listed * PRESUMED_SHARE)
         }
--- a/packages/routing/src/godwitglade/routing/host.py
+++ b/packages/routing/src/godwitglade/routing/host.py
@@ -463,7 +463,7 @@
         effects_ += self.components.requests.clear_running(now_ms)
         effects_ += self.components.quarantine.maintain(now_ms)
         effects_ += self.components.rate_limits.maintain(
-            directory.all(), now_ms
+            directory.all(), now_ms, self.components.versions.confirmed_ms
         )
         if self.components.stopping.should_close(now_ms):
             effects_.append(effects.StopListening())
@@ -546,7 +546,9 @@
             for effect in streams.record_replaced(change.listed, now_ms)
         ]
         told += streams.update_pools(now_ms)
-        cold = self.components.rate_limits.maintain(directory.all(), now_ms)
+        cold = self.components.rate_limits.maintain(
+            directory.all(), now_ms, self.components.versions.confirmed_ms
+        )
         logs = target_changes.logs(changes, version)
         addresses = frozenset(directory.addresses())
         return [*logs, *cold, *told, effects.CloseOtherConnections(addresses)]
--- a/packages/routing/src/godwitglade/routing/rate_limits.py
+++ b/packages/routing/src/godwitglade/routing/rate_limits.py
@@ -218,12 +218,16 @@
         return [shared_effects.ReplyPeer(message.reply_token, reply)]
 
     def maintain(
-        self, listed: typing.Collection[targets.Target], now_ms: int
+        self,
+        listed: typing.Collection[targets.Target],
+        now_ms: int,
+        confirmed_ms: int | None = None,
     ) -> Effects:
         """Forget targets that are gone; expect as much of new ones.
 
         A target that starts beside brittle ones is taken for one of them
-        until it has responded. Returns log events about cold targets.
+        until it has responded. The list was read last at ``confirmed_ms``.
+        Returns log events about cold targets.
         """
         pools = {key_of(target): target.listed.pool for target in listed}
         keys = set(pools)
@@ -251,7 +255,7 @@
                 target.listed.pool, target.cold_until_ms, now_ms
             )
         }
-        self.cold.presume(_count_cold(listed, cold), now_ms)
+        self.cold.presume(_count_cold(listed, cold), confirmed_ms, now_ms)
         used = self._limits.keys() | {
             key_of(target) for target in listed if self.is_cold(target, now_ms)
         }
