--- a/packages/daemon/src/godwitglade/daemon/assembly.py
+++ b/packages/daemon/src/godwitglade/daemon/assembly.py
@@ -136,7 +136,7 @@
     env: context.Environment,
     peers: PeerComponents,
 ) -> effect_runner.Clients:
-    manager = whole_responses.PoolManager(
+    manager = whole_responses.TimedPoolManager(
         maxsize=PLATFORM_CONNECTIONS, retries=False, block=False
     )
 
--- a/packages/peers/src/godwitglade/peers/client.py
+++ b/packages/peers/src/godwitglade/peers/client.py
@@ -61,7 +61,7 @@
         self._signer = signer
         self._traffic = traffic
         self._scheme = scheme
-        self._pools = whole_responses.PoolManager(
+        self._pools = whole_responses.TimedPoolManager(
             num_pools=MAX_HOST_POOLS, maxsize=1, retries=False, **tls_options
         )
 
--- a/packages/platform/src/godwitglade/platform/service.py
+++ b/packages/platform/src/godwitglade/platform/service.py
@@ -54,7 +54,7 @@
 
 def make_pools(max_connections: int = MAX_CONNECTIONS) -> urllib3.PoolManager:
     """Return the connection pools that the platform clients share."""
-    return whole_responses.PoolManager(
+    return whole_responses.TimedPoolManager(
         maxsize=max_connections,
         block=True,
         retries=False,
--- a/packages/targets/src/godwitglade/targets/event_reader.py
+++ b/packages/targets/src/godwitglade/targets/event_reader.py
@@ -5,6 +5,8 @@
 import attrs
 
 _EVENT_END = re.compile(rb'\r?\n\r?\n')
+#: Longest match of the above.
+MAX_END_BYTES = 4
 _EVENT_ID = re.compile(rb'^id: ?([^\r\n]*)', re.MULTILINE)
 _DATA = re.compile(rb'^data', re.MULTILINE)
 
@@ -41,7 +43,7 @@
 
     last_id: str = ''
     can_go_on: bool = True
-    _rest: bytes = b''
+    _rest: bytearray = attrs.Factory(bytearray)
     _is_first: bool = False
 
     def feed(self, chunk: bytes) -> bytes:
@@ -50,14 +52,17 @@
         Raises EventTooLongError if an event exceeds MAX_EVENT_BYTES, and
         EventRepeatedError if a stream goes on with an event before its last.
         """
-        buffered = self._rest + chunk
-        ends = [match.end() for match in _EVENT_END.finditer(buffered)]
+        # An event may end anywhere in the chunk, but not before it. To search
+        # or copy the rest for each byte of a long event would take minutes.
+        start = max(0, len(self._rest) - MAX_END_BYTES + 1)
+        self._rest += chunk
+        ends = [m.end() for m in _EVENT_END.finditer(self._rest, start)]
         if not ends:
-            self._rest = buffered
-            if len(buffered) > MAX_EVENT_BYTES:
+            if len(self._rest) > MAX_EVENT_BYTES:
                 raise EventTooLongError()
             return b''
-        complete, self._rest = buffered[: ends[-1]], buffered[ends[-1] :]
+        complete = bytes(self._rest[: ends[-1]])
+        del self._rest[: ends[-1]]
         ids = list(_EVENT_ID.finditer(complete))
         without_id = complete
         if ids:
@@ -72,7 +77,7 @@
 
     def restart(self) -> None:
         """Drop a partial event, before another stream continues."""
-        self._rest = b''
+        self._rest.clear()
         self._is_first = bool(self.last_id)
 
     def _check_first(self, event_id: str) -> None:
--- a/tests/targets/test_whole_responses.py
+++ b/tests/targets/test_whole_responses.py
@@ -3,6 +3,7 @@
 import contextlib
 import socket
 import threading
+import time
 
 import pytest
 
@@ -135,3 +136,31 @@
 def test_response_with_whole_chunks_is_read(chunks, read):
     with served(HEADS['chunks'] + b'\r\n' + chunks) as address:
         assert read(address) == b'whole'
+
+
+@contextlib.contextmanager
+def dripping(content, pause_s):
+    """Send one byte at a time; yield the address."""
+    with socket.create_server(('127.0.0.1', 0)) as listener:
+
+        def serve():
+            connection, _ = listener.accept()
+            with connection, contextlib.suppress(OSError):
+                connection.recv(1_000)
+                for byte in content:
+                    connection.sendall(bytes([byte]))
+                    time.sleep(pause_s)
+
+        thread = threading.Thread(target=serve, daemon=True)
+        thread.start()
+        yield '127.0.0.1:%d' % listener.getsockname()[1]
+        thread.join(5)
+
+
+def test_response_that_arrives_byte_by_byte_ends_with_its_call():
+    # Guards against a store or peer that holds a call for ever.
+    content = HEADS['length'] + b'\r\n' + BODIES['length']
+    with dripping(content, 0.1) as address:
+        pools = whole_responses.TimedPoolManager(retries=False)
+        with pytest.raises(http_exchange.TRANSPORT_ERRORS):
+            pools.request('GET', f'http://{address}/', timeout=0.4)
