Bound what callers and peers make an edge process read, hold and wait for

Cause: the readers of cheroot take lines and chunks of any length, bodies counted only one by one, connections and waiting threads not at all, and freed buffers stayed in a heap for each thread. The fuzz test found a 500 for half an IPv6 address in a target: 400 now.

--- a/packages/common/src/godwitglade/common/events.py
+++ b/packages/common/src/godwitglade/common/events.py
@@ -106,6 +106,12 @@
         logging.INFO,
         'The body of a response ended early, or had no length to check.',
     )
+    LIMIT_EXCEEDED = EventDescription(
+        2021,
+        logging.WARNING,
+        'A client exceeded a bound on its input; at most one of each bound '
+        'is logged in 10 s.',
+    )
     TARGET_LIMITED = EventDescription(
         3009,
         logging.WARNING,
--- a/packages/common/src/godwitglade/common/web.py
+++ b/packages/common/src/godwitglade/common/web.py
@@ -88,7 +88,8 @@
 def read_body(limit_bytes: int) -> bytes:
     """Return the complete body of the request.
 
-    Raises BodyTooLargeError, BodyTooSlowError and BodyIncompleteError.
+    Raises BodyTooLargeError, BodyTooSlowError, BodyIncompleteError and
+    RequestError.
     """
     declared = cherrypy.request.headers.get('Content-Length', '0')
     declared_bytes = int(declared) if declared.isdigit() else 0
@@ -98,6 +99,9 @@
         body = cherrypy.request.rfile.read(limit_bytes + 1)
     except TimeoutError as error:
         raise _close_connection(request_errors.BodyTooSlowError()) from error
+    except ValueError as error:
+        malformed = RequestError(f'400 Bad Request: {error}')
+        raise _close_connection(malformed) from error
     if len(body) > limit_bytes:
         raise _close_connection(request_errors.BodyTooLargeError(limit_bytes))
     if len(body) < declared_bytes:
--- a/packages/daemon/src/godwitglade/daemon/strict_headers.py
+++ b/packages/daemon/src/godwitglade/daemon/strict_headers.py
@@ -80,9 +80,10 @@
 
     def parse_request(self) -> None:
         """Read the headers; limit the time for headers and body separately."""
-        self.conn.limit_read_time(self.server.header_timeout_ms)
+        conn = self.conn
+        conn.limit_read_time('head_time_ms', self.server.header_timeout_ms)
         super().parse_request()
-        self.conn.limit_read_time(self.conn.read_timeout_ms)
+        conn.limit_read_time('body_timeout_ms', conn.limits.body_timeout_ms)
 
 
 class Connection(connections.BoundedConnection):
--- a/tests/edge/deployment.py
+++ b/tests/edge/deployment.py
@@ -32,7 +32,7 @@
 class Deployment:
     """A store, two targets of each pool, and an edge process."""
 
-    def __init__(self, revoke_ms=None, rows=()):
+    def __init__(self, revoke_ms=None, rows=(), **options):
         self.store = edge_platform.Store()
         for row in rows:
             self.store.put(*row)
@@ -58,6 +58,7 @@
             heartbeat_ms=1_000,
             bounds=host.Settings(revoke_ms=revoke_ms),
             metrics_port=ports[3],
+            **options,
         )
         self.log = _LogBuffer()
         env = context.Environment(
