--- a/packages/common/src/godwitglade/common/input_limits.py
+++ b/packages/common/src/godwitglade/common/input_limits.py
@@ -15,8 +15,9 @@
 FILE_DESCRIPTORS = 200
 #: Shares of the other descriptors for connections of callers, of other hosts,
 #: and of hosts that hand requests over; the rest is for connections to
-#: targets, the store and other hosts.
-CALLER_SHARE, PEER_SHARE, TAKEN_SHARE = 0.5, 0.15, 0.05
+#: targets, the store and other hosts. A host that grants permits or owns a
+#: stage pool has a connection from each of the up to 195 others.
+CALLER_SHARE, PEER_SHARE, TAKEN_SHARE = 0.4, 0.3, 0.05
 MIN_CONNECTIONS = 32
 #: Share of the memory for large bodies. A process without load takes about
 #: 45 MB of the 160 MB of the smallest machine.
