Honour the read timeout of a connection class again

Cause: the bounds on bodies replaced the attribute that connection classes set, so that tests/callers waited 10 s for each request that does not arrive and failed (test_incomplete_request_is_ended_with_an_error and those after it).

Change: a connection class with read_timeout_ms has that limit.

--- a/packages/daemon/src/godwitglade/daemon/connections.py
+++ b/packages/daemon/src/godwitglade/daemon/connections.py
@@ -243,11 +243,13 @@
 class BoundedConnection(server.HTTPConnection):
     """A connection with a time limit for reading each request.
 
-    Servers other than `servers.GatewayServer` have the default bounds.
+    Servers other than `servers.GatewayServer` have the default bounds. A
+    subclass may set ``read_timeout_ms`` in place of that of the bounds.
     """
 
     RequestHandlerClass = ClosingRequest
     clock: typing.ClassVar[clocks.Clock] = clocks.Clock()
+    read_timeout_ms: typing.ClassVar[int | None] = None
     is_new = True
     is_reset_on_close = False
     has_served = False
@@ -271,7 +273,8 @@
 
     def communicate(self) -> bool:
         """Serve one request; return whether the connection stays open."""
-        self.limit_read_time('body_timeout_ms', self.limits.body_timeout_ms)
+        timeout_ms = self.read_timeout_ms or self.limits.body_timeout_ms
+        self.limit_read_time('body_timeout_ms', timeout_ms)
         self.has_served = True
         return bool(super().communicate())
 
