Retry less often only what the store refuses or does not answer

Change: UnavailableError tells a store that refuses or is silent from one that answers oddly; only the former is retried at growing intervals.

--- a/packages/platform/src/godwitglade/platform/follower.py
+++ b/packages/platform/src/godwitglade/platform/follower.py
@@ -36,6 +36,19 @@
     table: str
 
 
+@attrs.define(auto_exc=True, str=False)
+class UnavailableError(errors.CodedError):
+    """The store did not answer, or refused the call."""
+
+    code = 'store_unavailable'
+    http_status = 503
+    is_retryable = True
+    template = '{path}: {reason}'
+
+    path: str
+    reason: str
+
+
 @attrs.frozen
 class Rows:
     """Rows of a table as of ``version``.
@@ -71,7 +84,7 @@
 
 
 class Client(typing.Protocol):
-    """Reads rows from a store; raises CodedError."""
+    """Reads rows from a store; raises UnavailableError, CodedError."""
 
     def read(self, table: str) -> Rows:
         """Return all rows of a table."""
@@ -91,8 +104,9 @@
     after ``pause_ms``. Every ``full_read_ms`` the whole table is read, to
     correct what feeds missed. With ``confirm_ms`` a feed ends that long
     after the last confirmation of the table. After a time without following
-    the first read comes after ``resume_ms``. Reads that fail in a row are
-    repeated at growing intervals, after ``max_retry_ms`` at most.
+    the first read comes after ``resume_ms``. Reads that the store refuses or
+    does not answer are repeated at growing intervals, after ``max_retry_ms``
+    at most.
     """
 
     wait_ms: int
@@ -333,7 +347,8 @@
             # thread.
             self._availability.record_failure(describe(error))
             self._version = None
-            self._failures += 1
+            is_unavailable = isinstance(error, UnavailableError)
+            self._failures = self._failures + 1 if is_unavailable else 0
             return pace.retry_ms(self._failures), False
         last_era, self._era = self._era, result.era
         is_new_era = last_era != self._era
--- a/tests/platform/test_follower.py
+++ b/tests/platform/test_follower.py
@@ -7,7 +7,6 @@
 import pytest
 
 from godwitglade.common import codec
-from godwitglade.common import errors
 from godwitglade.edge import decoding
 from godwitglade.edge import store as edge_store
 from godwitglade.platform import follower
@@ -60,7 +59,7 @@
         self.calls.append(name)
         if self.is_unreachable:
             self.clock.now_ms += ROUND_TRIP_MS
-            raise errors.MalformedError('$', 'away')
+            raise follower.UnavailableError('t', 'away')
 
 
 def follow(pace, for_ms, prepare=lambda store: None):
