--- a/packages/routing/src/godwitglade/routing/engine_choice.py
+++ b/packages/routing/src/godwitglade/routing/engine_choice.py
@@ -36,10 +36,6 @@
 IGNORED_SENDS = 0.5
 #: Parts, pools and targets whose rate of requests is known.
 MAX_RATES = 8_192
-#: A prompt leaves the first engine of the agreed order only if that saves more
-#: time: less is within the error of what a host knows of the loads, and costs
-#: another reading of the part.
-MIN_SAVED_MS = 50
 
 
 @attrs.frozen
@@ -128,11 +124,9 @@
     slots: int,
     times: forecasts.EngineTimes,
 ) -> Choice:
-    """Return the first candidate with room that is about the cheapest."""
+    """Return the cheapest candidate with room, the first of equal ones."""
     roomy = [c for c in candidates if c.has_room] or candidates
-    costs_ms = [cost_ms(c, slots, times)[1] for c in roomy[:MAX_HOLDERS]]
-    limit_ms = min(costs_ms) + MIN_SAVED_MS
-    best = next(c for c, cost in zip(roomy, costs_ms) if cost <= limit_ms)
+    best = min(roomy[:MAX_HOLDERS], key=lambda c: cost_ms(c, slots, times)[1])
     return Choice(
         best.target,
         best.holder,
