Weigh prompts only in pools whose targets report their pace

Cause: the weighed choice is on wherever the reuse window is set, so on all deployments.

Change: prompts are weighed in pools of which a target has reported the fourth load figure; elsewhere the choice by hash and fullness stays.

--- a/packages/routing/src/godwitglade/routing/call_tracking.py
+++ b/packages/routing/src/godwitglade/routing/call_tracking.py
@@ -38,6 +38,7 @@
         self._chooser = chooser
         self._orders = holder_orders.HolderOrders(directory)
         self._choices: dict[str, engine_choice.Choice] = {}
+        self._paced_pools: set[str] = set()
         self._directory = directory
         self._limits = limits
         self._zone = zone
@@ -103,10 +104,16 @@
     def _engine_pool(
         self, request: request_.Request
     ) -> engine_choice.Pool | None:
-        """Return the pool of its engines if prompts are weighed."""
+        """Return the pool of its engines if prompts are weighed.
+
+        Engines that do not tell their pace are alike, and the choice by hash
+        and fullness then reads fewer parts again.
+        """
         document = self._document_state.document
         if not request.route.has_prompt or not self._chooser.window_ms:
             return None
+        if request.pool not in self._paced_pools:
+            return None
         pool = document and document.pools.get(request.pool)
         if not pool or pool.engine is None:
             return None
@@ -219,6 +226,8 @@
         self, target: targets.Target, load: targets.Load | None
     ) -> Effects:
         """Return a log event for the first malformed load of a process."""
+        if load is not None and load.has_pace:
+            self._paced_pools.add(target.listed.pool)
         if load is None or not load.malformed or target.has_malformed_load:
             return []
         target.has_malformed_load = True
--- a/packages/routing/src/godwitglade/routing/targets.py
+++ b/packages/routing/src/godwitglade/routing/targets.py
@@ -69,14 +69,16 @@
 class Load:
     """Load that a target reported in a response, None for unknown figures.
 
-    Work takes ``pace_percent`` of its usual time at the target. ``malformed``
-    is the start of a header that is not as it should be, else empty.
+    Work takes ``pace_percent`` of its usual time at the target; without
+    ``has_pace`` the target does not tell. ``malformed`` is the start of a
+    header that is not as it should be, else empty.
     """
 
     running: int | None
     waiting: int | None
     slots: int | None
     pace_percent: int = USUAL_PACE_PERCENT
+    has_pace: bool = attrs.field(default=False, eq=False)
     malformed: str = attrs.field(default='', eq=False)
 
     @property
@@ -536,5 +538,6 @@
         waiting,
         slots,
         pace if is_pace_valid else USUAL_PACE_PERCENT,
+        is_pace_valid,
         reprlib.repr(value) if is_malformed else '',
     )
--- a/tests/routing/test_engine_choice.py
+++ b/tests/routing/test_engine_choice.py
@@ -240,8 +240,11 @@
     assert orders.first('p', '', 'x')[:15] == order[1:]
 
 
-def sent(window_ms, engine):
-    """Return the log fields and counters of requests that share parts."""
+def sent(window_ms, engine, has_pace=True):
+    """Return the log fields and counters of requests that share parts.
+
+    A response before them tells the pace of a target, or does not.
+    """
     harness = lifecycle.Harness(lifecycle.ROUTES['stream'], target_count=20)
     document = builders.document(
         lifecycle.ROUTES['stream'],
@@ -250,6 +253,13 @@
     )
     harness.document_state.apply(document, 0)
     harness.requests.chooser.window_ms = window_ms
+    harness.arrive(request_id='before')
+    load = targets.Load(0, 0, 1, has_pace=has_pace)
+    for message in (
+        messages.StreamStarted('before', 1, load),
+        messages.ResponseCompleted('before', 1, 200),
+    ):
+        harness.requests.handle(message, 0)
     logged = []
     for n in range(40):
         part = messages.PromptPart(f'p{n % 5}', 6_300)
@@ -261,10 +271,16 @@
     return fields, counts
 
 
-def test_choice_without_window_or_engine_is_that_of_the_hash():
+def test_choice_without_window_engine_or_pace_is_that_of_the_hash():
+    """Guards against parts read again where all engines are alike."""
     plain = [fields['target'] for fields in sent(None, None)[0]]
-    for window_ms, engine in ((None, ENGINE), (0, ENGINE), (10_000, None)):
-        fields, counts = sent(window_ms, engine)
+    for window_ms, engine, has_pace in (
+        (None, ENGINE, True),
+        (0, ENGINE, True),
+        (10_000, None, True),
+        (10_000, ENGINE, False),
+    ):
+        fields, counts = sent(window_ms, engine, has_pace)
         assert [f['target'] for f in fields] == plain
         assert not any('holder' in f for f in fields)
         assert not counts
