--- a/packages/daemon/src/godwitglade/daemon/limit_reports.py
+++ b/packages/daemon/src/godwitglade/daemon/limit_reports.py
@@ -28,7 +28,8 @@
 
     def report(self, bound: str, amount: int) -> None:
         """Report that a client exceeds ``bound`` with ``amount``."""
-        self.count(f'limits.{bound}', 1)
+        name = f'limits.{bound}'
+        self.count(name, 1)
         now_ms = self.clock.monotonic_ms()
         with self._lock:
             logged_ms = self._logged_ms.get(bound)
