--- a/packages/platform/src/godwitglade/platform/row_reader.py
+++ b/packages/platform/src/godwitglade/platform/row_reader.py
@@ -29,8 +29,8 @@
     """Decodes the values of rows; raises MalformedError.
 
     The document has the key `DOCUMENT_KEY`, its version is the field
-    `ROW_VERSION`. A row in the same table whose
-    key is `EVACUATION_PREFIX` and a zone evacuates that zone.
+    `ROW_VERSION`. A row in the same table whose key is `EVACUATION_PREFIX`
+    and a zone evacuates that zone.
     """
 
     DOCUMENT_KEY: str
