--- a/review/rig.py
+++ b/review/rig.py
@@ -19,7 +19,8 @@
 import urllib.parse
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
-START = time.monotonic()
+#: Processes that a script starts count from the same moment.
+START = float(os.environ.setdefault('RIG_START', str(time.monotonic())))
 
 
 def now():
@@ -29,9 +30,11 @@
 class Log:
     """Writes what was sent, answered and run to record.txt."""
 
-    def __init__(self, path):
+    def __init__(self, path, is_first=True):
         self.lock = threading.Lock()
-        self.file = open(path, 'w', encoding='utf-8')
+        if is_first:
+            open(path, 'w').close()
+        self.file = open(path, 'a', encoding='utf-8')
 
     def __call__(self, text):
         with self.lock:
