End with 2 when a case of the review cannot run

An error of a script ended it with 1, and two scripts at the same time could take the same loopback address.

--- a/review/rig.py
+++ b/review/rig.py
@@ -8,6 +8,7 @@
 import base64
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -264,13 +265,25 @@
         return s.getsockname()[1]
 
 
-def network():
-    """Return the first three numbers of loopback addresses of this run.
+#: The metrics port of an edge process is fixed, so each has its own address.
+METRICS_PORT = 9464
+NETWORK = f'127.{random.randrange(20, 220)}.{random.randrange(250)}'
+
 
-    The metrics port of an edge process is fixed, so each has its own address.
-    """
-    pid = os.getpid()
-    return f'127.{20 + pid // 62500 % 100}.{pid // 250 % 250}'
+def network():
+    """Return the first three numbers of loopback addresses of this run."""
+    with socket.create_server((f'{NETWORK}.1', METRICS_PORT)):
+        return NETWORK
+
+
+def run(main):
+    """End with what main returns, or with 2 if it fails."""
+    try:
+        status = main()
+    except Exception as error:
+        print(f'the case could not run: {error!r}')
+        status = 2
+    sys.exit(status)
 
 
 def has_trouble():
