--- a/review/rig.py
+++ b/review/rig.py
@@ -260,9 +260,13 @@
         return encode(200, self.headers(request), b'done ' + request[2].get('x-attempt-id', '').encode())
 
 
-def free_port(ip):
-    with socket.create_server((ip, 0)) as s:
-        return s.getsockname()[1]
+def free_ports(ip, count):
+    """Return different free ports of an address."""
+    sockets = [socket.create_server((ip, 0)) for _ in range(count)]
+    ports = [each.getsockname()[1] for each in sockets]
+    for each in sockets:
+        each.close()
+    return ports
 
 
 #: The metrics port of an edge process is fixed, so each has its own address.
@@ -331,7 +335,7 @@
     def __init__(self, name, ip, store, zone='z1', zones=('z1',), bounds=None, extra=None, log=None):
         self.name, self.ip, self.zone, self.log = name, ip, zone, log
         self.dir = tempfile.mkdtemp(prefix="review-")
-        ports = [free_port(ip) for _ in range(5)]
+        ports = free_ports(ip, 4)
         self.front, self.ready = f'{ip}:{ports[0]}', f'{ip}:{ports[1]}'
         self.settings = {
             'nodeName': name, 'role': 'edge', 'machineClass': 'edge', 'serves': ['edge'],
@@ -375,6 +379,8 @@
             except OSError:
                 pass
             time.sleep(0.05)
+        if self.log:
+            self.log(f'{self.name} is not ready: {self.output()[-2000:]}')
         return False
 
     def signal(self, number):
